--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the operator's command.
+
+fn main() {}
--- /dev/null
+++ b/cli/tests/runner.rs
@@ -0,0 +1,1 @@
+//! Tests of the package.
--- /dev/null
+++ b/lib/src/connection/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as the tie to one target or peer.
+
+pub mod order;
--- /dev/null
+++ b/lib/src/moment.rs
@@ -0,0 +1,57 @@
+//! Time as the state machines see it.
+//!
+//! A [`Moment`] is a reading of the local monotonic clock. Moments of two processes are never
+//! compared; what crosses a link is a [`Duration`].
+
+use serde::{Deserialize, Serialize};
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+/// Reading of the local monotonic clock, in microseconds since an arbitrary origin.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The origin of the clock.
+    pub const ZERO: Moment = Moment(0);
+
+    /// Moment that lies `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Moment(micros)
+    }
+
+    /// Moment that lies `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Moment(millis * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time passed since `earlier`; zero if `earlier` lies ahead.
+    pub fn since(self, earlier: Moment) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, span: Duration) -> Moment {
+        Moment(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+
+    fn sub(self, span: Duration) -> Moment {
+        Moment(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/lib/src/process/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as the daemon.
+
+pub mod settings;
--- /dev/null
+++ b/lib/src/request/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for one request.
+
+pub mod header;
+pub mod outcome;
--- /dev/null
+++ b/lib/src/version/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as one version of the fleet's state.
+
+pub mod command;
+pub mod fleet;
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Tests of the policy library.
+
+mod test_key;
--- /dev/null
+++ b/lib/tests/test_key.rs
@@ -0,0 +1,24 @@
+//! Key ranges cover the hash space without gap or overlap.
+
+use cornelrail_lib::key::{KeyHash, KeyRange};
+use quickcheck::quickcheck;
+
+quickcheck! {
+    fn even_ranges_cover_the_space(count: u16) -> bool {
+        let ranges = KeyRange::even(u64::from(count));
+        let width: u128 = ranges.iter().map(KeyRange::width).sum();
+        width == KeyRange::FULL.width() && ranges.windows(2).all(|w| !w[0].overlaps(&w[1]))
+    }
+
+    fn split_parts_join_to_the_whole(first: u64, last: u64, at: u64) -> bool {
+        let Some(range) = KeyRange::new(KeyHash(first), KeyHash(last)) else {
+            return first > last;
+        };
+        match range.split(KeyHash(at)) {
+            None => at <= first || at > last,
+            Some((below, above)) => {
+                below.width() + above.width() == range.width() && !below.overlaps(&above)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon of an entry host.
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the daemon.
+
+fn main() {}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for targets, callers and links.
