node: first draft of the daemon's request and control paths

Cause: the thin whole path needs a caller's front, a home and a leader. Change: draft against the interfaces the policy modules will bring. Result: does not build yet; not run.

--- /dev/null
+++ b/node/src/connection/target.rs
@@ -0,0 +1,176 @@
+//! Connections to one target, and the adapter of the protocol that targets speak.
+//!
+//! A task owns the idle connections. A request borrows one, and dropping a borrowed connection
+//! closes it, which is how a target learns that its caller has left.
+
+use crate::request::body::OutBody;
+use bytes::Bytes;
+use cornelrail_lib::connection::order::{LEASE_PATH, LeaseAnswer, LeaseOrder};
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use std::{net::SocketAddr, time::Duration};
+use thiserror::Error;
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+    time::timeout,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const IDLE_HELD: usize = 128;
+const MESSAGES_HELD: usize = 1_024;
+
+/// Why a target gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ExchangeError {
+    /// No byte of the request reached the target.
+    #[error("the target could not be reached; no byte was sent")]
+    NotSent,
+    /// The connection broke after bytes may have reached the target.
+    #[error("the connection broke while the target may have run the request")]
+    Broken,
+}
+
+/// One connection to a target; dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<OutBody>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    async fn open(address: SocketAddr) -> Option<Connection> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = stream.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(async move {
+            // A broken connection shows at the request that uses it.
+            let _ = connection.await;
+        });
+        Some(Connection { sender, driver })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn exchange(
+        &mut self,
+        request: Request<OutBody>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        if self.sender.ready().await.is_err() {
+            return Err(ExchangeError::NotSent);
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(answer) => Ok(answer),
+            Err(mut error) => match error.take_message() {
+                Some(_unsent) => Err(ExchangeError::NotSent),
+                None => Err(ExchangeError::Broken),
+            },
+        }
+    }
+}
+
+enum LinkMessage {
+    Borrow(oneshot::Sender<Option<Connection>>),
+    Return(Connection),
+}
+
+/// Handle of the task that owns the idle connections to one target.
+#[derive(Debug, Clone)]
+pub struct TargetLink {
+    address: SocketAddr,
+    tx: mpsc::Sender<LinkMessage>,
+}
+
+impl TargetLink {
+    /// Starts the task for the target at `address`.
+    pub fn start(address: SocketAddr) -> TargetLink {
+        let (tx, rx) = mpsc::channel(MESSAGES_HELD);
+        tokio::spawn(run(address, rx));
+        TargetLink { address, tx }
+    }
+
+    /// Address of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// An idle connection, or a new one.
+    pub async fn borrow(&self) -> Result<Connection, ExchangeError> {
+        let (tx, rx) = oneshot::channel();
+        let asked = self.tx.send(LinkMessage::Borrow(tx)).await;
+        asked.map_err(|_| ExchangeError::NotSent)?;
+        rx.await.ok().flatten().ok_or(ExchangeError::NotSent)
+    }
+
+    /// Gives a connection back once the answer on it has been read to its end.
+    pub fn give_back(&self, connection: Connection) {
+        // Without room the connection is closed, and the next request opens one.
+        let _ = self.tx.try_send(LinkMessage::Return(connection));
+    }
+
+    /// Renews the target's lease; `None` if no answer came within `limit`.
+    pub async fn renew(&self, order: &LeaseOrder, limit: Duration) -> Option<LeaseAnswer> {
+        timeout(limit, self.renew_unbounded(order)).await.ok()?
+    }
+
+    async fn renew_unbounded(&self, order: &LeaseOrder) -> Option<LeaseAnswer> {
+        let body = serde_json::to_vec(order).ok()?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(LEASE_PATH)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(whole(body.into()))
+            .ok()?;
+        let mut connection = self.borrow().await.ok()?;
+        let answer = connection.exchange(request).await.ok()?;
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        self.give_back(connection);
+        serde_json::from_slice(&body).ok()
+    }
+}
+
+fn whole(bytes: Bytes) -> OutBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+async fn run(address: SocketAddr, mut rx: mpsc::Receiver<LinkMessage>) {
+    let mut idle: Vec<Connection> = Vec::new();
+    while let Some(message) = rx.recv().await {
+        match message {
+            LinkMessage::Return(connection) if idle.len() < IDLE_HELD => idle.push(connection),
+            LinkMessage::Return(_) => {}
+            LinkMessage::Borrow(reply) => lend(address, &mut idle, reply),
+        }
+    }
+}
+
+fn lend(
+    address: SocketAddr,
+    idle: &mut Vec<Connection>,
+    reply: oneshot::Sender<Option<Connection>>,
+) {
+    idle.retain(|connection| !connection.sender.is_closed());
+    if let Some(connection) = idle.pop() {
+        // The asker may have given up meanwhile.
+        let _ = reply.send(Some(connection));
+        return;
+    }
+    tokio::spawn(async move {
+        let _ = reply.send(Connection::open(address).await);
+    });
+}
--- /dev/null
+++ b/node/src/process/control/leading.rs
@@ -0,0 +1,291 @@
+//! What an entry does while it leads.
+
+use super::ControlTask;
+use crate::process::protocol::{Call, Control, CrashCall, Logged, Reply};
+use cornelrail_lib::{
+    connection::order::Leave,
+    moment::Moment,
+    name::Node,
+    process::{
+        event::Event,
+        operator_api::{EntryInForce, InForceAnswer, Winner},
+        settings::Settings,
+    },
+    request::quarantine::Quarantine,
+    version::{
+        command::{Announcement, Command},
+        controller::{Controller, ControllerConfig},
+        fleet::{Fleet, TargetPhase},
+        report::Report,
+    },
+};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::oneshot;
+
+/// State of a leader for one term.
+#[derive(Debug)]
+pub(super) struct Leading {
+    term: u64,
+    ready: bool,
+    /// Commands of the controller that are not settled yet.
+    proposed: usize,
+    controller: Controller,
+    quarantine: Quarantine,
+}
+
+impl Leading {
+    pub(super) fn new(settings: &Settings, term: u64, now: Moment) -> Self {
+        let config = ControllerConfig {
+            timing: settings.timing.clone(),
+            assigner: settings.assigner,
+            seed: settings.node.0,
+            ..ControllerConfig::default()
+        };
+        Leading {
+            term,
+            ready: false,
+            proposed: 0,
+            controller: Controller::new(config, now),
+            quarantine: Quarantine::new(),
+        }
+    }
+
+    pub(super) fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Whether all commands of earlier terms are applied.
+    pub(super) fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Takes in the commit of a command of `term`.
+    pub(super) fn committed(&mut self, term: u64) {
+        self.ready |= term == self.term;
+    }
+
+    /// A proposed command was committed or lost.
+    pub(super) fn settled(&mut self) {
+        self.proposed = self.proposed.saturating_sub(1);
+    }
+}
+
+impl ControlTask {
+    /// Answers a call as the leader.
+    pub(super) fn leader_call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
+        match call {
+            Call::Report(report) => self.report(&report, reply),
+            Call::Announce(announcement) => {
+                let answer = self.announce(&announcement);
+                let _ = reply.send(answer);
+            }
+            Call::Leave(leave) => {
+                let answer = self.leave(&leave);
+                let _ = reply.send(answer);
+            }
+            Call::Note(note) => self.propose_note(note, reply),
+            Call::InForce(version) => {
+                let _ = reply.send(Reply::InForce(self.in_force(version)));
+            }
+            Call::Crash(crash) => {
+                self.take_crash(crash);
+                let _ = reply.send(Reply::Taken);
+            }
+            // These two never reach the control task.
+            Call::Once(_) | Call::Forward(_) => {}
+        }
+    }
+
+    /// Takes a report in and renews the sender's lease while this entry surely leads.
+    fn report(&mut self, report: &Report, reply: oneshot::Sender<Reply>) {
+        let now = self.now();
+        let fleet = self.replica.fleet().clone();
+        let (Some(leading), Some(voter)) = (&mut self.leading, self.setup.voter.clone()) else {
+            return;
+        };
+        leading.controller.on_report(now, &fleet, report);
+        let lease = leading.controller.lease_for(report.node);
+        let grant = self.replica.missing(report.applied, lease.unwrap_or_default());
+        let not_leader = Reply::NotLeader(None);
+        tokio::spawn(async move {
+            let answer = match voter.has_lease().await {
+                true => Reply::Lease(grant),
+                false => not_leader,
+            };
+            // The asker may have given up meanwhile.
+            let _ = reply.send(answer);
+        });
+    }
+
+    fn announce(&mut self, announcement: &Announcement) -> Reply {
+        let now = self.now();
+        let fleet = self.replica.fleet().clone();
+        let Some(leading) = &mut self.leading else {
+            return Reply::NotLeader(None);
+        };
+        match leading.controller.on_announce(now, &fleet, announcement) {
+            Ok(Some(command)) => {
+                leading.proposed += 1;
+                self.propose(&command, None);
+                Reply::Taken
+            }
+            Ok(None) => Reply::Taken,
+            Err(rejected) => {
+                Event::TargetRejected
+                    .log(format_args!("target={} why={rejected}", announcement.target));
+                Reply::Rejected(rejected.to_string())
+            }
+        }
+    }
+
+    fn leave(&mut self, leave: &Leave) -> Reply {
+        let fleet = self.replica.fleet().clone();
+        let Some(leading) = &mut self.leading else {
+            return Reply::NotLeader(None);
+        };
+        if let Some(command) = leading.controller.on_leave(&fleet, leave) {
+            leading.proposed += 1;
+            self.propose(&command, None);
+        }
+        Reply::Taken
+    }
+
+    fn take_crash(&mut self, crash: CrashCall) {
+        let now = self.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let command = leading
+            .quarantine
+            .on_crash(now, crash.node, crash.fingerprint, crash.serial);
+        if let Some(command) = command {
+            self.propose(&command, None);
+        }
+    }
+
+    /// Lets the controller look at the fleet and proposes what it wants.
+    pub(super) fn look(&mut self) {
+        let now = self.now();
+        let fleet = self.replica.fleet().clone();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        // The next decision waits until the last ones are applied, so that none is made twice.
+        if !leading.ready || leading.proposed > 0 {
+            return;
+        }
+        let commands = leading.controller.tick(now, &fleet);
+        leading.proposed += commands.len();
+        for command in &commands {
+            self.propose(command, None);
+        }
+    }
+
+    /// Sends a newly committed command to the other entries at once.
+    pub(super) fn push(&self, index: u64, command: Command) {
+        let logged = vec![Logged { index, command }];
+        for link in self.setup.peers.values() {
+            link.notify(Control::Commands(logged.clone()));
+        }
+    }
+
+    /// Where a version is in force, by the entries' own reports.
+    pub(super) fn in_force(&self, version: cornelrail_lib::name::Version) -> InForceAnswer {
+        let fleet = self.replica.fleet();
+        let now = self.now();
+        let lags = match &self.leading {
+            Some(leading) => leading.controller.lag(now, fleet),
+            None => Vec::new(),
+        };
+        let entries: Vec<EntryInForce> = lags
+            .iter()
+            .map(|lag| EntryInForce {
+                entry: lag.node,
+                version: lag.version,
+                applied: lag.applied,
+                fresh: lag.fresh,
+                in_force: lag.version.is_some_and(|reached| reached >= version),
+            })
+            .collect();
+        let everywhere = !entries.is_empty()
+            && entries.iter().all(|entry| !entry.fresh || entry.in_force)
+            && entries.iter().any(|entry| entry.fresh);
+        InForceAnswer {
+            version,
+            note: winner(fleet, version),
+            entries,
+            everywhere,
+        }
+    }
+
+    /// Writes the events that a command brought about.
+    pub(super) fn log_change(&self, before: &Arc<Fleet>, command: &Command, index: u64) {
+        let after = self.replica.fleet();
+        match command {
+            Command::Noop | Command::Split { .. } | Command::Merge { .. } => {}
+            Command::Admit(info) => Event::TargetAdmitted.log(format_args!(
+                "target={} service={} incarnation={} index={index}",
+                info.target, info.service, info.incarnation
+            )),
+            Command::Lost { target, .. } => {
+                let known = before.targets.get(target);
+                if known.is_some_and(|state| state.phase != TargetPhase::Lost) {
+                    Event::TargetLost.log(format_args!("target={target} index={index}"));
+                }
+            }
+            Command::Drain { target, .. } | Command::Remove { target, .. } => {
+                Event::TargetDrained.log(format_args!("target={target} index={index}"));
+            }
+            Command::EntryUp {
+                node, incarnation, ..
+            } => Event::EntryUp.log(format_args!(
+                "entry={node} incarnation={incarnation} index={index}"
+            )),
+            Command::EntryLost { node, .. } => {
+                Event::EntryLost.log(format_args!("entry={node} index={index}"));
+            }
+            Command::Rehome(list) => {
+                Event::HomesChanged.log(format_args!("targets={} index={index}", list.len()));
+            }
+            Command::MoveBegin(list) => {
+                Event::MoveBegun.log(format_args!("ranges={} index={index}", list.len()));
+            }
+            Command::MoveEnd(list) => {
+                Event::MoveEnded.log(format_args!("ranges={} index={index}", list.len()));
+            }
+            Command::Note { author, .. } => {
+                let event = match after.version > before.version {
+                    true => Event::NoteAccepted,
+                    false => Event::NoteRefused,
+                };
+                event.log(format_args!(
+                    "author={author} version={} index={index}",
+                    after.version
+                ));
+            }
+            Command::Quarantine { fingerprint, .. } => Event::RequestQuarantined.log(
+                format_args!("fingerprint={:016x} index={index}", fingerprint.0),
+            ),
+            _ => {}
+        }
+    }
+}
+
+/// The note that made a version.
+pub(super) fn winner(fleet: &Fleet, version: cornelrail_lib::name::Version) -> Option<Winner> {
+    let mut notes = fleet.notes.iter().rev();
+    let record = notes.find(|record| record.version == version)?;
+    Some(Winner {
+        version: record.version,
+        author: record.author.clone(),
+        digest: record.digest.clone(),
+    })
+}
+
+/// Leases are counted from the sending of a report, so a node's own report needs no more than this.
+pub(super) const OWN_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Whether `node` is the one that leads, as far as `leader` says.
+pub(super) fn is_self(leader: Option<Node>, node: Node) -> bool {
+    leader == Some(node)
+}
--- /dev/null
+++ b/node/src/request/home.rs
@@ -0,0 +1,420 @@
+//! Task that commands the targets whose home this entry is.
+//!
+//! It owns the dispatch policy, the targets' leases and the list of open requests. Requests talk to
+//! it by messages and do their own I/O once they hold a permit.
+
+use super::{
+    exchange::Permit,
+    home_targets::{HeldTargets, Renewed},
+};
+use crate::{process::clock::Clock, version::view::View};
+use cornelrail_lib::{
+    key::KeyHash,
+    moment::Moment,
+    name::{Service, Target},
+    process::settings::{Sending, Settings},
+    request::{
+        dispatch::{Action, Arrival, Choice, Dispatch, DispatchConfig, Ending, RequestId},
+        outcome::Refusal,
+    },
+    version::{command::Fingerprint, report::Report},
+};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::sleep_until,
+};
+
+const MESSAGES_HELD: usize = 16_384;
+/// Longest sleep between two looks at the clock.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the home decides about one request.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Send an attempt.
+    Send(Permit),
+    /// Give the attempt up.
+    Abort(u32),
+    /// The request is given up.
+    Refuse(Refusal),
+    /// The key has moved; nothing was sent.
+    Elsewhere,
+}
+
+/// A request that crashed a target, as its home saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Number that tells two crashes apart.
+    pub serial: u64,
+}
+
+enum HomeMessage {
+    Arrive {
+        arrival: Arrival,
+        hash: KeyHash,
+        verdicts: mpsc::UnboundedSender<Verdict>,
+    },
+    Finish {
+        id: RequestId,
+        attempt: u32,
+        ending: Ending,
+    },
+    Cancel(RequestId),
+    Renewed(Renewed),
+    Collect {
+        report: Report,
+        reply: oneshot::Sender<Report>,
+    },
+    Idle(oneshot::Sender<()>),
+}
+
+/// Handle of the home task.
+#[derive(Debug, Clone)]
+pub struct HomeHandle {
+    tx: mpsc::Sender<HomeMessage>,
+}
+
+impl std::fmt::Debug for HomeMessage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("HomeMessage")
+    }
+}
+
+impl HomeHandle {
+    /// Hands a request over; the verdicts on it come through the receiver.
+    pub async fn arrive(
+        &self,
+        arrival: Arrival,
+        hash: KeyHash,
+    ) -> mpsc::UnboundedReceiver<Verdict> {
+        let (verdicts, rx) = mpsc::unbounded_channel();
+        // A stopped task drops the sender, which the receiver sees.
+        let _ = self
+            .tx
+            .send(HomeMessage::Arrive {
+                arrival,
+                hash,
+                verdicts,
+            })
+            .await;
+        rx
+    }
+
+    /// Tells how an attempt ended.
+    pub async fn finish(&self, id: RequestId, attempt: u32, ending: Ending) {
+        let _ = self
+            .tx
+            .send(HomeMessage::Finish {
+                id,
+                attempt,
+                ending,
+            })
+            .await;
+    }
+
+    /// Tells that the caller left; usable where nothing can be awaited.
+    pub fn cancel(&self, id: RequestId) {
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let _ = tx.send(HomeMessage::Cancel(id)).await;
+        });
+    }
+
+    /// Completes the report to the leader with what this task knows.
+    pub async fn collect(&self, report: Report) -> Option<Report> {
+        let (reply, rx) = oneshot::channel();
+        self.tx
+            .send(HomeMessage::Collect { report, reply })
+            .await
+            .ok()?;
+        rx.await.ok()
+    }
+
+    /// Waits until no request is open.
+    pub async fn idle(&self) {
+        let (tx, rx) = oneshot::channel();
+        if self.tx.send(HomeMessage::Idle(tx)).await.is_ok() {
+            let _ = rx.await;
+        }
+    }
+
+    pub(super) async fn renewed(&self, renewed: Renewed) {
+        let _ = self.tx.send(HomeMessage::Renewed(renewed)).await;
+    }
+}
+
+/// A request that has no final outcome yet.
+#[derive(Debug)]
+pub(super) struct Open {
+    pub(super) service: Service,
+    pub(super) hash: KeyHash,
+    pub(super) keyed: Option<Target>,
+    pub(super) verdicts: mpsc::UnboundedSender<Verdict>,
+    pub(super) running: BTreeMap<u32, Target>,
+}
+
+struct Home {
+    clock: Clock,
+    settings: Arc<Settings>,
+    view: watch::Receiver<View>,
+    handle: HomeHandle,
+    crashes: mpsc::UnboundedSender<Crash>,
+    dispatch: Dispatch,
+    targets: HeldTargets,
+    open: BTreeMap<RequestId, Open>,
+    idle: Vec<oneshot::Sender<()>>,
+}
+
+/// Starts the task.
+pub fn start(
+    clock: Clock,
+    settings: Arc<Settings>,
+    view: watch::Receiver<View>,
+    crashes: mpsc::UnboundedSender<Crash>,
+) -> HomeHandle {
+    let (tx, rx) = mpsc::channel(MESSAGES_HELD);
+    let handle = HomeHandle { tx };
+    let home = Home {
+        clock,
+        view,
+        handle: handle.clone(),
+        crashes,
+        dispatch: Dispatch::new(dispatch_config(&settings), clock.now()),
+        targets: HeldTargets::new(&settings),
+        settings,
+        open: BTreeMap::new(),
+        idle: Vec::new(),
+    };
+    tokio::spawn(home.run(rx));
+    handle
+}
+
+fn dispatch_config(settings: &Settings) -> DispatchConfig {
+    let share = match settings.sending {
+        Sending::Home => 1.0,
+        Sending::Direct => 1.0 / settings.peers.len().max(1) as f64,
+    };
+    DispatchConfig {
+        sending: settings.sending,
+        share,
+        seed: settings.node.0,
+        zone: settings.zone.clone(),
+        queue: settings.limits.queue as usize,
+        ..DispatchConfig::default()
+    }
+}
+
+impl Home {
+    async fn run(mut self, mut rx: mpsc::Receiver<HomeMessage>) {
+        self.reconcile();
+        loop {
+            let wake = self.clock.instant(self.next_wakeup());
+            tokio::select! {
+                message = rx.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                changed = self.view.changed() => match changed {
+                    Ok(()) => self.reconcile(),
+                    Err(_) => return,
+                },
+                () = sleep_until(wake) => {}
+            }
+            self.step();
+        }
+    }
+
+    fn next_wakeup(&self) -> Moment {
+        let idle = self.clock.now() + IDLE_PAUSE;
+        let dispatch = self.dispatch.next_wakeup().unwrap_or(idle);
+        idle.min(dispatch).min(self.targets.next_wakeup(idle))
+    }
+
+    fn handle(&mut self, message: HomeMessage) {
+        let now = self.clock.now();
+        match message {
+            HomeMessage::Arrive {
+                arrival,
+                hash,
+                verdicts,
+            } => self.arrive(now, arrival, hash, verdicts),
+            HomeMessage::Finish {
+                id,
+                attempt,
+                ending,
+            } => self.finish(now, id, attempt, ending),
+            HomeMessage::Cancel(id) => {
+                self.dispatch.cancel(now, id);
+                self.open.remove(&id);
+            }
+            HomeMessage::Renewed(renewed) => {
+                let running = renewed.running();
+                self.targets.renewed(now, &renewed);
+                if let Some(running) = running {
+                    self.dispatch.report(now, &renewed.target, running);
+                }
+                self.publish_targets(now);
+            }
+            HomeMessage::Collect { report, reply } => {
+                let report = self.collect(now, report);
+                // The asker may have given up meanwhile.
+                let _ = reply.send(report);
+            }
+            HomeMessage::Idle(reply) => self.idle.push(reply),
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        now: Moment,
+        arrival: Arrival,
+        hash: KeyHash,
+        verdicts: mpsc::UnboundedSender<Verdict>,
+    ) {
+        let keyed = match &arrival.choice {
+            Choice::Keyed(target) => Some(target.clone()),
+            Choice::Pool => None,
+        };
+        let open = Open {
+            service: arrival.service.clone(),
+            hash,
+            keyed,
+            verdicts,
+            running: BTreeMap::new(),
+        };
+        self.targets.count(&open, now);
+        self.open.insert(arrival.id, open);
+        self.dispatch.arrive(now, arrival);
+    }
+
+    fn finish(&mut self, now: Moment, id: RequestId, attempt: u32, ending: Ending) {
+        self.dispatch.finish(now, id, attempt, ending);
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        open.running.remove(&attempt);
+        if ending == Ending::Answered && open.running.is_empty() {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Brings leases and requests in line with a new state of the fleet.
+    fn reconcile(&mut self) {
+        let now = self.clock.now();
+        let view = self.view.borrow_and_update().clone();
+        let gone = self.targets.reconcile(now, &view, &self.settings);
+        for target in gone {
+            self.dispatch.remove_target(now, &target);
+        }
+        self.publish_targets(now);
+        self.send_elsewhere(now, &view);
+    }
+
+    /// Tells the dispatch policy which targets may be sent to.
+    fn publish_targets(&mut self, now: Moment) {
+        for target in self.targets.views(now) {
+            self.dispatch.set_target(now, target);
+        }
+    }
+
+    /// Turns away waiting requests whose key this entry does not send for any more.
+    fn send_elsewhere(&mut self, now: Moment, view: &View) {
+        let leaving: Vec<RequestId> = self
+            .open
+            .iter()
+            .filter(|(_, open)| open.running.is_empty() && !self.targets.serves(view, open))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in leaving {
+            self.dispatch.cancel(now, id);
+            if let Some(open) = self.open.remove(&id) {
+                let _ = open.verdicts.send(Verdict::Elsewhere);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        self.dispatch.tick(now);
+        self.renew_leases(now);
+        for action in self.dispatch.take_actions() {
+            self.carry_out(now, action);
+        }
+        if self.open.is_empty() {
+            for reply in self.idle.drain(..) {
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    fn renew_leases(&mut self, now: Moment) {
+        let until = self.view.borrow().until;
+        for renewal in self.targets.poll(now, until) {
+            let handle = self.handle.clone();
+            tokio::spawn(async move {
+                let renewed = renewal.send().await;
+                handle.renewed(renewed).await;
+            });
+        }
+    }
+
+    fn carry_out(&mut self, now: Moment, action: Action) {
+        match action {
+            Action::Send {
+                id,
+                attempt,
+                target,
+            } => self.send(now, id, attempt, &target),
+            Action::Refuse { id, refusal } => {
+                if let Some(open) = self.open.remove(&id) {
+                    let _ = open.verdicts.send(Verdict::Refuse(refusal));
+                }
+            }
+            Action::Abort { id, attempt } => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.running.remove(&attempt);
+                    let _ = open.verdicts.send(Verdict::Abort(attempt));
+                }
+            }
+            Action::Suspect {
+                fingerprint,
+                serial,
+                ..
+            } => {
+                let _ = self.crashes.send(Crash {
+                    fingerprint,
+                    serial,
+                });
+            }
+        }
+    }
+
+    fn send(&mut self, now: Moment, id: RequestId, attempt: u32, target: &Target) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return self.dispatch.finish(now, id, attempt, Ending::Cancelled);
+        };
+        let until = self.view.borrow().until;
+        let permit = self
+            .targets
+            .permit(target, open, attempt, until, &self.clock);
+        let sent = match permit {
+            Some(permit) => open.verdicts.send(Verdict::Send(permit)).is_ok(),
+            None => false,
+        };
+        if sent {
+            open.running.insert(attempt, target.clone());
+        } else {
+            self.dispatch.finish(now, id, attempt, Ending::NotSent);
+        }
+    }
+
+    fn collect(&mut self, now: Moment, mut report: Report) -> Report {
+        let view = self.view.borrow().clone();
+        self.targets.report(now, &view, &self.open, &mut report);
+        report.slow = self.dispatch.slow_targets();
+        report
+    }
+}
--- /dev/null
+++ b/node/src/request/home_targets.rs
@@ -0,0 +1,452 @@
+//! The targets whose home this entry is: their connections, leases and grants.
+
+use super::{
+    exchange::Permit,
+    home::Open,
+};
+use crate::{connection::target::TargetLink, process::clock::Clock, version::view::View};
+use cornelrail_lib::{
+    connection::{
+        lease::{EntryLease, HomeLease, LeaseTiming, Tie},
+        order::{Grant, LeaseAnswer, LeaseOrder},
+    },
+    key::{KeyHash, KeyRange},
+    moment::Moment,
+    name::{Fence, Incarnation, Node, Service, Target},
+    process::settings::{Sending, Settings},
+    request::dispatch::{RequestId, TargetView},
+    version::{
+        command::{Announcement, Move},
+        fleet::{Fleet, Route, TargetPhase, TargetState},
+        report::{GoneTarget, RangeLoad, Report},
+    },
+};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Orders without an answer count as missed after this many heartbeats.
+const MISSED_BEATS: u32 = 2;
+
+/// A lease order on its way.
+#[derive(Debug)]
+pub(super) struct Renewal {
+    target: Target,
+    serial: u64,
+    incarnation: Incarnation,
+    link: TargetLink,
+    order: LeaseOrder,
+    limit: Duration,
+}
+
+impl Renewal {
+    /// Sends the order and waits for the answer.
+    pub(super) async fn send(self) -> Renewed {
+        let answer = self.link.renew(&self.order, self.limit).await;
+        Renewed {
+            target: self.target,
+            serial: self.serial,
+            incarnation: self.incarnation,
+            grants: self.order.grants,
+            answer,
+        }
+    }
+}
+
+/// What became of a lease order.
+#[derive(Debug)]
+pub(super) struct Renewed {
+    pub(super) target: Target,
+    serial: u64,
+    incarnation: Incarnation,
+    grants: Vec<Grant>,
+    answer: Option<LeaseAnswer>,
+}
+
+impl Renewed {
+    /// Requests that the target says it runs.
+    pub(super) fn running(&self) -> Option<u32> {
+        self.answer.as_ref().map(|answer| answer.running)
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    info: Announcement,
+    draining: bool,
+    link: TargetLink,
+    lease: HomeLease,
+    /// Grants that the target may act on: those of the last accepted order.
+    granted: Vec<Grant>,
+    /// Grants of orders whose answers are awaited or were missed.
+    pending: Vec<Grant>,
+}
+
+/// Arrivals in one range since the last report.
+#[derive(Debug, Clone)]
+struct Count {
+    service: Service,
+    range: KeyRange,
+    arrivals: u64,
+}
+
+/// All targets whose home this entry is.
+#[derive(Debug)]
+pub(super) struct HeldTargets {
+    me: Node,
+    direct: bool,
+    timing: LeaseTiming,
+    held: BTreeMap<Target, Held>,
+    fleet: std::sync::Arc<Fleet>,
+    counts: Vec<Count>,
+    counted: Moment,
+}
+
+impl HeldTargets {
+    pub(super) fn new(settings: &Settings) -> Self {
+        let timing = &settings.timing;
+        HeldTargets {
+            me: settings.node,
+            direct: settings.sending == Sending::Direct,
+            timing: LeaseTiming {
+                heartbeat: timing.heartbeat,
+                timeout: timing.heartbeat * MISSED_BEATS,
+                lease: timing.target_lease,
+                drift: timing.drift,
+            },
+            held: BTreeMap::new(),
+            fleet: Default::default(),
+            counts: Vec::new(),
+            counted: Moment::ZERO,
+        }
+    }
+
+    /// Takes in a new state of the fleet; returns the targets that are held no longer.
+    pub(super) fn reconcile(
+        &mut self,
+        now: Moment,
+        view: &View,
+        settings: &Settings,
+    ) -> Vec<Target> {
+        self.fleet = view.fleet.clone();
+        let fleet = self.fleet.clone();
+        let mine = |state: &TargetState| {
+            let home = state.home == Some(settings.node) || (self.direct && state.home.is_some());
+            home && state.phase != TargetPhase::Lost
+        };
+        let gone: Vec<Target> = self
+            .held
+            .keys()
+            .filter(|target| !fleet.targets.get(*target).is_some_and(mine))
+            .cloned()
+            .collect();
+        for target in &gone {
+            self.held.remove(target);
+        }
+        for (target, state) in fleet.targets.iter().filter(|(_, state)| mine(state)) {
+            self.hold(now, target, state);
+        }
+        gone
+    }
+
+    fn hold(&mut self, now: Moment, target: &Target, state: &TargetState) {
+        let draining = state.phase == TargetPhase::Draining;
+        if let Some(held) = self.held.get_mut(target)
+            && held.info == state.info
+            && held.lease.epoch() == state.epoch
+        {
+            held.draining = draining;
+            return;
+        }
+        let lease = HomeLease::new(
+            now,
+            state.info.incarnation,
+            state.epoch,
+            now,
+            self.timing.clone(),
+        );
+        let held = Held {
+            info: state.info.clone(),
+            draining,
+            link: TargetLink::start(state.info.address),
+            lease,
+            granted: Vec::new(),
+            pending: Vec::new(),
+        };
+        self.held.insert(target.clone(), held);
+    }
+
+    /// Views of the held targets for the dispatch policy.
+    pub(super) fn views(&self, now: Moment) -> Vec<TargetView> {
+        self.held
+            .iter()
+            .map(|(target, held)| TargetView {
+                target: target.clone(),
+                service: held.info.service.clone(),
+                zone: held.info.zone.clone(),
+                slots: held.info.slots,
+                incarnation: held.info.incarnation,
+                warmth: held.lease.warmth(),
+                enabled: self.may_send(held, now) && !held.draining,
+            })
+            .collect()
+    }
+
+    fn may_send(&self, held: &Held, now: Moment) -> bool {
+        // Under direct sending only the home renews the lease, and the others rely on the fleet.
+        let is_home = self.is_home(&held.info.target);
+        held.lease.tie(now) == Tie::Leased || (self.direct && !is_home)
+    }
+
+    fn is_home(&self, target: &Target) -> bool {
+        let state = self.fleet.targets.get(target);
+        state.is_some_and(|state| state.home == Some(self.me))
+    }
+
+    /// Whether this entry still sends for the request's key.
+    pub(super) fn serves(&self, view: &View, open: &Open) -> bool {
+        match view.fleet.route(open.service.as_str(), open.hash) {
+            Route::Keyed { target, home, .. } => {
+                open.keyed.as_ref() == Some(target) && (self.direct || home == self.me)
+            }
+            Route::Pool { home } => open.keyed.is_none() && (self.direct || home == self.me),
+            Route::Unserved | Route::Unknown => false,
+        }
+    }
+
+    /// Orders that are due.
+    pub(super) fn poll(&mut self, now: Moment, until: Moment) -> Vec<Renewal> {
+        let mut entry = EntryLease::new();
+        entry.renewed(until, Duration::ZERO);
+        let fleet = self.fleet.clone();
+        let me = self.me;
+        let mut renewals = Vec::new();
+        for (target, held) in &mut self.held {
+            let state = fleet.targets.get(target);
+            if state.is_none_or(|state| state.home != Some(me)) {
+                continue;
+            }
+            let Some(due) = held.lease.poll(now, &entry) else {
+                continue;
+            };
+            let grants = fleet.grants_of(target);
+            held.pending.extend(grants.iter().cloned());
+            renewals.push(Renewal {
+                target: target.clone(),
+                serial: due.serial,
+                incarnation: held.lease.incarnation(),
+                link: held.link.clone(),
+                limit: due.timeout.since(now),
+                order: LeaseOrder {
+                    incarnation: held.lease.incarnation(),
+                    epoch: held.lease.epoch(),
+                    lease_ms: due.lease.as_millis() as u64,
+                    grants,
+                    drain: held.draining,
+                },
+            });
+        }
+        renewals
+    }
+
+    /// Takes in what became of an order.
+    pub(super) fn renewed(&mut self, now: Moment, renewed: &Renewed) {
+        let Some(held) = self.held.get_mut(&renewed.target) else {
+            return;
+        };
+        if held.lease.incarnation() != renewed.incarnation {
+            return;
+        }
+        match &renewed.answer {
+            Some(answer) => {
+                held.lease.answered(now, renewed.serial, answer);
+                if answer.accepted {
+                    held.granted = renewed.grants.clone();
+                    held.pending.clear();
+                }
+            }
+            None => {
+                held.lease.missed(now, renewed.serial);
+            }
+        }
+    }
+
+    /// When a lease next needs care.
+    pub(super) fn next_wakeup(&self, latest: Moment) -> Moment {
+        let wakeups = self.held.values().map(|held| held.lease.next_wakeup());
+        wakeups.min().unwrap_or(latest)
+    }
+
+    /// Permit for one attempt; none if the target may not be sent to now.
+    pub(super) fn permit(
+        &self,
+        target: &Target,
+        open: &Open,
+        attempt: u32,
+        until: Moment,
+        clock: &Clock,
+    ) -> Option<Permit> {
+        let now = clock.now();
+        let held = self.held.get(target)?;
+        if now >= until || !self.may_send(held, now) {
+            return None;
+        }
+        let fence = match self.fleet.route(open.service.as_str(), open.hash) {
+            Route::Keyed {
+                target: owner,
+                fence,
+                ..
+            } if owner == target => fence,
+            Route::Pool { .. } => Fence(0),
+            Route::Keyed { .. } | Route::Unserved | Route::Unknown => return None,
+        };
+        let own = match self.is_home(target) {
+            true => held.lease.lease_until().min(until),
+            false => until,
+        };
+        Some(Permit {
+            attempt,
+            target: target.clone(),
+            link: held.link.clone(),
+            epoch: held.lease.epoch(),
+            fence,
+            until: clock.instant(own),
+        })
+    }
+
+    /// Counts an arrival for the load of its range.
+    pub(super) fn count(&mut self, open: &Open, now: Moment) {
+        if open.keyed.is_none() {
+            return;
+        }
+        if self.counts.is_empty() {
+            self.counted = now;
+        }
+        let Some(range) = self.range_of(&open.service, open.hash) else {
+            return;
+        };
+        let found = self
+            .counts
+            .iter_mut()
+            .find(|count| count.range == range && count.service == open.service);
+        match found {
+            Some(count) => count.arrivals += 1,
+            None => self.counts.push(Count {
+                service: open.service.clone(),
+                range,
+                arrivals: 1,
+            }),
+        }
+    }
+
+    fn range_of(&self, service: &Service, hash: KeyHash) -> Option<KeyRange> {
+        let state = self.fleet.services.get(service)?;
+        let after = state
+            .ranges
+            .partition_point(|assignment| assignment.range.first() <= hash);
+        let assignment = state.ranges.get(after.checked_sub(1)?)?;
+        Some(assignment.range)
+    }
+
+    /// Completes a report to the leader.
+    pub(super) fn report(
+        &mut self,
+        now: Moment,
+        view: &View,
+        open: &BTreeMap<RequestId, Open>,
+        report: &mut Report,
+    ) {
+        report.gone = self.gone(now);
+        report.quiet = self.quiet(now, view, open);
+        report.loads = self.loads(now);
+        report.busy = self.busy(open);
+        report.idle = self.idle(open);
+    }
+
+    fn gone(&self, now: Moment) -> Vec<GoneTarget> {
+        self.held
+            .iter()
+            .filter(|(target, held)| self.is_home(target) && held.lease.tie(now) == Tie::Gone)
+            .map(|(target, held)| GoneTarget {
+                target: target.clone(),
+                incarnation: held.lease.incarnation(),
+            })
+            .collect()
+    }
+
+    /// Moves whose old owner neither runs a request of the range nor may act on its grant.
+    fn quiet(&self, now: Moment, view: &View, open: &BTreeMap<RequestId, Open>) -> Vec<Move> {
+        let mut quiet = Vec::new();
+        for (service, state) in &view.fleet.services {
+            for assignment in &state.ranges {
+                let (Some(owner), Some(next)) = (&assignment.owner, &assignment.next) else {
+                    continue;
+                };
+                let Some(held) = self.held.get(owner) else {
+                    continue;
+                };
+                let released = self.released(held, assignment.range, now);
+                if released && !runs_in(open, service, assignment.range) {
+                    quiet.push(Move {
+                        service: service.clone(),
+                        range: assignment.range,
+                        to: next.clone(),
+                    });
+                }
+            }
+        }
+        quiet
+    }
+
+    fn released(&self, held: &Held, range: KeyRange, now: Moment) -> bool {
+        let mut grants = held.granted.iter().chain(&held.pending);
+        let named = grants.any(|grant| grant.range.overlaps(&range));
+        !named || matches!(held.lease.tie(now), Tie::Gone | Tie::Restarted(_))
+    }
+
+    fn loads(&mut self, now: Moment) -> Vec<RangeLoad> {
+        let span = now.since(self.counted).as_secs_f64();
+        if span < 1.0 {
+            return Vec::new();
+        }
+        self.counts
+            .drain(..)
+            .map(|count| RangeLoad {
+                service: count.service,
+                range: count.range,
+                rate: count.arrivals as f64 / span,
+                slow_ms: 0.0,
+            })
+            .collect()
+    }
+
+    /// Targets that requests still run on though this entry commands them no longer.
+    fn busy(&self, open: &BTreeMap<RequestId, Open>) -> Vec<Target> {
+        let mut busy: Vec<Target> = open
+            .values()
+            .flat_map(|open| open.running.values())
+            .filter(|target| !self.is_home(target))
+            .cloned()
+            .collect();
+        busy.sort();
+        busy.dedup();
+        busy
+    }
+
+    /// Draining targets that run nothing.
+    fn idle(&self, open: &BTreeMap<RequestId, Open>) -> Vec<Target> {
+        let runs = |target: &Target| {
+            let mut running = open.values().flat_map(|open| open.running.values());
+            running.any(|other| other == target)
+        };
+        self.held
+            .iter()
+            .filter(|(target, held)| held.draining && self.is_home(target) && !runs(target))
+            .map(|(target, _)| target.clone())
+            .collect()
+    }
+}
+
+fn runs_in(open: &BTreeMap<RequestId, Open>, service: &Service, range: KeyRange) -> bool {
+    open.values().any(|open| {
+        !open.running.is_empty() && open.service == *service && range.contains(open.hash)
+    })
+}
--- /dev/null
+++ b/node/src/request/mod.rs
@@ -0,0 +1,13 @@
+//! What lives for one request.
+
+pub mod body;
+pub mod claim;
+pub mod core;
+pub mod exchange;
+pub mod forward;
+pub mod front;
+pub mod home;
+mod home_targets;
+pub mod message;
+pub mod route;
+pub mod serve;
--- /dev/null
+++ b/node/src/request/serve.rs
@@ -0,0 +1,340 @@
+//! A request at the home of its target: claim it if it must not be repeated, wait for a permit, and
+//! exchange it with the target.
+
+use super::{
+    body::Body,
+    claim::{self, Claimed},
+    core::Core,
+    exchange::{self, Exchanged, Permit},
+    home::Verdict,
+    message::{Answer, Failure, RequestHead},
+};
+use bytes::Bytes;
+use cornelrail_lib::{
+    key::KeyHash,
+    name::Target,
+    request::{
+        dispatch::{Arrival, Choice, Ending, Importance, RequestId},
+        once::{Claim, Identity, Press, Progress, Record, StoredAnswer, repeat_window},
+        outcome::{Certainty, Reason, Refusal},
+        plan,
+        quarantine::fingerprint,
+    },
+    version::fleet::Route,
+};
+use http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::{AbortHandle, JoinSet},
+    time::Instant,
+};
+
+/// Serves a request for a target whose home this entry is.
+pub async fn serve(core: &Core, head: RequestHead, body: Body) -> Result<Answer, Failure> {
+    let Some(identity) = identity(core, &head, &body) else {
+        return attempt(core, head, body).await.map(|served| served.answer);
+    };
+    let core = core.clone();
+    // A once-only request runs on when its caller leaves, so that its outcome gets on record.
+    let task = tokio::spawn(async move { serve_once(&core, identity, head, body).await });
+    match task.await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            let reason = Reason::EntryFailed;
+            Err(Refusal::unknown(reason, plan::pause(reason)).into())
+        }
+    }
+}
+
+/// Identity under which a once-only request is claimed.
+fn identity(core: &Core, head: &RequestHead, body: &Body) -> Option<Identity> {
+    if !head.once {
+        return None;
+    }
+    if let Some(identity) = &head.identity {
+        return Some(Identity::of(&head.service, &head.key, identity));
+    }
+    let view = core.view.borrow();
+    let window = view.fleet.services.get(&head.service)?.settings.repeat_window;
+    let body = body.copy()?;
+    let press = Press {
+        service: &head.service,
+        customer: &head.key,
+        route: &format!("{} {}", head.method, head.path),
+        body: &body,
+    };
+    let derived = repeat_window::derive(&press, core.wall_clock(), window)?;
+    Some(derived.identity)
+}
+
+async fn serve_once(
+    core: &Core,
+    identity: Identity,
+    head: RequestHead,
+    body: Body,
+) -> Result<Answer, Failure> {
+    let deadline = core.clock.now() + Duration::from_millis(head.left_ms);
+    let claim = match claim::claim(core, identity, deadline).await {
+        Ok(claim) => claim,
+        Err(Claimed::Refused(refusal)) => return Err(refusal.into()),
+        Err(Claimed::Repeated(record)) => return repeated(record),
+    };
+    if !claim.may_send(core.clock.now()) {
+        claim::release(core, claim);
+        return Err(Refusal::not_run(Reason::Deadline, plan::pause(Reason::Deadline)).into());
+    }
+    let outcome = attempt(core, head, body).await;
+    match outcome {
+        Ok(served) => Ok(settle(core, claim, served)),
+        Err(failure) => {
+            settle_failure(core, claim, &failure);
+            Err(failure)
+        }
+    }
+}
+
+/// Puts the outcome of an answered request on record.
+fn settle(core: &Core, claim: Claim, served: Served) -> Answer {
+    let status = served.answer.status.as_u16();
+    let content = content_type(&served.answer.fields);
+    match (&served.answer.body, served.end) {
+        (Body::Whole(bytes), _) => {
+            let stored = StoredAnswer::new(status, &content, bytes);
+            claim::record(core, claim, Progress::Answered(stored));
+        }
+        (Body::Stream(_), end) => {
+            let core = core.clone();
+            tokio::spawn(async move {
+                // A target that has sent the head of its answer has run the request.
+                drop(end);
+                let stored = StoredAnswer {
+                    status,
+                    content,
+                    digest: [0; 16],
+                    body: None,
+                };
+                claim::record(&core, claim, Progress::Answered(stored));
+            });
+        }
+    }
+    served.answer
+}
+
+fn settle_failure(core: &Core, claim: Claim, failure: &Failure) {
+    let certainty = match failure {
+        Failure::Elsewhere => Certainty::NotRun,
+        Failure::Lost => Certainty::Unknown,
+        Failure::Refused(refusal) => refusal.certainty,
+    };
+    match certainty {
+        Certainty::NotRun => claim::release(core, claim),
+        Certainty::Unknown => claim::record(core, claim, Progress::Unknown),
+    }
+}
+
+fn content_type(fields: &HeaderMap) -> String {
+    let value = fields.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// The answer to a resend: that of the first sending where it is kept, else what is known of it.
+fn repeated(record: Record) -> Result<Answer, Failure> {
+    if let Progress::Answered(stored) = record.progress
+        && let Some(body) = stored.body
+    {
+        let mut fields = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_str(&stored.content) {
+            fields.insert(CONTENT_TYPE, value);
+        }
+        return Ok(Answer {
+            status: exchange::status(stored.status),
+            fields,
+            body: Body::Whole(Bytes::from(body)),
+        });
+    }
+    let reason = Reason::Repeated;
+    Err(Refusal::unknown(reason, plan::pause(reason)).into())
+}
+
+/// An answer, with the news of its end if its body still streams.
+struct Served {
+    answer: Answer,
+    end: Option<oneshot::Receiver<Ending>>,
+}
+
+/// One attempt that ended, as its task returns it.
+struct Attempted {
+    attempt: u32,
+    exchanged: Exchanged,
+}
+
+/// A request while it waits for verdicts and runs its attempts.
+struct Serving<'a> {
+    core: &'a Core,
+    head: RequestHead,
+    id: RequestId,
+    body: Option<Body>,
+    spare: Option<Bytes>,
+    deadline: Instant,
+    running: JoinSet<Attempted>,
+    handles: BTreeMap<u32, AbortHandle>,
+    settled: bool,
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.core.home.cancel(self.id);
+        }
+    }
+}
+
+async fn attempt(core: &Core, head: RequestHead, body: Body) -> Result<Served, Failure> {
+    let hash = head.hash();
+    let Some(choice) = choice(core, &head, hash) else {
+        return Err(Failure::Elsewhere);
+    };
+    let arrival = arrival(core, &head, &body, choice);
+    let mut serving = Serving {
+        core,
+        id: arrival.id,
+        spare: body.copy(),
+        body: Some(body),
+        deadline: Instant::now() + Duration::from_millis(head.left_ms),
+        head,
+        running: JoinSet::new(),
+        handles: BTreeMap::new(),
+        settled: false,
+    };
+    let verdicts = core.home.arrive(arrival, hash).await;
+    serving.run(verdicts).await
+}
+
+/// What the dispatch policy chooses from; none if this entry does not send for the key.
+fn choice(core: &Core, head: &RequestHead, hash: KeyHash) -> Option<Choice> {
+    let view = core.view.borrow();
+    match view.fleet.route(head.service.as_str(), hash) {
+        Route::Keyed { target, .. } => Some(Choice::Keyed(Target::clone(target))),
+        Route::Pool { .. } => Some(Choice::Pool),
+        Route::Unserved | Route::Unknown => None,
+    }
+}
+
+fn arrival(core: &Core, head: &RequestHead, body: &Body, choice: Choice) -> Arrival {
+    let repeatable = !head.once && matches!(body, Body::Whole(_));
+    let digest = body.copy().map(|bytes| blake3::hash(&bytes));
+    let digest = digest.as_ref().map_or(&[][..], |hash| hash.as_bytes());
+    let route = format!("{} {}", head.method, head.path);
+    Arrival {
+        id: RequestId(head.id),
+        service: head.service.clone(),
+        choice,
+        deadline: core.clock.now() + Duration::from_millis(head.left_ms),
+        importance: match head.low {
+            true => Importance::Low,
+            false => Importance::High,
+        },
+        once: head.once,
+        fingerprint: Some(fingerprint(&head.service, &route, &head.key, digest)),
+        repeatable,
+    }
+}
+
+impl Serving<'_> {
+    async fn run(
+        &mut self,
+        mut verdicts: mpsc::UnboundedReceiver<Verdict>,
+    ) -> Result<Served, Failure> {
+        loop {
+            tokio::select! {
+                verdict = verdicts.recv() => match verdict {
+                    Some(Verdict::Send(permit)) => self.send(permit).await,
+                    Some(Verdict::Abort(attempt)) => self.abort(attempt),
+                    Some(Verdict::Refuse(refusal)) => return self.end(refusal.into()),
+                    Some(Verdict::Elsewhere) => return self.end(Failure::Elsewhere),
+                    None => return self.end(Failure::Lost),
+                },
+                Some(joined) = self.running.join_next() => {
+                    let Ok(attempted) = joined else {
+                        continue;
+                    };
+                    if let Some(served) = self.attempted(attempted).await {
+                        return Ok(served);
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, failure: Failure) -> Result<Served, Failure> {
+        self.settled = true;
+        Err(failure)
+    }
+
+    async fn send(&mut self, permit: Permit) {
+        let body = match (self.body.take(), &self.spare) {
+            (Some(body), _) => body,
+            (None, Some(bytes)) => Body::Whole(bytes.clone()),
+            // A streamed body is gone after the first attempt.
+            (None, None) => {
+                let home = &self.core.home;
+                home.finish(self.id, permit.attempt, Ending::NotSent).await;
+                return;
+            }
+        };
+        let attempt = permit.attempt;
+        let head = self.head.clone();
+        let zone = self.core.settings.zone.clone();
+        let deadline = self.deadline;
+        let handle = self.running.spawn(async move {
+            let exchanged = exchange::exchange(&permit, &head, &zone, body, deadline).await;
+            Attempted { attempt, exchanged }
+        });
+        self.handles.insert(attempt, handle);
+    }
+
+    fn abort(&mut self, attempt: u32) {
+        if let Some(handle) = self.handles.remove(&attempt) {
+            handle.abort();
+        }
+    }
+
+    async fn attempted(&mut self, attempted: Attempted) -> Option<Served> {
+        let attempt = attempted.attempt;
+        self.handles.remove(&attempt);
+        match attempted.exchanged {
+            Exchanged::Ended(ending) => {
+                self.core.home.finish(self.id, attempt, ending).await;
+                None
+            }
+            Exchanged::Whole(answer) => {
+                self.settled = true;
+                let home = &self.core.home;
+                home.finish(self.id, attempt, Ending::Answered).await;
+                Some(Served { answer, end: None })
+            }
+            Exchanged::Streaming(answer, end) => {
+                self.settled = true;
+                Some(self.stream(attempt, answer, end))
+            }
+        }
+    }
+
+    /// Lets the answer's body stream on and tells the home when it has ended.
+    fn stream(&self, attempt: u32, answer: Answer, end: oneshot::Receiver<Ending>) -> Served {
+        let (tx, rx) = oneshot::channel();
+        let home = self.core.home.clone();
+        let id = self.id;
+        tokio::spawn(async move {
+            let ending = end.await.unwrap_or(Ending::Failed);
+            home.finish(id, attempt, ending).await;
+            // Only a once-only request waits for the end.
+            let _ = tx.send(ending);
+        });
+        Served {
+            answer,
+            end: Some(rx),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/version/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one version of the fleet's state.
+
+pub mod view;
