--- a/node/src/request/serve.rs
+++ b/node/src/request/serve.rs
@@ -33,7 +33,7 @@
 /// Serves a request for a target whose home this entry is.
 pub async fn serve(core: &Core, head: RequestHead, body: Body) -> Result<Answer, Failure> {
     let Some(identity) = identity(core, &head, &body) else {
-        return attempt(core, head, body).await.map(|served| served.answer);
+        return attempt(core, head, body).await;
     };
     let core = core.clone();
     // A once-only request runs on when its caller leaves, so that its outcome gets on record.
@@ -86,7 +86,7 @@
     }
     let outcome = attempt(core, head, body).await;
     match outcome {
-        Ok(served) => Ok(settle(core, claim, served)),
+        Ok(answer) => Ok(settle(core, claim, answer)),
         Err(failure) => {
             settle_failure(core, claim, &failure);
             Err(failure)
@@ -94,31 +94,22 @@
     }
 }
 
-/// Puts the outcome of an answered request on record.
-fn settle(core: &Core, claim: Claim, served: Served) -> Answer {
-    let status = served.answer.status.as_u16();
-    let content = content_type(&served.answer.fields);
-    match (&served.answer.body, served.end) {
-        (Body::Whole(bytes), _) => {
-            let stored = StoredAnswer::new(status, &content, bytes);
-            claim::record(core, claim, Progress::Answered(stored));
-        }
-        (Body::Stream(_), end) => {
-            let core = core.clone();
-            tokio::spawn(async move {
-                // A target that has sent the head of its answer has run the request.
-                drop(end);
-                let stored = StoredAnswer {
-                    status,
-                    content,
-                    digest: [0; 16],
-                    body: None,
-                };
-                claim::record(&core, claim, Progress::Answered(stored));
-            });
-        }
-    }
-    served.answer
+/// Puts the outcome of an answered request on record; a target that has sent the head of its answer
+/// has run the request.
+fn settle(core: &Core, claim: Claim, answer: Answer) -> Answer {
+    let status = answer.status.as_u16();
+    let content = content_type(&answer.fields);
+    let stored = match &answer.body {
+        Body::Whole(bytes) => StoredAnswer::new(status, &content, bytes),
+        Body::Stream(_) => StoredAnswer {
+            status,
+            content,
+            digest: [0; 16],
+            body: None,
+        },
+    };
+    claim::record(core, claim, Progress::Answered(stored));
+    answer
 }
 
 fn settle_failure(core: &Core, claim: Claim, failure: &Failure) {
@@ -157,12 +148,6 @@
     Err(Refusal::unknown(reason, plan::pause(reason)).into())
 }
 
-/// An answer, with the news of its end if its body still streams.
-struct Served {
-    answer: Answer,
-    end: Option<oneshot::Receiver<Ending>>,
-}
-
 /// One attempt that ended, as its task returns it.
 struct Attempted {
     attempt: u32,
@@ -190,7 +175,7 @@
     }
 }
 
-async fn attempt(core: &Core, head: RequestHead, body: Body) -> Result<Served, Failure> {
+async fn attempt(core: &Core, head: RequestHead, body: Body) -> Result<Answer, Failure> {
     let hash = head.hash();
     let Some(choice) = choice(core, &head, hash) else {
         return Err(Failure::Elsewhere);
@@ -245,7 +230,7 @@
     async fn run(
         &mut self,
         mut verdicts: mpsc::UnboundedReceiver<Verdict>,
-    ) -> Result<Served, Failure> {
+    ) -> Result<Answer, Failure> {
         loop {
             tokio::select! {
                 verdict = verdicts.recv() => match verdict {
@@ -259,15 +244,15 @@
                     let Ok(attempted) = joined else {
                         continue;
                     };
-                    if let Some(served) = self.attempted(attempted).await {
-                        return Ok(served);
+                    if let Some(answer) = self.attempted(attempted).await {
+                        return Ok(answer);
                     }
                 }
             }
         }
     }
 
-    fn end(&mut self, failure: Failure) -> Result<Served, Failure> {
+    fn end(&mut self, failure: Failure) -> Result<Answer, Failure> {
         self.settled = true;
         Err(failure)
     }
@@ -300,7 +285,7 @@
         }
     }
 
-    async fn attempted(&mut self, attempted: Attempted) -> Option<Served> {
+    async fn attempted(&mut self, attempted: Attempted) -> Option<Answer> {
         let attempt = attempted.attempt;
         self.handles.remove(&attempt);
         match attempted.exchanged {
@@ -312,29 +297,23 @@
                 self.settled = true;
                 let home = &self.core.home;
                 home.finish(self.id, attempt, Ending::Answered).await;
-                Some(Served { answer, end: None })
+                Some(answer)
             }
             Exchanged::Streaming(answer, end) => {
                 self.settled = true;
-                Some(self.stream(attempt, answer, end))
+                self.follow(attempt, end);
+                Some(answer)
             }
         }
     }
 
-    /// Lets the answer's body stream on and tells the home when it has ended.
-    fn stream(&self, attempt: u32, answer: Answer, end: oneshot::Receiver<Ending>) -> Served {
-        let (tx, rx) = oneshot::channel();
+    /// Tells the home when the answer's body has ended.
+    fn follow(&self, attempt: u32, end: oneshot::Receiver<Ending>) {
         let home = self.core.home.clone();
         let id = self.id;
         tokio::spawn(async move {
             let ending = end.await.unwrap_or(Ending::Failed);
             home.finish(id, attempt, ending).await;
-            // Only a once-only request waits for the end.
-            let _ = tx.send(ending);
         });
-        Served {
-            answer,
-            end: Some(rx),
-        }
     }
 }
