log: replicated log of the project's own, from state machine to task

A voter is a node plus the random identity of its data folder, so an emptied folder never votes on its former promises. A fleet is founded by an election in which all listed voters must agree and be empty.

Tests over real folders: one voter commits and replays after a restart, three found a fleet and apply the same commands.

--- /dev/null
+++ b/lib/src/process/raft/election.rs
@@ -0,0 +1,221 @@
+//! Elections: who asks for votes, who gets them, and when nobody does.
+
+use super::{
+    Raft, Role,
+    membership::{Member, Membership},
+    message::{Ballot, Body, HardState, Message, Payload},
+    replication::Leading,
+};
+use crate::{moment::Moment, name::Node};
+use rand_chacha::rand_core::RngCore;
+use std::{collections::BTreeSet, time::Duration};
+
+/// A running election of this voter.
+#[derive(Debug)]
+pub struct Candidacy {
+    ballot: Ballot,
+    electorate: Membership,
+    votes: BTreeSet<Member>,
+}
+
+impl Candidacy {
+    fn is_won(&self) -> bool {
+        let needed = match self.ballot {
+            Ballot::Founding => self.electorate.voters.len(),
+            Ballot::Pre | Ballot::Real => self.electorate.quorum(),
+        };
+        self.votes.len() >= needed
+    }
+}
+
+impl Raft {
+    /// Whether this voter is the only one and leads without asking.
+    pub(super) fn is_alone(&self) -> bool {
+        let voters = &self.membership().voters;
+        match voters.len() {
+            0 => self.log.is_empty() && self.config.listed == [self.config.node],
+            1 => voters.contains(&self.member()),
+            _ => false,
+        }
+    }
+
+    /// Starts an election, if this voter may.
+    pub(super) fn campaign(&mut self, now: Moment) {
+        self.reset_deadline(now);
+        self.forget_leader();
+        let electorate = self.membership().clone();
+        if electorate.is_voter(self.member()) {
+            let ballot = match electorate.voters.len() {
+                1 => Ballot::Real,
+                _ => Ballot::Pre,
+            };
+            self.ask_for_votes(now, ballot, electorate);
+        } else if let Some(founders) = self.founders(now) {
+            self.ask_for_votes(now, Ballot::Founding, founders);
+        }
+    }
+
+    /// Answers a request for a vote, or ignores it while the present leader may hold a lease.
+    pub(super) fn take_vote(
+        &mut self,
+        now: Moment,
+        sender: Member,
+        ballot: Ballot,
+        message: &Message,
+    ) {
+        let Body::Vote {
+            last_index,
+            last_term,
+            ..
+        } = message.body
+        else {
+            return;
+        };
+        if self.may_be_leased(now) {
+            return;
+        }
+        if ballot != Ballot::Pre && message.term > self.hard.term {
+            self.become_follower(now, message.term, None);
+        }
+        let current = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
+        let granted = match ballot {
+            Ballot::Pre => current && message.term > self.hard.term,
+            Ballot::Real => current && self.may_vote(sender, message.term),
+            Ballot::Founding => self.log.is_empty() && self.may_vote(sender, message.term),
+        };
+        if granted && ballot != Ballot::Pre {
+            self.give_vote(now, sender);
+        }
+        let term = match (ballot, granted) {
+            (Ballot::Pre, true) => message.term,
+            _ => self.hard.term,
+        };
+        self.send_durable(sender, term, Body::VoteReply { ballot, granted });
+    }
+
+    /// Counts a vote.
+    pub(super) fn take_vote_reply(
+        &mut self,
+        now: Moment,
+        sender: Member,
+        term: u64,
+        ballot: Ballot,
+        granted: bool,
+    ) {
+        if !granted {
+            if term > self.hard.term {
+                self.become_follower(now, term, None);
+            }
+            return;
+        }
+        let wanted = match ballot {
+            Ballot::Pre => self.hard.term + 1,
+            Ballot::Real | Ballot::Founding => self.hard.term,
+        };
+        let Role::Candidate(candidacy) = &mut self.role else {
+            return;
+        };
+        let counts = candidacy.ballot == ballot && candidacy.electorate.is_voter(sender);
+        if term == wanted && counts {
+            candidacy.votes.insert(sender);
+            self.count_votes(now);
+        }
+    }
+
+    /// Enters a term, or follows a leader of the present one.
+    pub(super) fn become_follower(&mut self, now: Moment, term: u64, leader: Option<Node>) {
+        if term > self.hard.term {
+            self.set_hard(HardState { term, vote: None });
+            self.incoming = None;
+        }
+        if self.is_leader() {
+            self.reset_deadline(now);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+    }
+
+    /// Draws the time of the next election.
+    pub(super) fn reset_deadline(&mut self, now: Moment) {
+        let span = self.config.election.as_micros() as u64;
+        let extra = self.rng.next_u64() % span.max(1);
+        self.deadline = now + self.config.election + Duration::from_micros(extra);
+    }
+
+    /// Whether a leader may hold a lease that rests on this voter's acknowledgement.
+    fn may_be_leased(&self, now: Moment) -> bool {
+        let followed = self.heard.map(|h| h + self.config.election);
+        self.is_leader() || followed.is_some_and(|end| now < end)
+    }
+
+    fn may_vote(&self, sender: Member, term: u64) -> bool {
+        let free = self.hard.vote.is_none_or(|v| v == sender);
+        term == self.hard.term && free && self.leader.is_none()
+    }
+
+    fn give_vote(&mut self, now: Moment, sender: Member) {
+        if self.hard.vote.is_none() {
+            let term = self.hard.term;
+            let vote = Some(sender);
+            self.set_hard(HardState { term, vote });
+        }
+        self.reset_deadline(now);
+    }
+
+    fn set_hard(&mut self, hard: HardState) {
+        self.disk.mark_hard(hard.term != self.hard.term);
+        self.hard = hard;
+    }
+
+    fn forget_leader(&mut self) {
+        self.leader = None;
+        self.role = Role::Follower;
+    }
+
+    fn ask_for_votes(&mut self, now: Moment, ballot: Ballot, electorate: Membership) {
+        let next = self.hard.term + 1;
+        if ballot != Ballot::Pre {
+            self.set_hard(HardState {
+                term: next,
+                vote: Some(self.member()),
+            });
+        }
+        let body = Body::Vote {
+            ballot,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        let own = self.member();
+        for voter in electorate.voters.iter().filter(|v| **v != own) {
+            self.send_durable(*voter, next, body.clone());
+        }
+        self.role = Role::Candidate(Candidacy {
+            ballot,
+            electorate,
+            votes: BTreeSet::from([own]),
+        });
+        self.count_votes(now);
+    }
+
+    fn count_votes(&mut self, now: Moment) {
+        let Role::Candidate(candidacy) = &self.role else {
+            return;
+        };
+        if !candidacy.is_won() {
+            return;
+        }
+        let electorate = candidacy.electorate.clone();
+        match candidacy.ballot {
+            Ballot::Pre => self.ask_for_votes(now, Ballot::Real, electorate),
+            Ballot::Real => self.become_leader(now, Payload::Noop),
+            Ballot::Founding => self.become_leader(now, Payload::Membership(electorate)),
+        }
+    }
+
+    fn become_leader(&mut self, now: Moment, first: Payload) {
+        self.leader = Some(self.config.node);
+        self.role = Role::Leader(Leading::new(now));
+        self.append_own(now, first);
+        self.lead(now);
+    }
+}
--- /dev/null
+++ b/lib/src/process/raft/follower.rs
@@ -0,0 +1,151 @@
+//! What a follower or learner does with entries and snapshots from its leader.
+
+use super::{
+    Action, Raft,
+    membership::Member,
+    message::{AppendOutcome, Body, Entry, Message, Snapshot},
+};
+use crate::moment::Moment;
+
+/// A snapshot of which only the first parts have come.
+#[derive(Debug)]
+pub struct Incoming {
+    index: u64,
+    term: u64,
+    data: Vec<u8>,
+}
+
+impl Raft {
+    /// Takes entries or a part of a snapshot; a sender of an earlier term learns the present one.
+    pub(super) fn take_from_leader(&mut self, now: Moment, sender: Member, message: Message) {
+        if message.term < self.hard.term {
+            let outcome = AppendOutcome::Differs(0);
+            let stamp = 0;
+            self.send_durable(sender, self.hard.term, Body::AppendReply { stamp, outcome });
+            return;
+        }
+        if self.is_leader() && message.term == self.hard.term {
+            return;
+        }
+        self.become_follower(now, message.term, Some(sender.node));
+        self.heard = Some(now);
+        self.reset_deadline(now);
+        let reply = match message.body {
+            Body::Append {
+                stamp,
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+            } => {
+                let outcome = self.take_entries((prev_index, prev_term), entries, commit);
+                Body::AppendReply { stamp, outcome }
+            }
+            body => match self.take_part(body) {
+                Some(reply) => reply,
+                None => return,
+            },
+        };
+        self.send_durable(sender, self.hard.term, reply);
+    }
+
+    fn take_entries(
+        &mut self,
+        (prev_index, prev_term): (u64, u64),
+        entries: Vec<Entry>,
+        commit: u64,
+    ) -> AppendOutcome {
+        if !self.agrees(prev_index, prev_term) {
+            return AppendOutcome::Differs(self.meeting_hint(prev_index));
+        }
+        let matched = prev_index + entries.len() as u64;
+        for entry in entries {
+            self.take_entry(entry);
+        }
+        self.commit = self.commit.max(commit.min(matched));
+        AppendOutcome::Matched(matched)
+    }
+
+    /// Whether the log holds the entry that the leader's batch follows. Committed entries agree in
+    /// any case.
+    fn agrees(&self, index: u64, term: u64) -> bool {
+        index <= self.commit || self.log.term(index) == Some(term)
+    }
+
+    fn meeting_hint(&self, prev_index: u64) -> u64 {
+        if prev_index > self.log.last_index() {
+            return self.log.last_index();
+        }
+        (self.log.term_start(prev_index) - 1).max(self.commit)
+    }
+
+    fn take_entry(&mut self, entry: Entry) {
+        let known = entry.index <= self.commit || self.log.term(entry.index) == Some(entry.term);
+        if known {
+            return;
+        }
+        if entry.index <= self.log.last_index() {
+            self.log.truncate(entry.index);
+        }
+        self.disk.mark_entries(entry.index);
+        self.log.push(entry);
+    }
+
+    fn take_part(&mut self, body: Body) -> Option<Body> {
+        let Body::Install {
+            stamp,
+            index,
+            last_term,
+            membership,
+            offset,
+            total,
+            part,
+        } = body
+        else {
+            return None;
+        };
+        let reply = |offset, done| {
+            Some(Body::InstallReply {
+                stamp,
+                index,
+                offset,
+                done,
+            })
+        };
+        if index <= self.commit {
+            return reply(total, true);
+        }
+        let mut incoming = self
+            .incoming
+            .take_if(|i| i.index == index && i.term == last_term)
+            .unwrap_or(Incoming {
+                index,
+                term: last_term,
+                data: Vec::new(),
+            });
+        if incoming.data.len() as u64 == offset {
+            incoming.data.extend(part);
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            self.incoming = Some(incoming);
+            return reply(received, false);
+        }
+        self.install(Snapshot {
+            index,
+            term: last_term,
+            membership,
+            data: incoming.data,
+        });
+        reply(total, true)
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        self.incoming = None;
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.log.install(snapshot.clone());
+        self.disk.mark_snapshot(true);
+        self.actions.push(Action::Install(snapshot));
+    }
+}
--- /dev/null
+++ b/lib/src/process/raft/log.rs
@@ -0,0 +1,196 @@
+//! The log in memory: a snapshot and the entries after it.
+
+use super::{
+    config::Restored,
+    membership::Membership,
+    message::{Entry, Payload, Snapshot},
+};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Size of the entries in one message, in bytes.
+const MESSAGE_BYTES: usize = 256 * 1024;
+/// Size that an entry takes beside its command, in bytes.
+const ENTRY_BYTES: usize = 24;
+
+/// Entries with consecutive indices and the snapshot that stands for those before.
+#[derive(Debug, Default)]
+pub struct Log {
+    base: u64,
+    base_term: u64,
+    entries: VecDeque<Entry>,
+    snapshot: Option<Snapshot>,
+    memberships: Vec<(u64, Membership)>,
+}
+
+impl Log {
+    /// Log as found on disk.
+    pub fn new(restored: Restored) -> Self {
+        let mut log = Log::default();
+        if let Some(snapshot) = restored.snapshot {
+            log.reset(snapshot);
+        }
+        for entry in restored.entries {
+            log.push(entry);
+        }
+        log
+    }
+
+    /// Index of the last entry.
+    pub fn last_index(&self) -> u64 {
+        self.base + self.entries.len() as u64
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// Whether nothing was ever written.
+    pub fn is_empty(&self) -> bool {
+        self.last_index() == 0
+    }
+
+    /// Latest snapshot.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    /// Last index that the snapshot covers.
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |s| s.index)
+    }
+
+    /// Term of the entry at `index`; `None` if it is not held.
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|e| e.term)
+    }
+
+    /// Entry at `index`, if it is held.
+    pub fn entry(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Entries from `first` on, as many as fit one message.
+    pub fn batch(&self, first: u64) -> Vec<Entry> {
+        let mut room = MESSAGE_BYTES;
+        let mut batch = Vec::new();
+        for entry in self.from(first) {
+            let size = ENTRY_BYTES + payload_bytes(&entry.payload);
+            if size > room && !batch.is_empty() {
+                break;
+            }
+            room = room.saturating_sub(size);
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    /// All entries from `first` on.
+    pub fn from(&self, first: u64) -> impl Iterator<Item = &Entry> {
+        let skipped = first.saturating_sub(self.base + 1) as usize;
+        self.entries.iter().skip(skipped)
+    }
+
+    /// Membership in force: that of the last entry that holds one, committed or not.
+    pub fn membership(&self) -> &Membership {
+        const NOBODY: &Membership = &Membership {
+            voters: BTreeSet::new(),
+            learners: BTreeSet::new(),
+        };
+        self.memberships.last().map_or(NOBODY, |(_, m)| m)
+    }
+
+    /// Index of the entry that the membership in force comes from.
+    pub fn membership_index(&self) -> u64 {
+        self.memberships.last().map_or(0, |(i, _)| *i)
+    }
+
+    /// Appends an entry; its index must follow the last one.
+    pub fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from `first` on.
+    pub fn truncate(&mut self, first: u64) {
+        self.entries
+            .truncate(first.saturating_sub(self.base + 1) as usize);
+        self.memberships.retain(|(i, _)| *i < first);
+    }
+
+    /// First index of the term that the entry at `index` belongs to, as far as held.
+    pub fn term_start(&self, index: u64) -> u64 {
+        let term = self.term(index);
+        let mut first = index;
+        while first > self.base + 1 && self.term(first - 1) == term {
+            first -= 1;
+        }
+        first
+    }
+
+    /// Puts a snapshot of applied state in place and drops entries that are more than `retain`
+    /// behind it.
+    pub fn compact(&mut self, index: u64, data: Vec<u8>, retain: u64) {
+        let Some(term) = self.term(index) else {
+            return;
+        };
+        let membership = self.membership_at(index).cloned().unwrap_or_default();
+        self.snapshot = Some(Snapshot {
+            index,
+            term,
+            membership,
+            data,
+        });
+        self.drop_until(index.saturating_sub(retain));
+    }
+
+    /// Replaces the log by a received snapshot; entries after it stay if the logs agree there.
+    pub fn install(&mut self, snapshot: Snapshot) {
+        if self.term(snapshot.index) != Some(snapshot.term) {
+            self.reset(snapshot);
+            return;
+        }
+        let index = snapshot.index;
+        self.snapshot = Some(snapshot);
+        self.drop_until(index);
+    }
+
+    fn membership_at(&self, index: u64) -> Option<&Membership> {
+        let found = self.memberships.iter().rev().find(|(i, _)| *i <= index);
+        found.map(|(_, m)| m)
+    }
+
+    fn drop_until(&mut self, base: u64) {
+        let Some(term) = self.term(base) else {
+            return;
+        };
+        let covered = self.memberships.partition_point(|(i, _)| *i <= base);
+        self.memberships.drain(..covered.saturating_sub(1));
+        self.entries.drain(..(base - self.base) as usize);
+        self.base = base;
+        self.base_term = term;
+    }
+
+    fn reset(&mut self, snapshot: Snapshot) {
+        self.base = snapshot.index;
+        self.base_term = snapshot.term;
+        self.entries.clear();
+        self.memberships = vec![(snapshot.index, snapshot.membership.clone())];
+        self.snapshot = Some(snapshot);
+    }
+}
+
+fn payload_bytes(payload: &Payload) -> usize {
+    match payload {
+        Payload::Noop => 0,
+        Payload::Membership(membership) => membership.members().count() * ENTRY_BYTES,
+        Payload::Command(command) => command.len(),
+    }
+}
--- /dev/null
+++ b/lib/src/process/raft/mod.rs
@@ -0,0 +1,330 @@
+//! The replicated log: Raft with pre-vote, check-quorum, leader leases, learners and changes of one
+//! voter at a time.
+//!
+//! [`Raft`] is one voter as a pure state machine. It is given the time, messages, commands and the
+//! news that a [`Batch`] is on disk, and hands out [`Action`]s. No message that promises something
+//! leaves before what it promises is on disk.
+//!
+//! A voter is a node together with the identity of its data folder ([`Member`]), and a message is
+//! meant for one identity. An emptied folder has a new identity, so a vote or acknowledgement that
+//! the lost one gave cannot be contradicted by the new one.
+//!
+//! The design and the ways weighed stand in `docs/design/replicated-log.md`.
+
+mod admission;
+mod config;
+mod disk;
+mod election;
+mod follower;
+mod log;
+mod membership;
+mod message;
+mod replication;
+
+pub use self::{
+    config::{RaftConfig, Restored},
+    disk::Batch,
+    membership::{ChangeError, Identity, Member, Membership, VoterChange},
+    message::{AppendOutcome, Ballot, Body, Entry, HardState, Message, Payload, Snapshot},
+};
+
+use self::{disk::Disk, election::Candidacy, follower::Incoming, log::Log, replication::Leading};
+use crate::{moment::Moment, name::Node};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use std::{collections::BTreeMap, mem};
+use thiserror::Error;
+
+/// What the caller of [`Raft`] has to do, in this order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to a node.
+    Send {
+        /// The node.
+        to: Node,
+        /// The message.
+        message: Message,
+    },
+    /// Write and sync a batch, then call [`Raft::persisted`] with its number.
+    Persist(Batch),
+    /// Apply a committed entry. Indices grow by one from the last one applied or installed.
+    Commit(Entry),
+    /// Replace the applied state by that of a snapshot.
+    Install(Snapshot),
+    /// The leader that this voter knows of, or its term, changed.
+    Role(RoleNews),
+}
+
+/// Who leads, as far as one voter knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RoleNews {
+    /// The leader, if one is known.
+    pub leader: Option<Node>,
+    /// Term of this voter.
+    pub term: u64,
+    /// Whether this voter is the leader.
+    pub ours: bool,
+}
+
+/// A command was offered to a voter that does not lead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("this voter does not lead; send the command to the leader")]
+pub struct NotLeader {
+    /// The leader, if one is known.
+    pub hint: Option<Node>,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    Candidate(Candidacy),
+    Leader(Leading),
+}
+
+/// One voter or learner.
+#[derive(Debug)]
+pub struct Raft {
+    config: RaftConfig,
+    rng: ChaCha8Rng,
+    hard: HardState,
+    log: Log,
+    disk: Disk,
+    commit: u64,
+    applied: u64,
+    role: Role,
+    leader: Option<Node>,
+    heard: Option<Moment>,
+    deadline: Moment,
+    greetings: BTreeMap<Node, (Identity, Moment)>,
+    hello_at: Moment,
+    incoming: Option<Incoming>,
+    actions: Vec<Action>,
+    news: RoleNews,
+}
+
+impl Raft {
+    /// Voter that starts with what its disk holds.
+    ///
+    /// A voter that has run before may have acknowledged a leader just before it stopped, so it
+    /// gives no vote within the shortest election timeout from `now`.
+    pub fn new(config: RaftConfig, restored: Restored, now: Moment) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(config.seed);
+        let hard = restored.hard;
+        let log = Log::new(restored);
+        let fresh = hard == HardState::default() && log.is_empty();
+        let mut raft = Raft {
+            rng,
+            hard,
+            disk: Disk::new(log.last_index()),
+            commit: log.snapshot_index(),
+            applied: log.snapshot_index(),
+            role: Role::Follower,
+            leader: None,
+            heard: (!fresh).then_some(now),
+            deadline: now,
+            greetings: BTreeMap::new(),
+            hello_at: now,
+            incoming: None,
+            actions: Vec::new(),
+            news: RoleNews::default(),
+            config,
+            log,
+        };
+        raft.actions
+            .extend(raft.log.snapshot().cloned().map(Action::Install));
+        raft.reset_deadline(now);
+        raft.tick(now);
+        raft
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Moment) {
+        if self.log.is_empty() && self.hello_at <= now {
+            self.greet(now);
+        }
+        if matches!(self.role, Role::Leader(_)) {
+            self.lead(now);
+        } else if self.deadline <= now || self.is_alone() {
+            self.campaign(now);
+        }
+    }
+
+    /// Time at which [`Raft::tick`] is due next.
+    pub fn next_wakeup(&self) -> Moment {
+        let due = match &self.role {
+            Role::Leader(leading) => leading.beat,
+            Role::Follower | Role::Candidate(_) => self.deadline,
+        };
+        if self.log.is_empty() {
+            return due.min(self.hello_at);
+        }
+        due
+    }
+
+    /// Takes a message in. One that is meant for another identity is dropped.
+    pub fn step(&mut self, now: Moment, from: Node, message: Message) {
+        if message.to == Identity::ANY && message.body == Body::Hello {
+            self.take_hello(now, from, message.from);
+            return;
+        }
+        if message.to != self.config.identity {
+            return;
+        }
+        let sender = Member {
+            node: from,
+            identity: message.from,
+        };
+        let term = message.term;
+        match message.body {
+            Body::Hello => {}
+            Body::Vote { ballot, .. } => self.take_vote(now, sender, ballot, &message),
+            Body::VoteReply { ballot, granted } => {
+                self.take_vote_reply(now, sender, term, ballot, granted);
+            }
+            Body::Append { .. } | Body::Install { .. } => {
+                self.take_from_leader(now, sender, message);
+            }
+            Body::AppendReply { .. } | Body::InstallReply { .. } => {
+                self.take_reply(now, sender, message);
+            }
+        }
+    }
+
+    /// Offers a command to the log. Gives the index at which it will stand if it is committed under
+    /// the present term.
+    pub fn propose(&mut self, now: Moment, command: Vec<u8>) -> Result<u64, NotLeader> {
+        self.append_own(now, Payload::Command(command))
+            .ok_or(NotLeader { hint: self.leader })
+    }
+
+    /// Takes note that the batch of this number is on disk.
+    pub fn persisted(&mut self, now: Moment, number: u64) {
+        let ready = self.disk.persisted(number);
+        self.actions.extend(
+            ready
+                .into_iter()
+                .map(|(to, message)| Action::Send { to, message }),
+        );
+        self.advance_commit(now);
+    }
+
+    /// Replaces all entries up to `index`, which must have been applied, by a snapshot of the state
+    /// that they led to.
+    pub fn compact(&mut self, index: u64, data: Vec<u8>) {
+        if index <= self.log.snapshot_index() || index > self.applied {
+            return;
+        }
+        self.log.compact(index, data, self.config.retain);
+        self.disk.mark_snapshot(false);
+    }
+
+    /// Takes what is to be done now.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        while self.applied < self.commit {
+            self.applied += 1;
+            let entry = self.log.entry(self.applied).cloned();
+            self.actions.extend(entry.map(Action::Commit));
+        }
+        let batch = self.disk.next_batch(self.hard, &self.log);
+        self.actions.extend(batch.map(Action::Persist));
+        let news = self.role_news();
+        if news != self.news {
+            self.news = news;
+            self.actions.push(Action::Role(news));
+        }
+        mem::take(&mut self.actions)
+    }
+
+    /// The leader, if one is known.
+    pub fn leader(&self) -> Option<Node> {
+        self.leader
+    }
+
+    /// Whether this voter leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Present term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Last committed index known here.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Last index handed out for application.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Last index of the log.
+    pub fn last_index(&self) -> u64 {
+        self.log.last_index()
+    }
+
+    /// Index of the latest snapshot, 0 if there is none.
+    pub fn snapshot_index(&self) -> u64 {
+        self.log.snapshot_index()
+    }
+
+    /// Membership in force.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    /// This node with its folder.
+    pub fn member(&self) -> Member {
+        self.config.member()
+    }
+
+    fn role_news(&self) -> RoleNews {
+        RoleNews {
+            leader: self.leader,
+            term: self.hard.term,
+            ours: self.is_leader(),
+        }
+    }
+
+    fn send(&mut self, to: Member, body: Body) {
+        let message = self.message(to.identity, self.hard.term, body);
+        self.actions.push(Action::Send {
+            to: to.node,
+            message,
+        });
+    }
+
+    /// Sends a message that promises what is not on disk yet.
+    fn send_durable(&mut self, to: Member, term: u64, body: Body) {
+        let message = self.message(to.identity, term, body);
+        if let Some((to, message)) = self.disk.hold(to.node, message) {
+            self.actions.push(Action::Send { to, message });
+        }
+    }
+
+    fn message(&self, to: Identity, term: u64, body: Body) -> Message {
+        Message {
+            from: self.config.identity,
+            to,
+            term,
+            body,
+        }
+    }
+
+    /// Appends an entry of the present term if this voter leads; gives its index.
+    fn append_own(&mut self, now: Moment, payload: Payload) -> Option<u64> {
+        if !self.is_leader() {
+            return None;
+        }
+        let index = self.log.last_index() + 1;
+        self.log.push(Entry {
+            index,
+            term: self.hard.term,
+            payload,
+        });
+        self.disk.mark_entries(index);
+        self.replicate(now);
+        Some(index)
+    }
+}
--- /dev/null
+++ b/node/src/process/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as the daemon.
+
+pub mod store;
+pub mod voter;
--- /dev/null
+++ b/node/src/process/store.rs
@@ -0,0 +1,174 @@
+//! The durable state of a voter, in one data folder.
+//!
+//! The folder holds `owner` (whose it is), `snapshot`, and log segments `log-N`, all made of
+//! checksummed records. A batch is appended and synced once; a batch with a snapshot starts a new
+//! segment and removes the old ones. A write that was cut off at the end of the last segment was
+//! never acknowledged and is cut away; any other fault is an error, since what is missing may have
+//! been acknowledged.
+
+mod error;
+mod folder;
+mod recovery;
+
+pub use self::error::StoreError;
+
+use self::{
+    folder::Folder,
+    recovery::{read_single, recover},
+};
+use cornelrail_lib::{
+    name::Node,
+    process::{
+        raft::{Batch, HardState, Identity, Restored, Snapshot},
+        record::{FleetDigest, Record, encode},
+    },
+};
+use std::{fs::File, io::Write, path::Path};
+
+/// Length at which a new segment is started, in bytes.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+/// What a data folder held when it was opened.
+#[derive(Debug)]
+pub struct Opened {
+    /// The store, ready to write.
+    pub store: Store,
+    /// Identity of the folder.
+    pub identity: Identity,
+    /// State for the replicated log.
+    pub restored: Restored,
+    /// Bytes of a write that was cut off, now removed.
+    pub torn: u64,
+}
+
+/// A data folder opened for writing.
+#[derive(Debug)]
+pub struct Store {
+    folder: Folder,
+    fleet: FleetDigest,
+    segment: u64,
+    file: File,
+    length: u64,
+    hard: HardState,
+}
+
+impl Store {
+    /// Opens the folder, or makes it one of this node and fleet if it is empty.
+    pub fn open(path: &Path, fleet: &str, node: Node) -> Result<Opened, StoreError> {
+        let folder = Folder::open(path)?;
+        let fleet = FleetDigest::of(fleet);
+        let identity = own(&folder, fleet, node)?;
+        let recovered = recover(&folder, fleet)?;
+        let number = recovered.segment.max(1);
+        let path = folder.segment(number);
+        let file = match recovered.segment {
+            0 => folder.replace(&path, &[])?,
+            _ => folder.resume(&path, recovered.length)?,
+        };
+        let store = Store {
+            folder,
+            fleet,
+            segment: number,
+            file,
+            length: recovered.length,
+            hard: recovered.restored.hard,
+        };
+        Ok(Opened {
+            store,
+            identity,
+            restored: recovered.restored,
+            torn: recovered.torn,
+        })
+    }
+
+    /// Writes a batch and syncs it once. After an error the state on disk is not known and the
+    /// process must stop.
+    pub fn write(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        if let Some(hard) = batch.hard {
+            self.hard = hard;
+        }
+        if let Some(snapshot) = &batch.snapshot {
+            return self.write_snapshot(snapshot, batch);
+        }
+        if self.length >= SEGMENT_BYTES {
+            let head = self.encode(&[Record::Hard(self.hard)]);
+            self.start_segment(&head)?;
+        }
+        let mut bytes = Vec::new();
+        if let Some(hard) = batch.hard {
+            encode(self.fleet, &Record::Hard(hard), &mut bytes);
+        }
+        for entry in &batch.entries {
+            encode(self.fleet, &Record::Entry(entry.clone()), &mut bytes);
+        }
+        self.append(&bytes)
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> Result<(), StoreError> {
+        let path = self.folder.segment(self.segment);
+        self.file
+            .write_all(bytes)
+            .map_err(|e| StoreError::io("write", &path, e))?;
+        self.file
+            .sync_data()
+            .map_err(|e| StoreError::io("sync", &path, e))?;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn write_snapshot(&mut self, snapshot: &Snapshot, batch: &Batch) -> Result<(), StoreError> {
+        let bytes = self.encode(&[Record::Snapshot(snapshot.clone())]);
+        self.folder.replace(&self.folder.snapshot(), &bytes)?;
+        let begin = Record::Begin {
+            index: snapshot.index,
+            term: snapshot.term,
+        };
+        let mut records = vec![begin, Record::Hard(self.hard)];
+        records.extend(batch.entries.iter().cloned().map(Record::Entry));
+        let head = self.encode(&records);
+        let old = self.folder.segments()?;
+        self.start_segment(&head)?;
+        for number in old {
+            self.folder.remove(&self.folder.segment(number))?;
+        }
+        Ok(())
+    }
+
+    fn start_segment(&mut self, head: &[u8]) -> Result<(), StoreError> {
+        self.segment += 1;
+        let path = self.folder.segment(self.segment);
+        self.file = self.folder.replace(&path, head)?;
+        self.length = head.len() as u64;
+        Ok(())
+    }
+
+    fn encode(&self, records: &[Record]) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        for record in records {
+            encode(self.fleet, record, &mut bytes);
+        }
+        bytes
+    }
+}
+
+/// Identity of the folder; an empty folder gets a new one.
+fn own(folder: &Folder, fleet: FleetDigest, node: Node) -> Result<Identity, StoreError> {
+    let path = folder.owner();
+    match read_single(folder, &path, fleet)? {
+        Some(Record::Owner { node: found, .. }) if found != node => Err(StoreError::OtherNode {
+            path,
+            found,
+            own: node,
+        }),
+        Some(Record::Owner { identity, .. }) => Ok(identity),
+        Some(_) => Err(StoreError::Damaged { path, offset: 0 }),
+        None if folder.segments()?.is_empty() => {
+            let identity = Identity(rand::random_range(1..=u64::MAX));
+            let mut bytes = Vec::new();
+            encode(fleet, &Record::Owner { node, identity }, &mut bytes);
+            folder.replace(&path, &bytes)?;
+            Ok(identity)
+        }
+        None => Err(StoreError::Missing { path }),
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,1 +1,3 @@
 //! Tests of the package.
+
+mod test_voter;
