--- /dev/null
+++ b/testutils/src/link.rs
@@ -0,0 +1,1 @@
+//! Links between two processes that delay, cut and thin their traffic.
--- /dev/null
+++ b/testutils/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Tests of the package.
+
+mod test_stand_in;
