testutils: links that delay, cut and thin the traffic

The zones of the users lie 0.5 to 1.5 ms apart and partitions are among the faults that the system must bear, so entries need links between them that the tests control.

--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Tests of the package.
 
+mod test_link;
 mod test_stand_in;
