--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,1 +1,3 @@
 //! The daemon of an entry host.
+
+pub mod process;
--- /dev/null
+++ b/node/src/process/logging.rs
@@ -0,0 +1,152 @@
+//! Log of the daemon: numbered events, as text for people or as JSON for machines.
+//!
+//! A line of text is `TIME LEVEL CRnnnn name field=value ...`; a line of JSON has the same parts as
+//! keys. Times are UTC. The log goes to standard error, or to files in the folder that the settings
+//! name; those are cut at a size, and old ones are removed.
+
+use cornelrail_lib::process::{
+    event::{Event, Severity},
+    settings::{Log, LogFormat, LogLevel},
+};
+use flexi_logger::{
+    Age, Cleanup, Criterion, DeferredNow, FileSpec, FlexiLoggerError, LogSpecification, Logger,
+    LoggerHandle, Naming, WriteMode,
+};
+use log::{LevelFilter, Record};
+use miette::Diagnostic;
+use serde::Serialize;
+use std::{fmt, io};
+use thiserror::Error;
+
+/// Target of the records of numbered events.
+const EVENT_TARGET: &str = "cornelrail::event";
+/// Format of the time at the head of a line.
+const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
+/// Size at which a log file is cut, in bytes.
+const FILE_SIZE: u64 = 16 << 20;
+/// Log files that are kept besides the current one.
+const FILES_KEPT: usize = 8;
+
+/// Why the log cannot be started.
+#[derive(Debug, Error, Diagnostic)]
+pub enum LogError {
+    /// The logger turned its set-up down.
+    #[error("the log cannot be started: {0}")]
+    #[diagnostic(
+        code(cornelrail::log::start),
+        help("check that `log.folder` exists and can be written")
+    )]
+    Start(#[from] FlexiLoggerError),
+}
+
+/// Writes events to the log; the edge between the pure library and the logger.
+pub trait EventLog {
+    /// Writes one line with the event's number, its name and the fields that follow.
+    fn log(self, fields: fmt::Arguments<'_>);
+}
+
+impl EventLog for Event {
+    fn log(self, fields: fmt::Arguments<'_>) {
+        let level = match self.severity() {
+            Severity::Error => log::Level::Error,
+            Severity::Warn => log::Level::Warn,
+            Severity::Info => log::Level::Info,
+            Severity::Debug => log::Level::Debug,
+        };
+        log::log!(target: EVENT_TARGET, level, "{} {} {fields}", self.code(), self.name());
+    }
+}
+
+/// Starts the log; it ends when the handle is dropped.
+pub fn start(settings: &Log) -> Result<LoggerHandle, LogError> {
+    let format = match settings.format {
+        LogFormat::Text => text_line,
+        LogFormat::Json => json_line,
+    };
+    let logger = Logger::with(specification(settings.level))
+        .format(format)
+        .use_utc();
+    let logger = match &settings.folder {
+        None => logger.log_to_stderr(),
+        Some(folder) => logger
+            .log_to_file(
+                FileSpec::default()
+                    .directory(folder)
+                    .basename("cornelraild"),
+            )
+            .append()
+            .rotate(
+                Criterion::AgeOrSize(Age::Day, FILE_SIZE),
+                Naming::Timestamps,
+                Cleanup::KeepLogFiles(FILES_KEPT),
+            )
+            .write_mode(WriteMode::Async),
+    };
+    Ok(logger.start()?)
+}
+
+/// Lets our own records pass from `level` on, and warnings of libraries.
+fn specification(level: LogLevel) -> LogSpecification {
+    let own = match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    };
+    LogSpecification::builder()
+        .default(LevelFilter::Warn.min(own))
+        .module("cornelrail", own)
+        .build()
+}
+
+/// Writes one line for people.
+pub fn text_line(
+    out: &mut dyn io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    write!(out, "{} {:5} ", now.format(TIME_FORMAT), record.level())?;
+    if record.target() != EVENT_TARGET {
+        write!(out, "{}: ", record.target())?;
+    }
+    let text = record.args().to_string();
+    write!(out, "{}", text.trim_end().replace('\n', "\\n"))
+}
+
+#[derive(Debug, Serialize)]
+struct JsonLine<'a> {
+    time: String,
+    level: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    event: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    name: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    module: Option<&'a str>,
+    text: &'a str,
+}
+
+/// Writes one line for machines.
+pub fn json_line(
+    out: &mut dyn io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    let text = record.args().to_string();
+    let mut line = JsonLine {
+        time: now.format(TIME_FORMAT).to_string(),
+        level: record.level().as_str(),
+        event: None,
+        name: None,
+        module: Some(record.target()),
+        text: text.trim_end(),
+    };
+    if record.target() == EVENT_TARGET {
+        let mut parts = text.trim_end().splitn(3, ' ');
+        line.event = parts.next();
+        line.name = parts.next();
+        line.module = None;
+        line.text = parts.next().unwrap_or_default();
+    }
+    serde_json::to_writer(out, &line).map_err(io::Error::from)
+}
--- /dev/null
+++ b/node/src/process/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as the daemon.
+
+pub mod logging;
+pub mod operator;
+pub mod telemetry;
