--- a/node/src/process/mod.rs
+++ b/node/src/process/mod.rs
@@ -1,4 +1,13 @@
 //! What lives as long as the daemon.
 
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod logging;
+pub mod operator;
+pub mod protocol;
+pub mod register;
 pub mod store;
+pub mod telemetry;
+pub mod transport;
 pub mod voter;
