--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -66,7 +66,7 @@
         /// The message.
         message: Message,
     },
-    /// Apply a committed command. Indices grow, with gaps where the log itself uses an entry.
+    /// Apply a committed command. Indices grow by one; an entry of the log's own use is empty.
     Committed {
         /// Its index.
         index: u64,
@@ -397,13 +397,15 @@
             term,
             payload,
         } = entry;
-        if let Payload::Command(command) = payload {
-            self.emit(VoterEvent::Committed {
-                index,
-                term,
-                command,
-            });
-        }
+        let command = match payload {
+            Payload::Command(command) => command,
+            _ => Vec::new(),
+        };
+        self.emit(VoterEvent::Committed {
+            index,
+            term,
+            command,
+        });
         if let Some(proposal) = self.proposals.remove(&index) {
             let outcome = match proposal.term == term {
                 true => Ok(index),
