--- /dev/null
+++ b/lib/src/connection/lease.rs
@@ -0,0 +1,273 @@
+//! Leases of an entry and of the targets that it is the home of.
+//!
+//! An entry's lease ends at the time of sending its heartbeat plus the lease's length, so it never
+//! outlives what the leader counts. A target counts its lease from the arrival of an order. The home
+//! therefore assumes the latest arrival: the order's timeout after sending it, or the arrival of
+//! the answer if that came earlier. What it grants ends before its own lease even then.
+//!
+//! One window remains: a target that freezes with an order unread in its socket counts the lease
+//! from the moment it resumes. Its home sends it no work in that lease, and a later home's higher
+//! epoch ends it; a target that checks no epoch is protected by the silence of its homes alone.
+
+use super::order::{LeaseAnswer, Warmth};
+use crate::{
+    moment::Moment,
+    name::{Epoch, Incarnation},
+};
+use std::time::Duration;
+
+/// Number of missed orders in a row after which new work stops.
+const SUSPECT_MISSES: u32 = 2;
+
+/// Lease of this entry, granted by the leader's answers to its heartbeats.
+#[derive(Debug, Clone, Default)]
+pub struct EntryLease {
+    end: Option<Moment>,
+}
+
+impl EntryLease {
+    /// A lease not yet granted.
+    pub fn new() -> Self {
+        EntryLease::default()
+    }
+
+    /// Takes in the answer to the heartbeat sent at `sent`; an older answer changes nothing.
+    pub fn renewed(&mut self, sent: Moment, lease: Duration) {
+        self.end = self.end.max(Some(sent + lease));
+    }
+
+    /// Gives the lease up, as a shutdown does.
+    pub fn surrender(&mut self) {
+        self.end = None;
+    }
+
+    /// Whether the entry may act now.
+    pub fn valid(&self, now: Moment) -> bool {
+        self.end.is_some_and(|end| now < end)
+    }
+
+    /// End of the lease, if one was ever granted.
+    pub fn until(&self) -> Option<Moment> {
+        self.end
+    }
+}
+
+/// Time spans of a home's lease on a target.
+#[derive(Debug, Clone)]
+pub struct LeaseTiming {
+    /// Pause between orders.
+    pub heartbeat: Duration,
+    /// Time after which an order without an answer counts as missed and its connection is closed.
+    pub timeout: Duration,
+    /// Longest lease that one order grants.
+    pub lease: Duration,
+    /// How much the clocks of two hosts may run apart during a lease.
+    pub drift: Duration,
+}
+
+/// Condition of the tie between a home and its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tie {
+    /// No order has been answered yet: no work.
+    Pending,
+    /// The target holds its lease: work.
+    Leased,
+    /// Orders are missed or the lease is over: no new work.
+    Suspect,
+    /// The target's lease is certainly over: report it lost.
+    Gone,
+    /// The target answered under another incarnation: report the restart.
+    Restarted(Incarnation),
+    /// The target has seen a higher epoch: another entry is its home.
+    Deposed(Epoch),
+}
+
+/// An order that is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Renewal {
+    /// Number of the order; its answer names it.
+    pub serial: u64,
+    /// Length of the lease to grant.
+    pub lease: Duration,
+    /// When the order counts as missed; its connection must be closed by then.
+    pub timeout: Moment,
+}
+
+#[derive(Debug)]
+struct Outstanding {
+    serial: u64,
+    sent: Moment,
+    lease: Duration,
+}
+
+/// Lease of one target under this entry as its home.
+#[derive(Debug)]
+pub struct HomeLease {
+    incarnation: Incarnation,
+    epoch: Epoch,
+    timing: LeaseTiming,
+    outstanding: Option<Outstanding>,
+    serial: u64,
+    due: Moment,
+    misses: u32,
+    confirmed: Option<Moment>,
+    accepted_end: Moment,
+    stray_end: Moment,
+    warmth: Warmth,
+    verdict: Option<Tie>,
+}
+
+impl HomeLease {
+    /// Lease of a target that may hold one from an earlier home until `inherited`.
+    pub fn new(
+        now: Moment,
+        incarnation: Incarnation,
+        epoch: Epoch,
+        inherited: Moment,
+        timing: LeaseTiming,
+    ) -> Self {
+        HomeLease {
+            incarnation,
+            epoch,
+            timing,
+            outstanding: None,
+            serial: 0,
+            due: now,
+            misses: 0,
+            confirmed: None,
+            accepted_end: inherited.max(now),
+            stray_end: inherited.max(now),
+            warmth: Warmth::Cold,
+            verdict: None,
+        }
+    }
+
+    /// Incarnation of the target that the lease is for.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Epoch under which the home sends its orders.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// How warm the target last said it was.
+    pub fn warmth(&self) -> Warmth {
+        self.warmth
+    }
+
+    /// Latest moment at which the target may believe that it holds a lease.
+    pub fn lease_until(&self) -> Moment {
+        let end = self.accepted_end.max(self.stray_end);
+        match &self.outstanding {
+            Some(order) => end.max(self.latest_end(order)),
+            None => end,
+        }
+    }
+
+    /// Order to send now, if one is due and the entry's own lease covers it.
+    pub fn poll(&mut self, now: Moment, entry: &EntryLease) -> Option<Renewal> {
+        self.expire(now);
+        if self.verdict.is_some() || self.outstanding.is_some() || now < self.due {
+            return None;
+        }
+        let lease = self.grantable(now, entry)?;
+        self.serial += 1;
+        self.due = now + self.timing.heartbeat;
+        self.outstanding = Some(Outstanding {
+            serial: self.serial,
+            sent: now,
+            lease,
+        });
+        Some(Renewal {
+            serial: self.serial,
+            lease,
+            timeout: now + self.timing.timeout,
+        })
+    }
+
+    /// Takes in the answer to order `serial`; an answer to an older order changes nothing.
+    pub fn answered(&mut self, now: Moment, serial: u64, answer: &LeaseAnswer) -> Tie {
+        self.expire(now);
+        let Some(order) = self.outstanding.take_if(|o| o.serial == serial) else {
+            return self.tie(now);
+        };
+        if answer.incarnation != self.incarnation {
+            self.verdict = Some(Tie::Restarted(answer.incarnation));
+        } else if answer.epoch > self.epoch {
+            self.verdict = Some(Tie::Deposed(answer.epoch));
+        } else if answer.accepted {
+            self.accept(now, &order, answer.warmth);
+        } else {
+            self.stray(&order);
+        }
+        self.tie(now)
+    }
+
+    /// Takes in that order `serial` failed on its way; the target may still have got it.
+    pub fn missed(&mut self, now: Moment, serial: u64) -> Tie {
+        if let Some(order) = self.outstanding.take_if(|o| o.serial == serial) {
+            self.stray(&order);
+        }
+        self.tie(now)
+    }
+
+    /// Condition of the tie now.
+    pub fn tie(&self, now: Moment) -> Tie {
+        if let Some(verdict) = self.verdict {
+            return verdict;
+        }
+        if now >= self.lease_until() + self.timing.drift {
+            return match self.confirmed {
+                None if self.misses < SUSPECT_MISSES => Tie::Pending,
+                _ => Tie::Gone,
+            };
+        }
+        match self.confirmed {
+            None => Tie::Pending,
+            Some(end) if now < end && self.misses < SUSPECT_MISSES => Tie::Leased,
+            Some(_) => Tie::Suspect,
+        }
+    }
+
+    /// When [`HomeLease::poll`] or [`HomeLease::tie`] next changes by time alone.
+    pub fn next_wakeup(&self) -> Moment {
+        match &self.outstanding {
+            Some(order) => order.sent + self.timing.timeout,
+            None => self.due,
+        }
+    }
+
+    /// Length that may be granted: it ends within the entry's own lease at the latest arrival.
+    fn grantable(&self, now: Moment, entry: &EntryLease) -> Option<Duration> {
+        let left = entry.until()?.since(now + self.timing.timeout);
+        let lease = self.timing.lease.min(left);
+        (lease >= self.timing.heartbeat).then_some(lease)
+    }
+
+    fn accept(&mut self, now: Moment, order: &Outstanding, warmth: Warmth) {
+        self.misses = 0;
+        self.warmth = warmth;
+        self.confirmed = self.confirmed.max(Some(order.sent + order.lease));
+        self.accepted_end = self.accepted_end.max(now + order.lease);
+    }
+
+    /// Counts an order as missed, though it may have arrived.
+    fn stray(&mut self, order: &Outstanding) {
+        self.misses += 1;
+        self.stray_end = self.stray_end.max(self.latest_end(order));
+    }
+
+    fn latest_end(&self, order: &Outstanding) -> Moment {
+        order.sent + self.timing.timeout + order.lease
+    }
+
+    fn expire(&mut self, now: Moment) {
+        let limit = self.timing.timeout;
+        let late = |o: &mut Outstanding| now >= o.sent + limit;
+        if let Some(order) = self.outstanding.take_if(late) {
+            self.stray(&order);
+        }
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,4 +1,7 @@
 //! What lives for one request.
 
+pub mod dispatch;
 pub mod header;
+pub mod once;
 pub mod outcome;
+pub mod quarantine;
--- /dev/null
+++ b/lib/src/request/once/membership.rs
@@ -0,0 +1,96 @@
+//! Entries that replicate an identity.
+
+use super::Identity;
+use crate::name::Node;
+
+/// Replicas of an identity in a fleet of at least as many entries.
+const REPLICAS: usize = 5;
+/// Replicas of an identity in a smaller fleet of at least as many entries.
+const FEW_REPLICAS: usize = 3;
+
+/// Number of replicas that make a majority.
+pub fn quorum(replicas: usize) -> usize {
+    replicas / 2 + 1
+}
+
+/// Committed lists of the fleet's entries, alive or not.
+///
+/// After a change of the list, claims need a majority by each list in force until the records made
+/// under the older ones have expired.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Membership {
+    lists: Vec<Vec<Node>>,
+}
+
+impl Membership {
+    /// Membership of one list.
+    pub fn new(members: &[Node]) -> Self {
+        Membership {
+            lists: vec![sorted(members)],
+        }
+    }
+
+    /// Puts a new list in force; older ones count until [`Membership::settle`].
+    pub fn change(&mut self, members: &[Node]) {
+        let members = sorted(members);
+        if self.lists.last() != Some(&members) {
+            self.lists.push(members);
+        }
+    }
+
+    /// Forgets the older lists: records made under them have expired.
+    pub fn settle(&mut self) {
+        let older = self.lists.len().saturating_sub(1);
+        self.lists.drain(..older);
+    }
+
+    /// All entries of all lists, in order.
+    pub fn nodes(&self) -> Vec<Node> {
+        sorted(&self.lists.concat())
+    }
+
+    /// Replica sets of an identity, one for each list in force.
+    pub fn panels(&self, identity: Identity) -> Vec<Vec<Node>> {
+        let mut panels: Vec<Vec<Node>> = self
+            .lists
+            .iter()
+            .map(|list| rendezvous(identity, list))
+            .collect();
+        panels.dedup();
+        panels
+    }
+
+    /// All replicas of an identity, in order.
+    pub fn replicas(&self, identity: Identity) -> Vec<Node> {
+        sorted(&self.panels(identity).concat())
+    }
+}
+
+fn sorted(nodes: &[Node]) -> Vec<Node> {
+    let mut nodes = nodes.to_vec();
+    nodes.sort_unstable();
+    nodes.dedup();
+    nodes
+}
+
+/// Replicas by rendezvous hashing: the members with the highest scores.
+fn rendezvous(identity: Identity, members: &[Node]) -> Vec<Node> {
+    let count = match members.len() {
+        n if n >= REPLICAS => REPLICAS,
+        n if n >= FEW_REPLICAS => FEW_REPLICAS,
+        n => n,
+    };
+    let mut scored: Vec<(u64, Node)> = members.iter().map(|m| (score(identity, *m), *m)).collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    let chosen: Vec<Node> = scored.into_iter().take(count).map(|(_, m)| m).collect();
+    sorted(&chosen)
+}
+
+/// Score of a member: identities are digests, so mixing in the number suffices.
+fn score(identity: Identity, member: Node) -> u64 {
+    let folded = (identity.0 as u64) ^ (identity.0 >> 64) as u64;
+    let mut mixed = folded ^ member.0.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
