node: the daemon as a whole and its program

Cause: the tasks stood alone. Change: sockets, tasks and the graceful end in one place; main reads the settings. Result: does not build yet; not run.

--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -4,4 +4,5 @@
 pub mod header;
 pub mod once;
 pub mod outcome;
+pub mod plan;
 pub mod quarantine;
--- a/node/src/connection/incoming.rs
+++ b/node/src/connection/incoming.rs
@@ -5,20 +5,22 @@
     connection::peer::Duplex,
     process::{
         control::ControlHandle,
+        logging::EventLog,
         protocol::{Call, Control, Reply},
         register::RegisterHandle,
+        telemetry,
         transport::Transport,
         voter::VoterHandle,
     },
     request::{
+        body::Body,
         core::Core,
         forward,
-        message::{Failure, RequestHead},
+        message::{Answer, Failure, RequestHead},
         serve,
     },
 };
 use cornelrail_lib::{name::Node, process::event::Event, request::plan};
-use crate::process::logging::EventLog;
 use quinn::{Connection, Incoming, RecvStream, SendStream};
 use tracing::{Instrument, debug_span};
 
@@ -107,7 +109,7 @@
 async fn serve_forwarded(core: &Core, mut head: RequestHead, mut tx: SendStream, rx: RecvStream) {
     let span = debug_span!("home", request = head.id);
     if let Some(trace) = &head.trace {
-        crate::process::telemetry::adopt_text(&span, trace);
+        telemetry::adopt_text(&span, trace);
     }
     let body = forward::forwarded_body(&mut head, rx);
     let left = tx.stopped();
@@ -126,8 +128,8 @@
 async fn serve_here(
     core: &Core,
     head: RequestHead,
-    body: crate::request::body::Body,
-) -> Result<crate::request::message::Answer, Failure> {
+    body: Body,
+) -> Result<Answer, Failure> {
     let planned = {
         let view = core.view.borrow();
         let standing = core.standing(&view);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,3 +1,116 @@
 //! Entry point of the daemon.
 
-fn main() {}
+use cornelrail_lib::process::{event::Event, settings::Settings};
+use cornelrail_node::process::{
+    daemon,
+    logging::{self, EventLog},
+    telemetry::Telemetry,
+};
+use lexopt::{
+    Arg::{Long, Short, Value},
+    Parser,
+};
+use miette::{Diagnostic, IntoDiagnostic, Report, Result};
+use std::{fs, io, path::PathBuf, process::ExitCode};
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+
+const HELP: &str = "cornelraild: the cornelrail daemon of an entry host
+usage: cornelraild SETTINGS.yaml";
+
+/// Exit code for bad arguments or settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Why the daemon's arguments cannot be used.
+#[derive(Debug, Error, Diagnostic)]
+enum ArgumentError {
+    /// No settings file is named.
+    #[error("no settings file is named")]
+    #[diagnostic(
+        code(cornelrail::arguments::missing),
+        help("run `cornelraild SETTINGS.yaml`")
+    )]
+    Missing,
+    /// The settings file cannot be read.
+    #[error("cannot read {}: {source}", path.display())]
+    #[diagnostic(
+        code(cornelrail::arguments::file),
+        help("check the path and that this user may read the file")
+    )]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+enum Wish {
+    Help,
+    Run(PathBuf),
+}
+
+fn arguments() -> Result<Wish> {
+    let mut parser = Parser::from_env();
+    let mut file = None;
+    while let Some(argument) = parser.next().into_diagnostic()? {
+        match argument {
+            Short('h') | Long("help") => return Ok(Wish::Help),
+            Value(path) if file.is_none() => file = Some(PathBuf::from(path)),
+            other => return Err(other.unexpected()).into_diagnostic(),
+        }
+    }
+    Ok(Wish::Run(file.ok_or(ArgumentError::Missing)?))
+}
+
+fn load(path: PathBuf) -> Result<Settings> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(&path).map_err(|source| ArgumentError::File { path, source })?;
+    Ok(Settings::parse(&text, &name)?)
+}
+
+fn fail(report: &Report, code: u8) -> ExitCode {
+    eprintln!("{report:?}");
+    ExitCode::from(code)
+}
+
+fn main() -> ExitCode {
+    let path = match arguments() {
+        Ok(Wish::Help) => {
+            println!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(Wish::Run(path)) => path,
+        Err(report) => return fail(&report, EXIT_USAGE),
+    };
+    let settings = match load(path) {
+        Ok(settings) => settings,
+        Err(report) => return fail(&report, EXIT_USAGE),
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            Event::StartFailed.log(format_args!("why={report}"));
+            fail(&report, 1)
+        }
+    }
+}
+
+fn run(settings: Settings) -> Result<()> {
+    let _logger = logging::start(&settings.log)?;
+    let telemetry = Telemetry::install()?;
+    let metrics = telemetry.metrics.clone();
+    let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
+    runtime.block_on(async move {
+        tokio::spawn(Telemetry::upkeep(metrics.clone()));
+        let mut term = signal(SignalKind::terminate()).into_diagnostic()?;
+        let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+        let daemon = daemon::start(settings, metrics).await?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        daemon.stop().await;
+        Ok(())
+    })
+}
--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -1,7 +1,10 @@
 //! What an entry does while it leads.
 
 use super::ControlTask;
-use crate::process::protocol::{Call, Control, CrashCall, Logged, Reply};
+use crate::process::{
+    logging::EventLog,
+    protocol::{Call, Control, Logged, Reply},
+};
 use cornelrail_lib::{
     connection::order::Leave,
     moment::Moment,
@@ -11,10 +14,10 @@
         operator_api::{EntryInForce, InForceAnswer, Winner},
         settings::Settings,
     },
-    request::quarantine::Quarantine,
+    request::quarantine::{Crash, Quarantine, QuarantineConfig},
     version::{
         command::{Announcement, Command},
-        controller::{Controller, ControllerConfig},
+        controller::{Controller, ControllerConfig, EntryLag},
         fleet::{Fleet, TargetPhase},
         report::Report,
     },
@@ -22,31 +25,27 @@
 use std::{sync::Arc, time::Duration};
 use tokio::sync::oneshot;
 
+/// Salt of the hash ring; the same whoever leads, so that a new leader moves nothing.
+const RING_SALT: u64 = 0;
+
 /// State of a leader for one term.
 #[derive(Debug)]
 pub(super) struct Leading {
     term: u64,
     ready: bool,
-    /// Commands of the controller that are not settled yet.
-    proposed: usize,
     controller: Controller,
     quarantine: Quarantine,
 }
 
 impl Leading {
     pub(super) fn new(settings: &Settings, term: u64, now: Moment) -> Self {
-        let config = ControllerConfig {
-            timing: settings.timing.clone(),
-            assigner: settings.assigner,
-            seed: settings.node.0,
-            ..ControllerConfig::default()
-        };
+        let timing = settings.timing.clone();
+        let config = ControllerConfig::new(timing, settings.assigner, RING_SALT);
         Leading {
             term,
             ready: false,
-            proposed: 0,
             controller: Controller::new(config, now),
-            quarantine: Quarantine::new(),
+            quarantine: Quarantine::new(QuarantineConfig::default()),
         }
     }
 
@@ -64,9 +63,9 @@
         self.ready |= term == self.term;
     }
 
-    /// A proposed command was committed or lost.
-    pub(super) fn settled(&mut self) {
-        self.proposed = self.proposed.saturating_sub(1);
+    /// How far each entry is, by its own reports.
+    pub(super) fn lag(&self, now: Moment, fleet: &Fleet) -> Vec<EntryLag> {
+        self.controller.lag(now, fleet)
     }
 }
 
@@ -88,7 +87,7 @@
                 let _ = reply.send(Reply::InForce(self.in_force(version)));
             }
             Call::Crash(crash) => {
-                self.take_crash(crash);
+                self.take_crash(&crash);
                 let _ = reply.send(Reply::Taken);
             }
             // These two never reach the control task.
@@ -99,11 +98,10 @@
     /// Takes a report in and renews the sender's lease while this entry surely leads.
     fn report(&mut self, report: &Report, reply: oneshot::Sender<Reply>) {
         let now = self.now();
-        let fleet = self.replica.fleet().clone();
         let (Some(leading), Some(voter)) = (&mut self.leading, self.setup.voter.clone()) else {
             return;
         };
-        leading.controller.on_report(now, &fleet, report);
+        leading.controller.on_report(now, report);
         let lease = leading.controller.lease_for(report.node);
         let grant = self.replica.missing(report.applied, lease.unwrap_or_default());
         let not_leader = Reply::NotLeader(None);
@@ -125,7 +123,6 @@
         };
         match leading.controller.on_announce(now, &fleet, announcement) {
             Ok(Some(command)) => {
-                leading.proposed += 1;
                 self.propose(&command, None);
                 Reply::Taken
             }
@@ -144,21 +141,17 @@
             return Reply::NotLeader(None);
         };
         if let Some(command) = leading.controller.on_leave(&fleet, leave) {
-            leading.proposed += 1;
             self.propose(&command, None);
         }
         Reply::Taken
     }
 
-    fn take_crash(&mut self, crash: CrashCall) {
+    fn take_crash(&mut self, crash: &Crash) {
         let now = self.now();
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let command = leading
-            .quarantine
-            .on_crash(now, crash.node, crash.fingerprint, crash.serial);
-        if let Some(command) = command {
+        if let Some(command) = leading.quarantine.crashed(now, crash) {
             self.propose(&command, None);
         }
     }
@@ -170,12 +163,10 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        // The next decision waits until the last ones are applied, so that none is made twice.
-        if !leading.ready || leading.proposed > 0 {
+        if !leading.ready {
             return;
         }
         let commands = leading.controller.tick(now, &fleet);
-        leading.proposed += commands.len();
         for command in &commands {
             self.propose(command, None);
         }
@@ -201,10 +192,10 @@
             .iter()
             .map(|lag| EntryInForce {
                 entry: lag.node,
-                version: lag.version,
-                applied: lag.applied,
+                version: Some(lag.version),
+                applied: Some(lag.applied),
                 fresh: lag.fresh,
-                in_force: lag.version.is_some_and(|reached| reached >= version),
+                in_force: lag.version >= version,
             })
             .collect();
         let everywhere = !entries.is_empty()
@@ -245,7 +236,7 @@
                 Event::EntryLost.log(format_args!("entry={node} index={index}"));
             }
             Command::Rehome(list) => {
-                Event::HomesChanged.log(format_args!("targets={} index={index}", list.len()));
+                Event::TargetRehomed.log(format_args!("targets={} index={index}", list.len()));
             }
             Command::MoveBegin(list) => {
                 Event::MoveBegun.log(format_args!("ranges={} index={index}", list.len()));
--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -11,11 +11,12 @@
     connection::peer::PeerLink,
     process::{
         clock::Clock,
+        logging::EventLog,
         operator::OperatorCall,
-        protocol::{Call, Control, CrashCall, NoteCall, Reply},
+        protocol::{Call, Control, NoteCall, Reply},
         voter::{VoterEvent, VoterHandle},
     },
-    request::home::{Crash, HomeHandle},
+    request::home::HomeHandle,
     version::view::View,
 };
 use cornelrail_lib::{
@@ -23,6 +24,7 @@
     moment::Moment,
     name::{Incarnation, Node},
     process::{event::Event, operator_api::NoteAnswer, settings::Settings},
+    request::quarantine::Crash,
     version::{command::Command, fleet::Applied},
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -273,6 +275,13 @@
             } => self.committed(index, term, &command),
             VoterEvent::Install { snapshot, .. } => self.install(&snapshot),
             VoterEvent::Role { leader, term, ours } => self.role(leader, term, ours),
+            VoterEvent::Failed(error) => {
+                Event::StoreFailed.log(format_args!("why={error}"));
+                self.surrendered = true;
+                self.lease.surrender();
+                self.leading = None;
+                self.publish();
+            }
         }
     }
 
@@ -393,11 +402,7 @@
     }
 
     fn crash(&self, crash: Crash) {
-        let call = Call::Crash(CrashCall {
-            node: self.setup.settings.node,
-            fingerprint: crash.fingerprint,
-            serial: crash.serial,
-        });
+        let call = Call::Crash(crash);
         let handle = ControlHandle {
             tx: self.tx.clone(),
         };
@@ -419,11 +424,6 @@
     }
 
     fn proposed(&mut self, index: Option<u64>, result: Option<oneshot::Sender<Applied>>) {
-        if result.is_none()
-            && let Some(leading) = &mut self.leading
-        {
-            leading.settled();
-        }
         let (Some(index), Some(result)) = (index, result) else {
             return;
         };
--- a/node/src/process/protocol.rs
+++ b/node/src/process/protocol.rs
@@ -8,9 +8,9 @@
         operator_api::{InForceAnswer, NoteAnswer},
         raft::Message,
     },
-    request::once,
+    request::{once, quarantine::Crash},
     version::{
-        command::{Announcement, Command, Fingerprint},
+        command::{Announcement, Command},
         report::Report,
     },
 };
@@ -52,7 +52,7 @@
     /// Message to a replica of the once-only register.
     Once(once::Ask),
     /// A request crashed a target, told to the leader.
-    Crash(CrashCall),
+    Crash(Crash),
     /// A request for a target whose home the callee is.
     Forward(Box<RequestHead>),
 }
@@ -66,17 +66,6 @@
     pub text: String,
 }
 
-/// A crash on its way to the leader.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashCall {
-    /// Entry that saw it.
-    pub node: Node,
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Number that tells two crashes seen by one entry apart.
-    pub serial: u64,
-}
-
 /// What the leader grants for a report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaseGrant {
--- a/node/src/process/telemetry.rs
+++ b/node/src/process/telemetry.rs
@@ -34,6 +34,8 @@
 const LATENCY_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.004, 0.008, 0.013, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 5.0, 20.0,
 ];
+/// Name of the W3C header with the trace context.
+const TRACEPARENT: &str = "traceparent";
 /// Pause between two clean-ups of the recorder's histograms.
 const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
 
@@ -115,6 +117,23 @@
     let _ = span.set_parent(extract(headers));
 }
 
+/// Makes the span a child of the trace context in a `traceparent` text.
+pub fn adopt_text(span: &Span, trace: &str) {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(trace) {
+        headers.insert(TRACEPARENT, value);
+    }
+    adopt(span, &headers);
+}
+
+/// The span's trace context as a `traceparent` text.
+pub fn traceparent(span: &Span) -> Option<String> {
+    let mut headers = HeaderMap::new();
+    inject_context(&span.context(), &mut headers);
+    let value = headers.get(TRACEPARENT)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
 /// Writes the trace context of the current span to a request that goes out.
 pub fn inject(headers: &mut HeaderMap) {
     inject_context(&Span::current().context(), headers);
--- a/node/src/request/core.rs
+++ b/node/src/request/core.rs
@@ -1,16 +1,29 @@
 //! What the tasks of all requests share: handles to the tasks that own the state.
 
 use super::home::HomeHandle;
-use crate::{connection::peer::PeerLink, process::clock::Clock, version::view::View};
-use cornelrail_lib::{name::Node, process::settings::Settings, request::plan::Standing};
+use crate::{
+    connection::peer::PeerLink,
+    process::{clock::Clock, register::RegisterHandle},
+    version::view::View,
+};
+use cornelrail_lib::{
+    moment::Moment,
+    name::{Incarnation, Node},
+    process::settings::Settings,
+    request::{
+        outcome::{Reason, Refusal},
+        plan::{self, Standing},
+    },
+};
 use std::{
     collections::BTreeMap,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    time::{SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// Handles that a request needs on its way.
 #[derive(Debug, Clone)]
@@ -25,8 +38,14 @@
     pub home: HomeHandle,
     /// Links to the other entries.
     pub peers: Arc<BTreeMap<Node, PeerLink>>,
+    /// This life of the entry.
+    pub incarnation: Incarnation,
+    /// This entry's replica of the once-only register.
+    pub register: RegisterHandle,
     /// Number of the next request.
     pub ids: Arc<AtomicU64>,
+    /// Room for open requests.
+    pub room: Arc<Semaphore>,
 }
 
 impl Core {
@@ -44,6 +63,19 @@
         self.ids.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Room for one more open request, or its refusal.
+    pub fn admit(&self) -> Result<OwnedSemaphorePermit, Refusal> {
+        let reason = Reason::Overload;
+        let room = self.room.clone().try_acquire_owned();
+        room.map_err(|_| Refusal::not_run(reason, plan::pause(reason)))
+    }
+
+    /// Time since the Unix epoch.
+    pub fn wall_clock(&self) -> Moment {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Moment::ZERO + since.unwrap_or_default()
+    }
+
     /// Waits until the fleet's state says that `node` has lost its lease.
     pub async fn home_lost(&self, node: Node) {
         let mut view = self.view.clone();
--- a/node/src/request/front.rs
+++ b/node/src/request/front.rs
@@ -9,6 +9,7 @@
     message::{Answer, RequestHead, passed_fields},
     route,
 };
+use crate::process::telemetry;
 use cornelrail_lib::{
     name::Service,
     request::{
@@ -16,7 +17,7 @@
         outcome::{Certainty, Reason, Refusal},
         plan,
     },
-    version::fleet::ServiceSettings,
+    version::fleet::{ServiceKind, ServiceSettings},
 };
 use http::{
     HeaderMap, HeaderName, HeaderValue, StatusCode,
@@ -48,14 +49,14 @@
     async fn answer(&self, request: &mut Request) -> Result<Answer, Refusal> {
         let mut head = self.head(request)?;
         let span = info_span!("entry", request = head.id, service = %head.service);
-        crate::process::telemetry::adopt(&span, request.headers());
-        head.trace = crate::process::telemetry::traceparent(&span);
+        telemetry::adopt(&span, request.headers());
+        head.trace = telemetry::traceparent(&span);
         self.pass(request, head).instrument(span).await
     }
 
     async fn pass(&self, request: &mut Request, head: RequestHead) -> Result<Answer, Refusal> {
         let _open = self.core.admit()?;
-        let limit = self.core.settings.limits.body;
+        let limit = self.core.settings.limits.body_size;
         let body = Body::from_http(request.take_body(), limit).await;
         let body = body.map_err(|_| refusal(Reason::BadRequest))?;
         route::route(&self.core, head, body).await
@@ -67,6 +68,10 @@
         let view = self.core.view.borrow();
         let known = view.fleet.services.get(service);
         let settings = known.map(|state| &state.settings);
+        let key = text(headers, header::KEY)?.unwrap_or_default();
+        if key.is_empty() && settings.is_some_and(|settings| settings.kind == ServiceKind::Keyed) {
+            return Err(refusal(Reason::BadRequest));
+        }
         let query = request.uri().query();
         let method = request.method().as_str();
         let once = settings.is_some_and(|settings| matches_route(&settings.once, method, path));
@@ -74,7 +79,7 @@
         Ok(RequestHead {
             id: self.core.next_id(),
             service: Service::from(service),
-            key: text(headers, header::KEY)?.unwrap_or_default().to_owned(),
+            key: key.to_owned(),
             method: method.to_owned(),
             path: query.map_or_else(|| path.to_owned(), |query| format!("{path}?{query}")),
             fields: passed_fields(headers),
--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -9,6 +9,7 @@
 };
 use crate::{process::clock::Clock, version::view::View};
 use cornelrail_lib::{
+    connection::health::Condition,
     key::KeyHash,
     moment::Moment,
     name::{Service, Target},
@@ -16,8 +17,9 @@
     request::{
         dispatch::{Action, Arrival, Choice, Dispatch, DispatchConfig, Ending, RequestId},
         outcome::Refusal,
+        quarantine::Crash,
     },
-    version::{command::Fingerprint, report::Report},
+    version::report::Report,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{
@@ -42,15 +44,6 @@
     Elsewhere,
 }
 
-/// A request that crashed a target, as its home saw it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Crash {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Number that tells two crashes apart.
-    pub serial: u64,
-}
-
 enum HomeMessage {
     Arrive {
         arrival: Arrival,
@@ -182,7 +175,7 @@
         view,
         handle: handle.clone(),
         crashes,
-        dispatch: Dispatch::new(dispatch_config(&settings), clock.now()),
+        dispatch: Dispatch::new(dispatch_config(&settings)),
         targets: HeldTargets::new(&settings),
         settings,
         open: BTreeMap::new(),
@@ -202,7 +195,7 @@
         share,
         seed: settings.node.0,
         zone: settings.zone.clone(),
-        queue: settings.limits.queue as usize,
+        queue_slots: settings.limits.queue as usize,
         ..DispatchConfig::default()
     }
 }
@@ -248,7 +241,7 @@
             } => self.finish(now, id, attempt, ending),
             HomeMessage::Cancel(id) => {
                 self.dispatch.cancel(now, id);
-                self.open.remove(&id);
+                self.close(now, id);
             }
             HomeMessage::Renewed(renewed) => {
                 let running = renewed.running();
@@ -292,13 +285,18 @@
 
     fn finish(&mut self, now: Moment, id: RequestId, attempt: u32, ending: Ending) {
         self.dispatch.finish(now, id, attempt, ending);
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
-        open.running.remove(&attempt);
-        if ending == Ending::Answered && open.running.is_empty() {
-            self.open.remove(&id);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.running.remove(&attempt);
+        }
+    }
+
+    /// Ends a request whose task has gone, or goes now, with all its attempts.
+    fn close(&mut self, now: Moment, id: RequestId) -> Option<Open> {
+        let open = self.open.remove(&id)?;
+        for attempt in open.running.keys() {
+            self.dispatch.finish(now, id, *attempt, Ending::Cancelled);
         }
+        Some(open)
     }
 
     /// Brings leases and requests in line with a new state of the fleet.
@@ -369,29 +367,39 @@
                 target,
             } => self.send(now, id, attempt, &target),
             Action::Refuse { id, refusal } => {
-                if let Some(open) = self.open.remove(&id) {
+                if let Some(open) = self.close(now, id) {
                     let _ = open.verdicts.send(Verdict::Refuse(refusal));
                 }
             }
-            Action::Abort { id, attempt } => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.running.remove(&attempt);
-                    let _ = open.verdicts.send(Verdict::Abort(attempt));
-                }
+            Action::Deliver { id, .. } => {
+                self.close(now, id);
             }
+            Action::Abort { id, attempt } => self.abort(now, id, attempt),
             Action::Suspect {
                 fingerprint,
-                serial,
-                ..
+                target,
+                incarnation,
             } => {
+                // The control task is gone only when the daemon stops.
                 let _ = self.crashes.send(Crash {
                     fingerprint,
-                    serial,
+                    target,
+                    incarnation,
                 });
             }
         }
     }
 
+    fn abort(&mut self, now: Moment, id: RequestId, attempt: u32) {
+        let told = self.open.get_mut(&id).is_some_and(|open| {
+            open.running.remove(&attempt);
+            open.verdicts.send(Verdict::Abort(attempt)).is_ok()
+        });
+        if !told {
+            self.dispatch.finish(now, id, attempt, Ending::Cancelled);
+        }
+    }
+
     fn send(&mut self, now: Moment, id: RequestId, attempt: u32, target: &Target) {
         let Some(open) = self.open.get_mut(&id) else {
             return self.dispatch.finish(now, id, attempt, Ending::Cancelled);
@@ -414,7 +422,11 @@
     fn collect(&mut self, now: Moment, mut report: Report) -> Report {
         let view = self.view.borrow().clone();
         self.targets.report(now, &view, &self.open, &mut report);
-        report.slow = self.dispatch.slow_targets();
+        let loads = self.dispatch.loads();
+        let slow = loads
+            .into_iter()
+            .filter(|load| load.condition != Condition::Steady);
+        report.slow = slow.map(|load| load.target).collect();
         report
     }
 }
--- a/node/src/request/serve.rs
+++ b/node/src/request/serve.rs
@@ -12,13 +12,14 @@
 use bytes::Bytes;
 use cornelrail_lib::{
     key::KeyHash,
+    moment::Moment,
     name::Target,
     request::{
         dispatch::{Arrival, Choice, Ending, Importance, RequestId},
-        once::{Claim, Identity, Press, Progress, Record, StoredAnswer, repeat_window},
+        once::{Claim, Identity, Progress, Record, StoredAnswer, repeat_window},
         outcome::{Certainty, Reason, Refusal},
         plan,
-        quarantine::fingerprint,
+        quarantine::Sample,
     },
     version::fleet::Route,
 };
@@ -32,12 +33,13 @@
 
 /// Serves a request for a target whose home this entry is.
 pub async fn serve(core: &Core, head: RequestHead, body: Body) -> Result<Answer, Failure> {
-    let Some(identity) = identity(core, &head, &body) else {
+    let identities = identities(core, &head, &body);
+    if identities.is_empty() {
         return attempt(core, head, body).await;
-    };
+    }
     let core = core.clone();
     // A once-only request runs on when its caller leaves, so that its outcome gets on record.
-    let task = tokio::spawn(async move { serve_once(&core, identity, head, body).await });
+    let task = tokio::spawn(async move { serve_once(&core, &identities, head, body).await });
     match task.await {
         Ok(outcome) => outcome,
         Err(_) => {
@@ -47,56 +49,89 @@
     }
 }
 
-/// Identity under which a once-only request is claimed.
-fn identity(core: &Core, head: &RequestHead, body: &Body) -> Option<Identity> {
+/// Identities under which a once-only request is claimed, in the order of claiming.
+fn identities(core: &Core, head: &RequestHead, body: &Body) -> Vec<Identity> {
     if !head.once {
-        return None;
+        return Vec::new();
     }
     if let Some(identity) = &head.identity {
-        return Some(Identity::of(&head.service, &head.key, identity));
+        return vec![Identity::of(&head.service, &head.key, identity)];
     }
     let view = core.view.borrow();
-    let window = view.fleet.services.get(&head.service)?.settings.repeat_window;
-    let body = body.copy()?;
-    let press = Press {
+    let service = view.fleet.services.get(&head.service);
+    let (Some(service), Some(body)) = (service, body.copy()) else {
+        return Vec::new();
+    };
+    let press = repeat_window::Press {
         service: &head.service,
         customer: &head.key,
-        route: &format!("{} {}", head.method, head.path),
-        body: &body,
+        route: &route(head),
+        body: blake3::hash(&body).as_bytes(),
     };
-    let derived = repeat_window::derive(&press, core.wall_clock(), window)?;
-    Some(derived.identity)
+    let window = service.settings.repeat_window;
+    match repeat_window::derive(&press, core.wall_clock(), window) {
+        Some(derived) => vec![derived.previous, derived.current],
+        None => Vec::new(),
+    }
+}
+
+fn route(head: &RequestHead) -> String {
+    format!("{} {}", head.method, head.path)
 }
 
 async fn serve_once(
     core: &Core,
-    identity: Identity,
+    identities: &[Identity],
     head: RequestHead,
     body: Body,
 ) -> Result<Answer, Failure> {
     let deadline = core.clock.now() + Duration::from_millis(head.left_ms);
-    let claim = match claim::claim(core, identity, deadline).await {
-        Ok(claim) => claim,
-        Err(Claimed::Refused(refusal)) => return Err(refusal.into()),
-        Err(Claimed::Repeated(record)) => return repeated(record),
+    let claims = match claim_all(core, identities, deadline).await {
+        Ok(claims) => claims,
+        Err(outcome) => return outcome,
     };
-    if !claim.may_send(core.clock.now()) {
-        claim::release(core, claim);
-        return Err(Refusal::not_run(Reason::Deadline, plan::pause(Reason::Deadline)).into());
+    if !claims.iter().all(|claim| claim.may_send(core.clock.now())) {
+        let reason = Reason::Deadline;
+        let failure = Refusal::not_run(reason, plan::pause(reason)).into();
+        settle_failure(core, claims, &failure);
+        return Err(failure);
     }
     let outcome = attempt(core, head, body).await;
-    match outcome {
-        Ok(answer) => Ok(settle(core, claim, answer)),
-        Err(failure) => {
-            settle_failure(core, claim, &failure);
-            Err(failure)
+    match &outcome {
+        Ok(answer) => settle(core, claims, answer),
+        Err(failure) => settle_failure(core, claims, failure),
+    }
+    outcome
+}
+
+/// Claims all identities; if one is refused, the others are given up and that is the outcome.
+async fn claim_all(
+    core: &Core,
+    identities: &[Identity],
+    deadline: Moment,
+) -> Result<Vec<Claim>, Result<Answer, Failure>> {
+    let mut claims = Vec::new();
+    for identity in identities {
+        let claimed = claim::claim(core, *identity, deadline).await;
+        let outcome = match claimed {
+            Ok(claim) => {
+                claims.push(claim);
+                continue;
+            }
+            Err(Claimed::Refused(refusal)) => Err(refusal.into()),
+            Err(Claimed::Repeated(record)) => repeated(record),
+        };
+        for claim in claims {
+            claim::release(core, claim);
         }
+        return Err(outcome);
     }
+    Ok(claims)
 }
 
 /// Puts the outcome of an answered request on record; a target that has sent the head of its answer
 /// has run the request.
-fn settle(core: &Core, claim: Claim, answer: Answer) -> Answer {
+fn settle(core: &Core, claims: Vec<Claim>, answer: &Answer) {
     let status = answer.status.as_u16();
     let content = content_type(&answer.fields);
     let stored = match &answer.body {
@@ -108,19 +143,22 @@
             body: None,
         },
     };
-    claim::record(core, claim, Progress::Answered(stored));
-    answer
+    for claim in claims {
+        claim::record(core, claim, Progress::Answered(stored.clone()));
+    }
 }
 
-fn settle_failure(core: &Core, claim: Claim, failure: &Failure) {
+fn settle_failure(core: &Core, claims: Vec<Claim>, failure: &Failure) {
     let certainty = match failure {
         Failure::Elsewhere => Certainty::NotRun,
         Failure::Lost => Certainty::Unknown,
         Failure::Refused(refusal) => refusal.certainty,
     };
-    match certainty {
-        Certainty::NotRun => claim::release(core, claim),
-        Certainty::Unknown => claim::record(core, claim, Progress::Unknown),
+    for claim in claims {
+        match certainty {
+            Certainty::NotRun => claim::release(core, claim),
+            Certainty::Unknown => claim::record(core, claim, Progress::Unknown),
+        }
     }
 }
 
@@ -208,9 +246,13 @@
 
 fn arrival(core: &Core, head: &RequestHead, body: &Body, choice: Choice) -> Arrival {
     let repeatable = !head.once && matches!(body, Body::Whole(_));
-    let digest = body.copy().map(|bytes| blake3::hash(&bytes));
-    let digest = digest.as_ref().map_or(&[][..], |hash| hash.as_bytes());
-    let route = format!("{} {}", head.method, head.path);
+    let bytes = body.copy().unwrap_or_default();
+    let sample = Sample {
+        service: &head.service,
+        route: &route(head),
+        customer: &head.key,
+        body: blake3::hash(&bytes).as_bytes(),
+    };
     Arrival {
         id: RequestId(head.id),
         service: head.service.clone(),
@@ -218,10 +260,10 @@
         deadline: core.clock.now() + Duration::from_millis(head.left_ms),
         importance: match head.low {
             true => Importance::Low,
-            false => Importance::High,
+            false => Importance::Normal,
         },
         once: head.once,
-        fingerprint: Some(fingerprint(&head.service, &route, &head.key, digest)),
+        fingerprint: Some(sample.fingerprint()),
         repeatable,
     }
 }
@@ -235,7 +277,7 @@
             tokio::select! {
                 verdict = verdicts.recv() => match verdict {
                     Some(Verdict::Send(permit)) => self.send(permit).await,
-                    Some(Verdict::Abort(attempt)) => self.abort(attempt),
+                    Some(Verdict::Abort(attempt)) => self.abort(attempt).await,
                     Some(Verdict::Refuse(refusal)) => return self.end(refusal.into()),
                     Some(Verdict::Elsewhere) => return self.end(Failure::Elsewhere),
                     None => return self.end(Failure::Lost),
@@ -279,15 +321,17 @@
         self.handles.insert(attempt, handle);
     }
 
-    fn abort(&mut self, attempt: u32) {
+    async fn abort(&mut self, attempt: u32) {
         if let Some(handle) = self.handles.remove(&attempt) {
             handle.abort();
         }
+        let home = &self.core.home;
+        home.finish(self.id, attempt, Ending::Cancelled).await;
     }
 
     async fn attempted(&mut self, attempted: Attempted) -> Option<Answer> {
         let attempt = attempted.attempt;
-        self.handles.remove(&attempt);
+        self.handles.remove(&attempt)?;
         match attempted.exchanged {
             Exchanged::Ended(ending) => {
                 self.core.home.finish(self.id, attempt, ending).await;
@@ -301,6 +345,10 @@
             }
             Exchanged::Streaming(answer, end) => {
                 self.settled = true;
+                for other in self.handles.keys() {
+                    let home = &self.core.home;
+                    home.finish(self.id, *other, Ending::Cancelled).await;
+                }
                 self.follow(attempt, end);
                 Some(answer)
             }
