--- a/lib/src/version/apply.rs
+++ b/lib/src/version/apply.rs
@@ -181,10 +181,13 @@
                 return false;
             }
         }
+        let known = self.entries.get(&node);
+        let first = known.map_or(incarnation, |old| old.first);
         self.vacate(node);
         let state = EntryState {
             zone: zone.clone(),
             incarnation,
+            first,
             alive: true,
         };
         self.entries.insert(node, state);
--- a/lib/src/version/controller.rs
+++ b/lib/src/version/controller.rs
@@ -427,10 +427,18 @@
         self.proposals.iter().any(|p| p.index >= fleet.index)
     }
 
+    /// Entries that shut down and still hold their lease.
+    fn leaving(&self) -> BTreeSet<Node> {
+        let reports = self.heard.iter();
+        let leaving = reports.filter(|(_, heard)| heard.report.leaving);
+        leaving.map(|(node, _)| *node).collect()
+    }
+
     fn choose_homes(&mut self, now: Moment, fleet: &Fleet, draft: &mut Draft<'_>) {
         let due = now.since(self.improved) >= HOME_PAUSE && !self.awaits(fleet);
         let free = if due { HOMES_AT_ONCE } else { 0 };
-        let list = homes::plan(draft.fleet(), free);
+        let leaving = self.leaving();
+        let list = homes::plan(draft.fleet(), &leaving, free);
         if due {
             self.improved = now;
         }
--- a/lib/src/version/fleet.rs
+++ b/lib/src/version/fleet.rs
@@ -131,6 +131,8 @@
     pub zone: Zone,
     /// Its latest life.
     pub incarnation: Incarnation,
+    /// Its first life: an entry in that life has lost no records.
+    pub first: Incarnation,
     /// Whether it holds a lease, as far as committed.
     pub alive: bool,
 }
--- a/lib/src/version/homes.rs
+++ b/lib/src/version/homes.rs
@@ -31,18 +31,23 @@
 }
 
 impl<'a> Entries<'a> {
-    /// Living entries in zones that serve; if there are none, all living entries.
-    fn new(fleet: &'a Fleet) -> Self {
-        let living = |fit: &dyn Fn(&Zone) -> bool| -> BTreeMap<Node, &'a Zone> {
+    /// Living entries that stay and whose zones serve; if there are none, living ones that stay,
+    /// and at last all living ones.
+    fn new(fleet: &'a Fleet, leaving: &BTreeSet<Node>) -> Self {
+        let living = |fit: &dyn Fn(Node, &Zone) -> bool| -> BTreeMap<Node, &'a Zone> {
             let alive = fleet.entries.iter().filter(|(_, e)| e.alive);
             alive
-                .filter(|(_, e)| fit(&e.zone))
+                .filter(|(node, e)| fit(**node, &e.zone))
                 .map(|(node, e)| (*node, &e.zone))
                 .collect()
         };
-        let mut zones = living(&|zone| fleet.zone_serves(zone));
+        let stays = |node: Node| !leaving.contains(&node);
+        let mut zones = living(&|node, zone| stays(node) && fleet.zone_serves(zone));
         if zones.is_empty() {
-            zones = living(&|_| true);
+            zones = living(&|node, _| stays(node));
+        }
+        if zones.is_empty() {
+            zones = living(&|_, _| true);
         }
         let slots = zones.keys().map(|node| (*node, 0)).collect();
         Entries { slots, zones }
@@ -114,9 +119,10 @@
     }
 }
 
-/// Rehomes that are needed now, and up to `free` units that only improve matters.
-pub(super) fn plan(fleet: &Fleet, free: usize) -> Vec<Rehome> {
-    let mut entries = Entries::new(fleet);
+/// Rehomes that are needed now, off `leaving` entries too, and up to `free` units that only improve
+/// matters.
+pub(super) fn plan(fleet: &Fleet, leaving: &BTreeSet<Node>, free: usize) -> Vec<Rehome> {
+    let mut entries = Entries::new(fleet, leaving);
     let units = units(fleet);
     let mut list = Vec::new();
     for unit in &units {
@@ -124,11 +130,13 @@
             entries.add(home, unit.slots);
         }
     }
+    let stays = |home: Node| is_alive(fleet, home) && !leaving.contains(&home);
     let (homeless, settled): (Vec<_>, Vec<_>) = units
         .iter()
-        .partition(|unit| unit.home.is_none_or(|home| !is_alive(fleet, home)));
+        .partition(|unit| !unit.home.is_some_and(stays));
     for unit in homeless {
-        if let Some(home) = entries.least(unit.zone) {
+        let best = entries.least(unit.zone);
+        if let Some(home) = best.filter(|best| unit.home != Some(*best)) {
             entries.add(home, unit.slots);
             list.extend(unit.to(home));
         }
--- a/lib/src/version/report.rs
+++ b/lib/src/version/report.rs
@@ -58,6 +58,8 @@
     pub busy: Vec<Target>,
     /// Draining targets that it commands and has no requests in flight for.
     pub idle: Vec<Target>,
+    /// Whether it shuts down and wants its targets to have another home.
+    pub leaving: bool,
 }
 
 impl Report {
@@ -75,6 +77,7 @@
             slow: Vec::new(),
             busy: Vec::new(),
             idle: Vec::new(),
+            leaving: false,
         }
     }
 }
--- a/node/src/process/control/beat.rs
+++ b/node/src/process/control/beat.rs
@@ -88,6 +88,7 @@
             fleet.index,
         );
         report.version = fleet.version;
+        report.leaving = self.departed || self.departing.is_some();
         report
     }
 
--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -257,7 +257,6 @@
             Command::Quarantine { fingerprint, .. } => Event::RequestQuarantined.log(
                 format_args!("fingerprint={:016x} index={index}", fingerprint.0),
             ),
-            _ => {}
         }
     }
 }
--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -57,6 +57,7 @@
         index: Option<u64>,
         result: Option<oneshot::Sender<Applied>>,
     },
+    Depart(oneshot::Sender<()>),
     Surrender,
 }
 
@@ -89,6 +90,16 @@
         let _ = self.tx.send(ControlMessage::Notice(control)).await;
     }
 
+    /// Asks the leader to give the targets that this entry commands another home, and waits until it
+    /// has.
+    pub async fn depart(&self) {
+        let (tx, rx) = oneshot::channel();
+        if self.tx.send(ControlMessage::Depart(tx)).await.is_ok() {
+            // A stopped task drops the sender.
+            let _ = rx.await;
+        }
+    }
+
     /// Gives this entry's lease up, so that it starts no new work.
     pub async fn surrender(&self) {
         let _ = self.tx.send(ControlMessage::Surrender).await;
@@ -138,6 +149,8 @@
     lease: EntryLease,
     held: bool,
     surrendered: bool,
+    departing: Option<oneshot::Sender<()>>,
+    departed: bool,
     leader: Option<Node>,
     term: u64,
     leading: Option<Leading>,
@@ -168,6 +181,8 @@
         lease: EntryLease::new(),
         held: false,
         surrendered: false,
+        departing: None,
+        departed: false,
         leader: None,
         term: 0,
         leading: None,
@@ -228,6 +243,7 @@
             }
             ControlMessage::Beaten { sent, to, reply } => self.beaten(sent, to, reply),
             ControlMessage::Proposed { index, result } => self.proposed(index, result),
+            ControlMessage::Depart(reply) => self.departing = Some(reply),
             ControlMessage::Surrender => {
                 self.surrendered = true;
                 self.lease.surrender();
@@ -291,7 +307,7 @@
             bytes => match postcard::from_bytes(bytes) {
                 Ok(command) => command,
                 Err(error) => {
-                    Event::CommandUnreadable.log(format_args!("index={index} error={error}"));
+                    Event::StoreDamaged.log(format_args!("index={index} error={error}"));
                     Command::Noop
                 }
             },
@@ -340,7 +356,7 @@
                 Event::SnapshotInstalled.log(format_args!("index={index}"));
             }
             Ok(false) => {}
-            Err(error) => Event::CommandUnreadable.log(format_args!("snapshot error={error}")),
+            Err(error) => Event::StoreDamaged.log(format_args!("snapshot error={error}")),
         }
         self.publish();
     }
@@ -391,6 +407,7 @@
             event.log(format_args!("index={}", self.replica.fleet().index));
             self.held = held;
         }
+        self.note_departure();
         let view = View {
             fleet: self.replica.fleet().clone(),
             until: self.lease.until().unwrap_or(Moment::ZERO),
@@ -401,6 +418,20 @@
         metrics::gauge!("cornelrail_version").set(self.replica.fleet().version.0 as f64);
     }
 
+    /// Tells whoever waits for it that no target has this entry as its home any more.
+    fn note_departure(&mut self) {
+        let me = self.setup.settings.node;
+        let fleet = self.replica.fleet();
+        if self.departing.is_none() || fleet.targets_of_home(me).next().is_some() {
+            return;
+        }
+        if let Some(reply) = self.departing.take() {
+            self.departed = true;
+            // The asker may have given up meanwhile.
+            let _ = reply.send(());
+        }
+    }
+
     fn crash(&self, crash: Crash) {
         let call = Call::Crash(crash);
         let handle = ControlHandle {
--- a/node/src/process/control/operators.rs
+++ b/node/src/process/control/operators.rs
@@ -13,6 +13,7 @@
         StatusAnswer, TargetStatus, ZoneStatus,
     },
     version::{
+        explain::Explanation,
         fleet::{Fleet, ServiceState, TargetPhase, TargetState},
         note::Note,
     },
@@ -230,24 +231,46 @@
         Ok(effect) => CheckAnswer::Fine {
             version: fleet.version.next(),
             digest: note.digest(),
-            effect: effect.lines(),
+            effect: effect.to_string().lines().map(str::to_owned).collect(),
         },
         Err(error) => refused(error.to_string()),
     }
 }
 
 fn explain(fleet: &Fleet, service: &str, key: &str) -> Option<ExplainAnswer> {
-    let explanation = fleet.explain(service, key)?;
+    if let Some(explanation) = fleet.explain(service, key) {
+        return Some(keyed_answer(key, explanation));
+    }
+    let state = fleet.services.get(service)?;
     Some(ExplainAnswer {
         service: Service::from(service),
         key: key.to_owned(),
         hash: KeyHash::of(key).to_string(),
-        range: explanation.range.map(|range| range.to_string()),
+        range: None,
+        owner: None,
+        fence: None,
+        home: state.home,
+        epoch: None,
+        next: None,
+        why: "The service is a pool: any target may serve any key.".to_owned(),
+    })
+}
+
+fn keyed_answer(key: &str, explanation: Explanation) -> ExplainAnswer {
+    ExplainAnswer {
+        why: format!(
+            "At log index {} {}.",
+            explanation.since,
+            explanation.cause.text()
+        ),
+        service: explanation.service,
+        key: key.to_owned(),
+        hash: explanation.hash.to_string(),
+        range: Some(explanation.range.to_string()),
         owner: explanation.owner,
-        fence: explanation.fence,
+        fence: Some(explanation.fence),
         home: explanation.home,
-        epoch: explanation.epoch,
+        epoch: Some(explanation.epoch),
         next: explanation.next,
-        why: explanation.why,
-    })
+    }
 }
--- a/node/src/request/body.rs
+++ b/node/src/request/body.rs
@@ -10,7 +10,6 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Body as HttpBody, Frame as HttpFrame};
 use quinn::{RecvStream, SendStream};
-use std::error::Error;
 use thiserror::Error;
 use tokio::sync::mpsc;
 
@@ -73,7 +72,7 @@
     pub async fn from_http<B>(body: B, limit: u64) -> Result<Body, Broken>
     where
         B: HttpBody<Data = Bytes> + Send + Unpin + 'static,
-        B::Error: Into<Box<dyn Error + Send + Sync>>,
+        B::Error: Send,
     {
         let exact = body.size_hint().exact();
         if exact.is_some_and(|length| length <= WHOLE_BYTES) {
@@ -96,6 +95,7 @@
 async fn pump_http<B>(mut body: B, tx: mpsc::Sender<Chunk>, limit: u64)
 where
     B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Send,
 {
     let mut total = 0;
     loop {
--- a/node/src/request/exchange.rs
+++ b/node/src/request/exchange.rs
@@ -13,7 +13,6 @@
 use http::{HeaderValue, Request, Response, StatusCode, header::HOST};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Incoming};
-use std::time::Duration;
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout_at},
--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -285,8 +285,13 @@
 
     fn finish(&mut self, now: Moment, id: RequestId, attempt: u32, ending: Ending) {
         self.dispatch.finish(now, id, attempt, ending);
-        if let Some(open) = self.open.get_mut(&id) {
-            open.running.remove(&attempt);
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        open.running.remove(&attempt);
+        if matches!(ending, Ending::Shed | Ending::NotSent) {
+            let view = self.view.borrow().clone();
+            self.send_elsewhere(now, &view);
         }
     }
 
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -128,8 +128,9 @@
     ) -> Vec<Target> {
         self.fleet = view.fleet.clone();
         let fleet = self.fleet.clone();
+        let direct = self.direct;
         let mine = |state: &TargetState| {
-            let home = state.home == Some(settings.node) || (self.direct && state.home.is_some());
+            let home = state.home == Some(settings.node) || (direct && state.home.is_some());
             home && state.phase != TargetPhase::Lost
         };
         let gone: Vec<Target> = self
--- a/node/src/request/serve.rs
+++ b/node/src/request/serve.rs
@@ -62,11 +62,12 @@
     let (Some(service), Some(body)) = (service, body.copy()) else {
         return Vec::new();
     };
+    let digest = blake3::hash(&body);
     let press = repeat_window::Press {
         service: &head.service,
         customer: &head.key,
         route: &route(head),
-        body: blake3::hash(&body).as_bytes(),
+        body: digest.as_bytes(),
     };
     let window = service.settings.repeat_window;
     match repeat_window::derive(&press, core.wall_clock(), window) {
@@ -219,6 +220,10 @@
         return Err(Failure::Elsewhere);
     };
     let arrival = arrival(core, &head, &body, choice);
+    if is_quarantined(core, &arrival) {
+        let reason = Reason::Quarantined;
+        return Err(Refusal::not_run(reason, plan::pause(reason)).into());
+    }
     let mut serving = Serving {
         core,
         id: arrival.id,
@@ -244,14 +249,24 @@
     }
 }
 
+/// Whether the request crashed targets before.
+fn is_quarantined(core: &Core, arrival: &Arrival) -> bool {
+    let view = core.view.borrow();
+    let quarantine = &view.fleet.quarantine;
+    arrival
+        .fingerprint
+        .is_some_and(|fingerprint| quarantine.contains_key(&fingerprint))
+}
+
 fn arrival(core: &Core, head: &RequestHead, body: &Body, choice: Choice) -> Arrival {
     let repeatable = !head.once && matches!(body, Body::Whole(_));
     let bytes = body.copy().unwrap_or_default();
+    let digest = blake3::hash(&bytes);
     let sample = Sample {
         service: &head.service,
         route: &route(head),
         customer: &head.key,
-        body: blake3::hash(&bytes).as_bytes(),
+        body: digest.as_bytes(),
     };
     Arrival {
         id: RequestId(head.id),
