ledger: owners of keys and imbalance since a mark

The demo samples keys by their owners and must not count its own warm-up in the load imbalance. The counts of all targets are taken before the run and subtracted. Resetting the ledger was weighed and ruled out: runs that began before the reset would lose their start, and with it the check against double runs. Routes of a workload are now those that a target sees, without the service's name.

--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -27,7 +27,7 @@
 pub struct Call {
     /// HTTP method.
     pub method: Method,
-    /// Path, which begins with the service's name.
+    /// Path at an entry, which begins with the service's name.
     pub path: String,
     /// Key that it is about.
     pub key: String,
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -233,23 +233,37 @@
         changes as f64 / samples as f64
     }
 
-    /// Most requests served for each slot of a target, over the mean, among `targets`.
-    pub fn imbalance(&self, targets: &[Target]) -> f64 {
+    /// Who holds a key now.
+    pub fn owner(&self, service: &Service, hash: KeyHash) -> Option<Target> {
         let book = self.lock();
-        let counts: Vec<Counts> = targets
+        let now = Instant::now();
+        let mut tenures = book.tenures.iter().rev();
+        let held = |tenure: &&Tenure| {
+            tenure.service == *service && tenure.end > now && tenure.grant.range.contains(hash)
+        };
+        tenures.find(held).map(|tenure| tenure.target.clone())
+    }
+
+    /// Most requests served for each slot of a target, over the mean, among `targets`, not counting
+    /// what was served `before`.
+    pub fn imbalance(&self, targets: &[Target], before: &BTreeMap<Target, Counts>) -> f64 {
+        let after = self.counts();
+        let shares: Vec<(f64, f64)> = targets
             .iter()
-            .map(|target| book.counts.get(target).copied().unwrap_or_default())
+            .map(|target| {
+                let base = before.get(target).map_or(0, |counts| counts.served);
+                let counts = after.get(target).copied().unwrap_or_default();
+                let served = counts.served.saturating_sub(base);
+                (served as f64, f64::from(counts.slots.max(1)))
+            })
             .collect();
-        let served: u64 = counts.iter().map(|count| count.served).sum();
-        let slots: u32 = counts.iter().map(|count| count.slots).sum();
-        if served == 0 || slots == 0 {
+        let served: f64 = shares.iter().map(|share| share.0).sum();
+        let slots: f64 = shares.iter().map(|share| share.1).sum();
+        if served == 0.0 {
             return 1.0;
         }
-        let mean = served as f64 / f64::from(slots);
-        let most = counts
-            .iter()
-            .map(|count| count.served as f64 / f64::from(count.slots.max(1)));
-        most.fold(0.0, f64::max) / mean
+        let most = shares.iter().map(|share| share.0 / share.1);
+        most.fold(0.0, f64::max) / (served / slots)
     }
 
     /// Longest time from `from` on in which any of `samples` keys of a service had no owner.
--- a/testutils/src/target/life.rs
+++ b/testutils/src/target/life.rs
@@ -105,6 +105,12 @@
         *self.draining.borrow()
     }
 
+    pub(super) fn busy(&self) -> bool {
+        let lease = self.lock();
+        let holds = !lease.grants.is_empty() && lease.end > Instant::now();
+        holds || self.present.load(Relaxed) > 0
+    }
+
     /// Share of its full strength, between 0 and 1.
     fn strength(&self) -> f64 {
         match self.cold {
--- a/testutils/src/target/mod.rs
+++ b/testutils/src/target/mod.rs
@@ -193,6 +193,11 @@
         life.is_some_and(|life| life.bearable() >= self.shared.settings.slots)
     }
 
+    /// Whether it has requests or holds grants.
+    pub fn busy(&self) -> bool {
+        self.shared.life().is_some_and(|life| life.busy())
+    }
+
     /// Makes requests take `factor` times as long; 1 ends it.
     pub fn slow(&self, factor: f64) {
         self.change(|faults| faults.slow = factor);
--- a/testutils/src/workload.rs
+++ b/testutils/src/workload.rs
@@ -149,14 +149,14 @@
         self.keyed.capacity() + self.pool.capacity()
     }
 
-    /// Method and path prefix of the requests that run at most once.
+    /// Method and path prefix, at a target, of the requests that run at most once.
     pub fn once_route(&self) -> String {
-        format!("POST /{}/{}", self.keyed.service, self.once)
+        format!("POST /{}", self.once)
     }
 
-    /// Method and path prefix of the views.
+    /// Method and path prefix, at a target, of the views.
     pub fn view_route(&self) -> String {
-        format!("GET /{}/{}", self.keyed.service, self.view)
+        format!("GET /{}", self.view)
     }
 
     /// Requests of this workload; `run` keeps nonces and identities of several sources apart.
