settings: sample fleet, and a case for each fault

The loader needs proof that every fault gives one error with its line, code and remedy, and newcomers need three files that run on one machine.

Each case edits one line of the sample, so the sample itself stays tested. The first run put a missing top-level key at line 31, the last key of the file; it now stands at line 1. Spans and sizes serialize with their units, and the sample's public token is refused beyond loopback addresses.

--- a/lib/src/process/settings/check.rs
+++ b/lib/src/process/settings/check.rs
@@ -17,8 +17,12 @@
 
 /// Longest time span of the control plane.
 const TIMING_MAX: Duration = Duration::from_secs(60);
+/// Most voters of a fleet.
+const VOTERS_MAX: usize = 7;
 /// Length of a BLAKE3 digest in hex digits.
 const DIGEST_DIGITS: usize = 64;
+/// Digest of the token in `sample/operator.token`, which everybody knows.
+const SAMPLE_DIGEST: &str = "15a8566c709b71bb07ad85351d14e4e33e6974a53a4b723e138186907c7656e4";
 /// Largest number of any of the limits.
 const LIMIT_MAX: u64 = 10_000_000;
 
@@ -29,6 +33,7 @@
     let own = own_peer(raw, &listen, &peers)?;
     voters(raw, &peers)?;
     data(raw, own)?;
+    sample_token(raw, &listen)?;
     Ok(Settings {
         fleet: filled("fleet", &raw.fleet)?,
         node: own.node,
@@ -250,18 +255,17 @@
 /// A quorum needs an odd number of voters.
 fn voters(raw: &RawSettings, peers: &[Peer]) -> Result<(), Fault> {
     let voters = peers.iter().filter(|peer| peer.voter).count();
-    if voters % 2 == 1 {
-        return Ok(());
-    }
     let problem = match voters {
         0 => "no entry is a voter".to_owned(),
-        _ => format!("{voters} voters, an even number"),
+        _ if voters.is_multiple_of(2) => format!("{voters} voters, an even number"),
+        _ if voters > VOTERS_MAX => format!("{voters} voters, more than {VOTERS_MAX}"),
+        _ => return Ok(()),
     };
     Err(value_fault(
         raw.peers.referenced,
         "peers.voter",
         problem,
-        "set `voter: true` on 1, 3 or 5 entries that have a disk",
+        "set `voter: true` on 1, 3, 5 or 7 entries that have a disk",
     ))
 }
 
@@ -338,6 +342,24 @@
     })
 }
 
+/// The token of the sample settings is public: only this machine may reach what it opens.
+fn sample_token(raw: &RawSettings, listen: &Listen) -> Result<(), Fault> {
+    let sample = raw
+        .operators
+        .value
+        .iter()
+        .find(|operator| operator.digest.value.eq_ignore_ascii_case(SAMPLE_DIGEST));
+    match sample {
+        Some(operator) if !listen.operators.ip().is_loopback() => Err(value_fault(
+            operator.digest.referenced,
+            "operators.digest",
+            "is that of the public sample token",
+            "make your own with `cornelrail keys token FILE`",
+        )),
+        _ => Ok(()),
+    }
+}
+
 fn timing(raw: &RawTiming) -> Result<Timing, Fault> {
     let default = Timing::default();
     let timing = Timing {
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod error;
 mod raw;
+mod with_unit;
 
 pub use error::{SettingsError, SettingsFault};
 
@@ -66,14 +67,19 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Timing {
     /// Pause between heartbeats of an entry, and between probes of a target.
+    #[serde(with = "with_unit::span")]
     pub heartbeat: Duration,
     /// Lease of an entry, from the time it sent the heartbeat.
+    #[serde(with = "with_unit::span")]
     pub entry_lease: Duration,
     /// Lease of a target, never beyond that of its home.
+    #[serde(with = "with_unit::span")]
     pub target_lease: Duration,
     /// Shortest election time-out; the longest is twice that.
+    #[serde(with = "with_unit::span")]
     pub election: Duration,
     /// How much the clocks of two hosts may run apart during a lease.
+    #[serde(with = "with_unit::span")]
     pub drift: Duration,
 }
 
@@ -144,14 +150,19 @@
     /// Open connections of callers.
     pub connections: u32,
     /// Time for the head of a request to arrive, in full.
+    #[serde(with = "with_unit::span")]
     pub head_time: Duration,
     /// Time that a connection may stay idle between requests.
+    #[serde(with = "with_unit::span")]
     pub idle_time: Duration,
     /// Bytes of the head of a request.
+    #[serde(with = "with_unit::size")]
     pub head_size: u64,
     /// Bytes of the body of a request.
+    #[serde(with = "with_unit::size")]
     pub body_size: u64,
     /// Time for requests in flight to end once the daemon shuts down.
+    #[serde(with = "with_unit::span")]
     pub shutdown_time: Duration,
 }
 
@@ -159,6 +170,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Once {
     /// Time that the outcome of a once-only request is kept.
+    #[serde(with = "with_unit::span")]
     pub retention: Duration,
     /// Records that each entry keeps at most; beyond that it refuses new once-only requests.
     pub records: u32,
--- a/lib/src/process/settings/raw.rs
+++ b/lib/src/process/settings/raw.rs
@@ -113,7 +113,9 @@
 /// Reads the file's YAML.
 pub(super) fn read(text: &str) -> Result<RawSettings, Fault> {
     serde_saphyr::from_str(text).map_err(|error| Fault {
-        line: error.location().map_or(1, line),
+        line: error
+            .location()
+            .map_or(1, |place| fault_line(&error, place)),
         kind: fault(&error),
     })
 }
@@ -123,6 +125,15 @@
     location.line().max(1)
 }
 
+/// Line of an error. The reader puts a missing key at the last key beside it; one of the whole file
+/// is missing from the first line on.
+fn fault_line(error: &Error, place: Location) -> u64 {
+    match error.without_snippet() {
+        Error::SerdeMissingField { .. } if place.column() <= 1 => 1,
+        _ => line(place),
+    }
+}
+
 /// Turns the reader's error into a fault that names its remedy.
 fn fault(error: &Error) -> SettingsFault {
     match error.without_snippet() {
@@ -133,11 +144,13 @@
             SettingsFault::Duplicate(key.clone().unwrap_or_else(|| "?".to_owned()))
         }
         Error::SerdeMissingField { field, .. } => SettingsFault::Missing(field.to_string()),
-        other => SettingsFault::Syntax(first_line(&other.to_string())),
+        other => SettingsFault::Syntax(plain(&other.to_string())),
     }
 }
 
-/// First line of a message, without what follows it.
-fn first_line(message: &str) -> String {
-    message.lines().next().unwrap_or_default().to_owned()
+/// First line of a reader's message, without the place, in the words of a settings file.
+fn plain(message: &str) -> String {
+    let first = message.lines().next().unwrap_or_default();
+    let text = first.split(" at line ").next().unwrap_or(first);
+    text.replace("invalid u64", "a whole number is needed here")
 }
--- /dev/null
+++ b/lib/tests/test_settings.rs
@@ -0,0 +1,85 @@
+//! A settings file is read whole, or refused with one error that names line and remedy.
+
+use cornelrail_lib::{
+    name::Node,
+    process::settings::{Assigner, Sending, Settings, Timing},
+};
+use miette::Diagnostic;
+use quickcheck::quickcheck;
+use std::time::Duration;
+
+const SAMPLE: &str = include_str!("../../sample/entry-1.yaml");
+
+fn report(text: &str) -> String {
+    match Settings::parse(text, "entry.yaml") {
+        Ok(_) => "good\n".to_owned(),
+        Err(error) => {
+            let code = error.code().expect("every fault has a code");
+            let help = error.help().expect("every fault has a remedy");
+            format!("{error}\n{code}\n{help}\n")
+        }
+    }
+}
+
+/// The sample with one line replaced, or with lines added at its end.
+fn edited(line: Option<usize>, input: &str) -> String {
+    let Some(line) = line else {
+        return format!("{SAMPLE}{input}\n");
+    };
+    let lines: Vec<_> = SAMPLE.lines().collect();
+    let before = lines[..line - 1].join("\n");
+    let after = lines[line..].join("\n");
+    format!("{before}\n{}\n{after}\n", input.trim_end())
+}
+
+#[test]
+fn each_fault_names_its_line_and_remedy() {
+    datadriven::walk("tests/settings", |file| {
+        file.run(|case| {
+            let line = case
+                .args
+                .get("line")
+                .map(|line| line[0].parse().expect("a line"));
+            assert_eq!(case.directive, "edit");
+            report(&edited(line, &case.input))
+        })
+    });
+}
+
+#[test]
+fn the_samples_are_good_and_get_the_defaults() {
+    let samples = [
+        SAMPLE,
+        include_str!("../../sample/entry-2.yaml"),
+        include_str!("../../sample/entry-3.yaml"),
+    ];
+
+    let settings = samples.map(|text| Settings::parse(text, "sample").expect("a good file"));
+
+    let nodes = settings.each_ref().map(|settings| settings.node);
+    assert_eq!(nodes, [Node(1), Node(2), Node(3)]);
+    assert!(
+        settings
+            .iter()
+            .all(|s| s.peers == settings[0].peers && s.is_voter())
+    );
+    assert_eq!(settings[0].timing, Timing::default());
+    assert_eq!(settings[0].sending, Sending::Home);
+    assert_eq!(settings[0].assigner, Assigner::Weighted);
+    assert_eq!(settings[0].limits.head_time, Duration::from_secs(5));
+}
+
+quickcheck! {
+    /// Cuts and flips never make the reader panic, and never give a file without a voter.
+    fn damaged_files_are_read_or_refused(cut: usize, at: usize, byte: u8) -> bool {
+        let mut bytes = SAMPLE.as_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        bytes.truncate(cut % (2 * SAMPLE.len()));
+        let text = String::from_utf8_lossy(&bytes);
+        match Settings::parse(&text, "damaged") {
+            Ok(settings) => settings.peers.iter().filter(|peer| peer.voter).count() % 2 == 1,
+            Err(error) => error.line >= 1,
+        }
+    }
+}
