--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,4 +3,5 @@
 mod model;
 mod test_controller;
 mod test_key;
+mod test_settings;
 mod test_unit;
