demo: started on the daemon's own signature

Cause: the demo was written against a stub. Change: the metrics renderer is handed in, and a daemon can be ended at once.

--- a/cli/src/demo/entries.rs
+++ b/cli/src/demo/entries.rs
@@ -7,7 +7,10 @@
         Assigner, Limits, Listen, Log, Once, Operator, Peer, Sending, Settings, Timing, Tls,
     },
 };
-use cornelrail_node::process::daemon::{self, Daemon};
+use cornelrail_node::process::{
+    daemon::{self, Daemon},
+    telemetry,
+};
 use cornelrail_testutils::{link::UdpLink, tls, workload::Workload};
 use std::{
     fs,
@@ -59,7 +62,7 @@
                 operator: &operator,
             };
             let settings = plan.settings(*node, tls, folder.path())?;
-            let daemon = daemon::start(settings)
+            let daemon = daemon::start(settings, telemetry::unrecorded())
                 .await
                 .map_err(|error| DemoError::Entry(error.to_string()))?;
             let address = daemon.addresses().peers;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -99,7 +99,7 @@
 fn run(settings: Settings) -> Result<()> {
     let _logger = logging::start(&settings.log)?;
     let telemetry = Telemetry::install()?;
-    let metrics = telemetry.metrics.clone();
+    let metrics = telemetry.metrics;
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
     runtime.block_on(async move {
         tokio::spawn(Telemetry::upkeep(metrics.clone()));
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -327,6 +327,15 @@
         &self.addresses
     }
 
+    /// Ends the daemon at once, as a crash would as far as others see it.
+    pub fn kill(self) {
+        self.transport.close();
+        self.front.stop_forceful();
+        for server in &self.servers {
+            server.stop_forceful();
+        }
+    }
+
     /// Ends the daemon in good order: no request in flight is cut off, and the targets that it
     /// commanded have another home before it goes.
     pub async fn stop(self) {
--- a/node/src/process/telemetry.rs
+++ b/node/src/process/telemetry.rs
@@ -58,6 +58,11 @@
     Traces(#[from] SetGlobalDefaultError),
 }
 
+/// Renderer of metrics that nobody records, for daemons that share a process.
+pub fn unrecorded() -> PrometheusHandle {
+    PrometheusBuilder::new().build_recorder().handle()
+}
+
 /// Traces and metrics while they run.
 #[derive(Debug)]
 pub struct Telemetry {
