--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -1,9 +1,10 @@
 //! How nodes with empty folders become voters.
 //!
-//! A node whose log is empty greets all listed voters. If each of them is known to be empty, one
-//! of them founds the fleet by an election in which all must agree. If the fleet exists, its leader
-//! takes the node as a learner, makes it a voter when it has caught up, and then removes the voter
-//! that the same node was under its former identity.
+//! A node that hears of no leader greets all listed voters. If each of them is known to be empty,
+//! one of them founds the fleet by an election in which all must agree. If the fleet exists, its
+//! leader takes a node that is no member as a learner. When the learner has caught up, the voter
+//! that the same node was under its former identity is removed, and then the learner becomes a
+//! voter.
 
 use super::{
     Raft, Role,
@@ -13,6 +14,17 @@
 };
 use crate::{moment::Moment, name::Node};
 
+/// Shortest election timeouts for which a greeting counts.
+const GREETING_ELECTIONS: u32 = 3;
+
+/// What a node said of itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Greeting {
+    identity: Identity,
+    empty: bool,
+    at: Moment,
+}
+
 impl Raft {
     /// Changes the membership by one member; gives the index of the entry that holds it. The change
     /// counts from now on, and no other may follow before it is committed.
@@ -35,21 +47,31 @@
             .ok_or(ChangeError::NotLeader(self.leader))
     }
 
-    /// Tells all listed nodes that this one's folder is empty.
-    pub(super) fn greet(&mut self, now: Moment) {
-        self.hello_at = now + self.config.election / 2;
+    /// Tells all listed nodes the identity of this one.
+    pub(super) fn greet(&mut self) {
+        let empty = self.log.is_empty();
         for node in self.config.listed.clone() {
             if node != self.config.node {
                 let identity = Identity::ANY;
-                self.send(Member { node, identity }, Body::Hello);
+                self.send(Member { node, identity }, Body::Hello { empty });
             }
         }
     }
 
-    /// Takes note that a node's folder is empty.
-    pub(super) fn take_hello(&mut self, now: Moment, from: Node, identity: Identity) {
-        if self.config.listed.contains(&from) && from != self.config.node {
-            self.greetings.insert(from, (identity, now));
+    /// Takes note of a node's identity; a new one is greeted in turn.
+    pub(super) fn take_hello(&mut self, now: Moment, sender: Member, empty: bool) {
+        if !self.config.listed.contains(&sender.node) || sender.node == self.config.node {
+            return;
+        }
+        let known = self.greeting(now, sender.node).map(|g| g.identity);
+        let greeting = Greeting {
+            identity: sender.identity,
+            empty,
+            at: now,
+        };
+        self.greetings.insert(sender.node, greeting);
+        if known != Some(sender.identity) && self.log.is_empty() {
+            self.send(sender, Body::Hello { empty: true });
         }
     }
 
@@ -63,7 +85,8 @@
             let identity = if own {
                 Some(self.config.identity)
             } else {
-                self.greeting(now, *node)
+                let greeting = self.greeting(now, *node).filter(|g| g.empty);
+                greeting.map(|g| g.identity)
             };
             Some(Member {
                 node: *node,
@@ -79,28 +102,33 @@
     /// Makes the next change of the membership that is due, if any.
     pub(super) fn admit(&mut self, now: Moment) {
         let change = self
-            .superseded()
+            .superseded(now)
             .map(VoterChange::Remove)
             .or_else(|| self.caught_up(now).map(VoterChange::Promote))
             .or_else(|| self.newcomer(now).map(VoterChange::Learn));
-        if let Some(change) = change {
-            // A change that is refused now is tried again with the next heartbeat.
-            let _ = self.propose_voters(now, change);
+        let Some(change) = change else {
+            return;
+        };
+        let accepted = self.propose_voters(now, change).is_ok();
+        // A change that is refused now is tried again with the next heartbeat. A greeting serves
+        // once: the node repeats it if it still hears of no leader, a late one is not repeated.
+        if let (true, VoterChange::Learn(member)) = (accepted, change) {
+            self.greetings.remove(&member.node);
         }
     }
 
-    fn greeting(&self, now: Moment, node: Node) -> Option<Identity> {
-        let (identity, at) = *self.greetings.get(&node)?;
-        (now.since(at) < self.config.election * 2).then_some(identity)
+    fn greeting(&self, now: Moment, node: Node) -> Option<Greeting> {
+        let greeting = *self.greetings.get(&node)?;
+        let recent = now.since(greeting.at) < self.config.election * GREETING_ELECTIONS;
+        recent.then_some(greeting)
     }
 
     /// A listed node that greeted and is no member.
     fn newcomer(&self, now: Moment) -> Option<Member> {
         let greeted = self.greetings.keys().filter_map(|node| {
-            let identity = self.greeting(now, *node)?;
             Some(Member {
                 node: *node,
-                identity,
+                identity: self.greeting(now, *node)?.identity,
             })
         });
         let mut strangers = greeted.filter(|m| !self.membership().contains(*m));
@@ -114,31 +142,40 @@
         };
         let mut learners = self.membership().learners.iter();
         let found = learners.find(|m| {
-            let Some(progress) = leading.progress.get(m) else {
-                return false;
-            };
-            let recent = progress
-                .acked()
-                .map(|a| now.since(a) < self.config.election);
+            let matched = leading.progress.get(m).map_or(0, Progress::matched);
             let listed = self.config.listed.contains(&m.node);
-            listed && progress.matched() >= self.commit && recent.unwrap_or(false)
+            listed && matched >= self.commit && self.answers(now, **m)
         });
         found.copied()
     }
 
-    /// A voter whose node is a voter under a later identity too: the one that answers less.
-    fn superseded(&self) -> Option<Member> {
+    /// The other identity of a node that is a voter and a learner: the voter if the learner is
+    /// ready to take its place, the learner if the voter answers and the learner does not.
+    ///
+    /// The voter goes before the learner comes. The other way round there would be two voters of
+    /// one node for a while, and the loss of its disk would cost two votes.
+    fn superseded(&self, now: Moment) -> Option<Member> {
+        let ready = self.caught_up(now).and_then(|m| self.voter_of(m.node));
+        let mut learners = self.membership().learners.iter().copied();
+        let idle = learners.find(|m| {
+            let voter = self.voter_of(m.node);
+            voter.is_some_and(|v| self.answers(now, v)) && !self.answers(now, *m)
+        });
+        ready.or(idle)
+    }
+
+    fn voter_of(&self, node: Node) -> Option<Member> {
+        let mut voters = self.membership().voters.iter().copied();
+        voters.find(|m| m.node == node)
+    }
+
+    /// Whether the member is this voter or answered within the shortest election timeout.
+    fn answers(&self, now: Moment, member: Member) -> bool {
         let Role::Leader(leading) = &self.role else {
-            return None;
+            return false;
         };
-        let own = self.member();
-        let voters = &self.membership().voters;
-        let doubled = voters.iter().filter(|m| {
-            let twins = voters.iter().filter(|o| o.node == m.node);
-            **m != own && twins.count() > 1
-        });
-        doubled
-            .min_by_key(|m| leading.progress.get(m).and_then(Progress::acked))
-            .copied()
+        let acked = leading.progress.get(&member).and_then(Progress::acked);
+        let recent = acked.is_some_and(|a| now.since(a) < self.config.election);
+        member == self.member() || recent
     }
 }
--- a/lib/src/process/raft/election.rs
+++ b/lib/src/process/raft/election.rs
@@ -43,6 +43,7 @@
     pub(super) fn campaign(&mut self, now: Moment) {
         self.reset_deadline(now);
         self.forget_leader();
+        self.greet();
         let electorate = self.membership().clone();
         if electorate.is_voter(self.member()) {
             let ballot = match electorate.voters.len() {
--- a/lib/src/process/raft/membership.rs
+++ b/lib/src/process/raft/membership.rs
@@ -70,6 +70,9 @@
     /// The learner misses committed entries.
     #[error("{0} has not caught up; retry when its lag is zero")]
     Behind(Member),
+    /// A node votes once.
+    #[error("the node votes under another identity; remove {0} first")]
+    Doubled(Member),
     /// The last voter cannot be removed.
     #[error("{0} is the last voter; add another voter first")]
     LastVoter(Member),
@@ -135,6 +138,9 @@
                 if !next.learners.remove(&member) {
                     return Err(ChangeError::Absent(member));
                 }
+                if let Some(twin) = next.voters.iter().find(|v| v.node == member.node) {
+                    return Err(ChangeError::Doubled(*twin));
+                }
                 next.voters.insert(member);
             }
             VoterChange::Remove(member) => {
--- a/lib/src/process/raft/message.rs
+++ b/lib/src/process/raft/message.rs
@@ -74,8 +74,11 @@
 /// Content of a message. A `stamp` is the leader's own clock in microseconds; the answer echoes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// A node with an empty log makes its identity known.
-    Hello,
+    /// A node that hears of no leader makes its identity known.
+    Hello {
+        /// Whether its log is empty.
+        empty: bool,
+    },
     /// Asks for a vote.
     Vote {
         /// Why.
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -28,7 +28,10 @@
     message::{AppendOutcome, Ballot, Body, Entry, HardState, Message, Payload, Snapshot},
 };
 
-use self::{disk::Disk, election::Candidacy, follower::Incoming, log::Log, replication::Leading};
+use self::{
+    admission::Greeting, disk::Disk, election::Candidacy, follower::Incoming, log::Log,
+    replication::Leading,
+};
 use crate::{moment::Moment, name::Node};
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use std::{collections::BTreeMap, mem};
@@ -94,8 +97,7 @@
     leader: Option<Node>,
     heard: Option<Moment>,
     deadline: Moment,
-    greetings: BTreeMap<Node, (Identity, Moment)>,
-    hello_at: Moment,
+    greetings: BTreeMap<Node, Greeting>,
     incoming: Option<Incoming>,
     actions: Vec<Action>,
     news: RoleNews,
@@ -122,7 +124,6 @@
             heard: (!fresh).then_some(now),
             deadline: now,
             greetings: BTreeMap::new(),
-            hello_at: now,
             incoming: None,
             actions: Vec::new(),
             news: RoleNews::default(),
@@ -132,15 +133,15 @@
         raft.actions
             .extend(raft.log.snapshot().cloned().map(Action::Install));
         raft.reset_deadline(now);
+        if raft.log.is_empty() {
+            raft.greet();
+        }
         raft.tick(now);
         raft
     }
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Moment) {
-        if self.log.is_empty() && self.hello_at <= now {
-            self.greet(now);
-        }
         if matches!(self.role, Role::Leader(_)) {
             self.lead(now);
         } else if self.deadline <= now || self.is_alone() {
@@ -150,23 +151,16 @@
 
     /// Time at which [`Raft::tick`] is due next.
     pub fn next_wakeup(&self) -> Moment {
-        let due = match &self.role {
+        match &self.role {
             Role::Leader(leading) => leading.beat,
             Role::Follower | Role::Candidate(_) => self.deadline,
-        };
-        if self.log.is_empty() {
-            return due.min(self.hello_at);
         }
-        due
     }
 
     /// Takes a message in. One that is meant for another identity is dropped.
     pub fn step(&mut self, now: Moment, from: Node, message: Message) {
-        if message.to == Identity::ANY && message.body == Body::Hello {
-            self.take_hello(now, from, message.from);
-            return;
-        }
-        if message.to != self.config.identity {
+        let hello = matches!(message.body, Body::Hello { .. });
+        if message.to != self.config.identity && !(hello && message.to == Identity::ANY) {
             return;
         }
         let sender = Member {
@@ -175,7 +169,7 @@
         };
         let term = message.term;
         match message.body {
-            Body::Hello => {}
+            Body::Hello { empty } => self.take_hello(now, sender, empty),
             Body::Vote { ballot, .. } => self.take_vote(now, sender, ballot, &message),
             Body::VoteReply { ballot, granted } => {
                 self.take_vote_reply(now, sender, term, ballot, granted);
--- a/lib/src/process/raft/replication.rs
+++ b/lib/src/process/raft/replication.rs
@@ -306,7 +306,7 @@
                 }
                 stamp
             }
-            Body::Hello | Body::Vote { .. } | Body::VoteReply { .. } => 0,
+            Body::Hello { .. } | Body::Vote { .. } | Body::VoteReply { .. } => 0,
             Body::Append { .. } | Body::Install { .. } => 0,
         }
     }
--- /dev/null
+++ b/lib/tests/raft_cluster/invariants.rs
@@ -0,0 +1,115 @@
+//! What must hold after each step of a [`Cluster`].
+
+use super::Cluster;
+use cornelrail_lib::{
+    name::Node,
+    process::raft::{Ballot, Body, Entry, Member, Membership, Message, Payload, Snapshot},
+};
+use std::collections::BTreeMap;
+
+/// What was seen so far, and the first breach.
+#[derive(Default)]
+pub struct Invariants {
+    pub breach: Option<String>,
+    pub committed: Vec<Entry>,
+    pub membership: Option<Membership>,
+    leaders: BTreeMap<u64, Member>,
+    votes: BTreeMap<(Member, u64), (Node, u64)>,
+}
+
+impl Invariants {
+    /// State that the committed entries up to `index` lead to.
+    pub fn state(&self, index: u64) -> Vec<u8> {
+        let sum = self.committed[..index as usize].iter().fold(0u64, |s, e| {
+            let bytes = postcard::to_stdvec(e).expect("entries can be encoded");
+            s.rotate_left(7) ^ u64::from(crc32c::crc32c(&bytes))
+        });
+        // Long enough to need several parts.
+        sum.to_le_bytes().repeat(80_000)
+    }
+
+    pub fn committed(&mut self, node: u64, expected: u64, entry: &Entry) {
+        if entry.index != expected {
+            self.fail(format!(
+                "node {node} applied {} after {}",
+                entry.index,
+                expected - 1
+            ));
+            return;
+        }
+        match self.committed.get(entry.index as usize - 1) {
+            Some(known) if known == entry => {}
+            Some(_) => self.fail(format!("node {node} commits another entry {}", entry.index)),
+            None if entry.index as usize == self.committed.len() + 1 => {
+                if let Payload::Membership(membership) = &entry.payload {
+                    self.membership = Some(membership.clone());
+                }
+                self.committed.push(entry.clone());
+            }
+            None => self.fail(format!("node {node} skipped to entry {}", entry.index)),
+        }
+    }
+
+    pub fn installed(&mut self, node: u64, snapshot: &Snapshot) {
+        let known = snapshot.index as usize <= self.committed.len();
+        if !known || snapshot.data != self.state(snapshot.index) {
+            self.fail(format!("node {node} installs a wrong state"));
+        }
+    }
+
+    /// Notes votes as they leave; a candidate votes for itself.
+    pub fn sent(&mut self, from: Member, to: Node, message: &Message) {
+        let choice = match message.body {
+            Body::VoteReply {
+                ballot: Ballot::Real | Ballot::Founding,
+                granted: true,
+            } => (to, message.to.0),
+            Body::Vote {
+                ballot: Ballot::Real | Ballot::Founding,
+                ..
+            } => (from.node, from.identity.0),
+            _ => return,
+        };
+        let first = *self.votes.entry((from, message.term)).or_insert(choice);
+        if first != choice {
+            self.fail(format!("{from} voted twice in term {}", message.term));
+        }
+    }
+
+    fn led(&mut self, leader: Member, term: u64) {
+        let first = *self.leaders.entry(term).or_insert(leader);
+        if first != leader {
+            self.fail(format!("{first} and {leader} lead term {term}"));
+        }
+    }
+
+    fn fail(&mut self, breach: String) {
+        self.breach.get_or_insert(breach);
+    }
+}
+
+/// Checks leaders and leases, frozen processes included: each could resume now and ask.
+pub fn check(cluster: &mut Cluster) {
+    let mut holder = None;
+    for node in cluster.nodes() {
+        let Some(raft) = &cluster.machines[node as usize - 1].raft else {
+            continue;
+        };
+        let (leads, member, term) = (raft.is_leader(), raft.member(), raft.term());
+        let commit = raft.commit();
+        if leads {
+            cluster.invariants.led(member, term);
+        }
+        if !cluster.has_lease(node) {
+            continue;
+        }
+        if let Some(other) = holder.replace(node) {
+            let breach = format!("nodes {other} and {node} hold a lease");
+            cluster.invariants.fail(breach);
+        }
+        if commit < cluster.invariants.committed.len() as u64 {
+            let breach = format!("node {node} would serve a stale read");
+            cluster.invariants.fail(breach);
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/raft_cluster/mod.rs
@@ -0,0 +1,373 @@
+//! A few voters with modelled clocks, links and disks, for the tests of the replicated log.
+//!
+//! Time passes in steps of a millisecond. After each step the invariants are checked, and the first
+//! breach is kept as text.
+
+mod invariants;
+
+use cornelrail_lib::{
+    moment::Moment,
+    name::Node,
+    process::raft::{
+        Action, Batch, Body, Identity, Member, Membership, Message, Raft, RaftConfig, Restored,
+        VoterChange,
+    },
+};
+use invariants::Invariants;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{RngCore, SeedableRng},
+};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
+
+pub const ELECTION_MS: u64 = 150;
+const HEARTBEAT_MS: u64 = 30;
+/// The fastest clock gains this much on the slowest during an election timeout.
+const DRIFT_MS: u64 = 15;
+const RETAIN: u64 = 20;
+
+/// One machine: a process that may be down or frozen, and a disk that outlives it.
+pub struct Machine {
+    pub raft: Option<Raft>,
+    pub disk: Restored,
+    pub identity: Identity,
+    pub frozen: bool,
+    pub applied: u64,
+    clock: (u64, u64),
+    writes: VecDeque<(u64, Batch)>,
+    inbox: Vec<(Node, Message)>,
+}
+
+struct Parcel {
+    due: u64,
+    from: u64,
+    to: u64,
+    message: Message,
+}
+
+pub struct Cluster {
+    pub now: u64,
+    pub machines: Vec<Machine>,
+    pub cuts: BTreeSet<(u64, u64)>,
+    pub loss: u64,
+    pub delay: u64,
+    pub sync_ms: u64,
+    pub invariants: Invariants,
+    pub listed: u64,
+    wire: Vec<Parcel>,
+    rng: ChaCha8Rng,
+}
+
+impl Cluster {
+    /// Starts machines 1 to `count`, of which the first `listed` are voters by their settings.
+    pub fn new(count: u64, listed: u64, seed: u64) -> Self {
+        let mut cluster = Cluster {
+            now: 0,
+            machines: Vec::new(),
+            cuts: BTreeSet::new(),
+            loss: 0,
+            delay: 3,
+            sync_ms: 2,
+            invariants: Invariants::default(),
+            listed,
+            wire: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for node in 1..=count {
+            let identity = cluster.identity();
+            let spread = DRIFT_MS * 1000 / ELECTION_MS;
+            cluster.machines.push(Machine {
+                raft: None,
+                disk: Restored::default(),
+                identity,
+                frozen: false,
+                applied: 0,
+                clock: (node * 777_777, 1000 - spread / 2 + (node * 37) % spread),
+                writes: VecDeque::new(),
+                inbox: Vec::new(),
+            });
+        }
+        for node in 1..=listed {
+            cluster.start(node);
+        }
+        cluster
+    }
+
+    pub fn machine(&mut self, node: u64) -> &mut Machine {
+        &mut self.machines[node as usize - 1]
+    }
+
+    pub fn nodes(&self) -> std::ops::RangeInclusive<u64> {
+        1..=self.machines.len() as u64
+    }
+
+    /// Local clock of a machine, which runs a little fast or slow.
+    pub fn clock(&self, node: u64) -> Moment {
+        let (origin, rate) = self.machines[node as usize - 1].clock;
+        Moment::from_micros(origin + self.now * rate)
+    }
+
+    pub fn start(&mut self, node: u64) {
+        let config = RaftConfig {
+            node: Node(node),
+            identity: self.machine(node).identity,
+            listed: (1..=self.listed.max(node)).map(Node).collect(),
+            election: Duration::from_millis(ELECTION_MS),
+            heartbeat: Duration::from_millis(HEARTBEAT_MS),
+            drift: Duration::from_millis(DRIFT_MS),
+            retain: RETAIN,
+            seed: self.rng.next_u64(),
+        };
+        let now = self.clock(node);
+        let machine = self.machine(node);
+        if machine.raft.is_none() {
+            machine.frozen = false;
+            machine.applied = 0;
+            machine.raft = Some(Raft::new(config, machine.disk.clone(), now));
+            self.carry_out(node);
+        }
+    }
+
+    /// Ends the process; of a batch that is not synced, a part may be on disk.
+    pub fn crash(&mut self, node: u64) {
+        let kept = self.rng.next_u64() as usize % 4;
+        let machine = self.machine(node);
+        machine.raft = None;
+        machine.inbox.clear();
+        if let Some((_, mut batch)) = machine.writes.pop_front()
+            && kept > 0
+            && batch.snapshot.is_none()
+        {
+            batch.entries.truncate(kept - 1);
+            write(&mut machine.disk, &batch);
+        }
+        machine.writes.clear();
+    }
+
+    /// Ends the process and empties its disk.
+    pub fn wipe(&mut self, node: u64) {
+        self.crash(node);
+        let identity = self.identity();
+        let machine = self.machine(node);
+        machine.disk = Restored::default();
+        machine.identity = identity;
+    }
+
+    /// Whether a quorum of voters would still have its disk if this one were emptied.
+    pub fn spares(&self, node: u64) -> bool {
+        let rafts = self.machines.iter().filter_map(|m| m.raft.as_ref());
+        let disks = self.machines.iter().map(|m| membership_on(&m.disk));
+        let known = rafts.map(|r| r.membership().clone()).chain(disks.flatten());
+        let mut latest: Vec<Membership> = known.filter(|m| !m.voters.is_empty()).collect();
+        latest.extend(self.invariants.membership.clone());
+        let founded = self.invariants.membership.is_some();
+        founded && latest.iter().all(|m| self.survives(m, node))
+    }
+
+    fn survives(&self, membership: &Membership, lost: u64) -> bool {
+        let sound = membership.voters.iter().filter(|m| {
+            let machine = &self.machines[m.node.0 as usize - 1];
+            m.node.0 != lost && machine.identity == m.identity
+        });
+        sound.count() >= membership.quorum()
+    }
+
+    pub fn cut_off(&mut self, node: u64) {
+        for other in self.nodes() {
+            self.cuts.insert((node, other));
+            self.cuts.insert((other, node));
+        }
+    }
+
+    pub fn thaw(&mut self, node: u64) {
+        self.machine(node).frozen = false;
+    }
+
+    pub fn leader(&self) -> Option<u64> {
+        self.nodes().find(|n| self.has_lease(*n))
+    }
+
+    pub fn has_lease(&self, node: u64) -> bool {
+        let machine = &self.machines[node as usize - 1];
+        let raft = machine.raft.as_ref();
+        raft.is_some_and(|r| r.has_lease(self.clock(node)))
+    }
+
+    pub fn propose(&mut self, node: u64, command: Vec<u8>) -> bool {
+        let now = self.clock(node);
+        let machine = self.machine(node);
+        if machine.frozen {
+            return false;
+        }
+        let raft = machine.raft.as_mut();
+        let taken = raft.is_some_and(|r| r.propose(now, command).is_ok());
+        self.carry_out(node);
+        taken
+    }
+
+    pub fn change(&mut self, node: u64, change: VoterChange) -> String {
+        let now = self.clock(node);
+        let raft = self.machine(node).raft.as_mut().expect("the process is up");
+        let outcome = raft.propose_voters(now, change);
+        self.carry_out(node);
+        match outcome {
+            Ok(_) => "ok".to_owned(),
+            Err(error) => error.to_string(),
+        }
+    }
+
+    /// Hands a greeting to everyone that an emptied folder of this node sent long ago.
+    pub fn greet_late(&mut self, node: u64) {
+        let from = self.identity();
+        for to in self.nodes().filter(|n| *n != node) {
+            let message = Message {
+                from,
+                to: Identity::ANY,
+                term: 0,
+                body: Body::Hello { empty: true },
+            };
+            self.post(node, to, message);
+        }
+    }
+
+    /// Hands in the applied state of a machine as a snapshot.
+    pub fn snapshot(&mut self, node: u64) {
+        let index = self.machine(node).applied;
+        let state = self.invariants.state(index);
+        if let Some(raft) = self.machine(node).raft.as_mut() {
+            raft.compact(index, state);
+        }
+        self.carry_out(node);
+    }
+
+    /// Lets time pass until it is over or an invariant is broken.
+    pub fn run(&mut self, millis: u64) {
+        for _ in 0..millis {
+            if self.invariants.breach.is_some() {
+                return;
+            }
+            self.now += 1;
+            self.deliver();
+            for node in self.nodes() {
+                self.advance(node);
+            }
+            invariants::check(self);
+        }
+    }
+
+    fn identity(&mut self) -> Identity {
+        Identity(self.rng.next_u64() | 1)
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, wire) = std::mem::take(&mut self.wire)
+            .into_iter()
+            .partition(|p: &Parcel| p.due <= now);
+        self.wire = wire;
+        for parcel in due {
+            let machine = self.machine(parcel.to);
+            if machine.raft.is_some() {
+                machine.inbox.push((Node(parcel.from), parcel.message));
+            }
+        }
+    }
+
+    fn advance(&mut self, node: u64) {
+        let (time, now) = (self.now, self.clock(node));
+        let machine = self.machine(node);
+        let Some(raft) = machine.raft.as_mut().filter(|_| !machine.frozen) else {
+            return;
+        };
+        for (from, message) in machine.inbox.drain(..) {
+            raft.step(now, from, message);
+        }
+        while let Some((_, batch)) = machine.writes.pop_front_if(|w| w.0 <= time) {
+            write(&mut machine.disk, &batch);
+            raft.persisted(now, batch.number);
+        }
+        if raft.next_wakeup() <= now {
+            raft.tick(now);
+        }
+        self.carry_out(node);
+    }
+
+    fn carry_out(&mut self, node: u64) {
+        let Some(raft) = self.machine(node).raft.as_mut() else {
+            return;
+        };
+        for action in raft.take_actions() {
+            match action {
+                Action::Send { to, message } => self.post(node, to.0, message),
+                Action::Persist(batch) => {
+                    let due = self.now + 1 + self.rng.next_u64() % self.sync_ms;
+                    self.machine(node).writes.push_back((due, batch));
+                }
+                Action::Commit(entry) => {
+                    let expected = self.machine(node).applied + 1;
+                    self.machine(node).applied = entry.index;
+                    self.invariants.committed(node, expected, &entry);
+                }
+                Action::Install(snapshot) => {
+                    self.machine(node).applied = snapshot.index;
+                    self.invariants.installed(node, &snapshot);
+                }
+                Action::Role(_) => {}
+            }
+        }
+    }
+
+    fn post(&mut self, from: u64, to: u64, message: Message) {
+        let sender = Member {
+            node: Node(from),
+            identity: message.from,
+        };
+        self.invariants.sent(sender, Node(to), &message);
+        if self.cuts.contains(&(from, to)) || to > self.machines.len() as u64 {
+            return;
+        }
+        let copies = match self.rng.next_u64() % 100 {
+            roll if roll < self.loss => 0,
+            roll if roll < self.loss + self.loss / 2 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let due = self.now + 1 + self.rng.next_u64() % self.delay;
+            let message = message.clone();
+            self.wire.push(Parcel {
+                due,
+                from,
+                to,
+                message,
+            });
+        }
+    }
+}
+
+/// Last membership that a disk holds.
+fn membership_on(disk: &Restored) -> Option<Membership> {
+    use cornelrail_lib::process::raft::Payload;
+    let entries = disk.entries.iter().rev().find_map(|e| match &e.payload {
+        Payload::Membership(membership) => Some(membership.clone()),
+        Payload::Noop | Payload::Command(_) => None,
+    });
+    entries.or_else(|| disk.snapshot.as_ref().map(|s| s.membership.clone()))
+}
+
+/// Does to a modelled disk what the store does to a folder.
+fn write(disk: &mut Restored, batch: &Batch) {
+    if let Some(hard) = batch.hard {
+        disk.hard = hard;
+    }
+    if let Some(snapshot) = &batch.snapshot {
+        disk.snapshot = Some(snapshot.clone());
+        disk.entries.clear();
+    }
+    for entry in &batch.entries {
+        disk.entries.retain(|e| e.index < entry.index);
+        disk.entries.push(entry.clone());
+    }
+}
--- /dev/null
+++ b/lib/tests/test_raft_scenarios.rs
@@ -0,0 +1,153 @@
+//! Scripted faults of a group of voters, in `scenarios/raft`.
+//!
+//! `REWRITE=1 cargo test` writes the expected output anew.
+
+use crate::raft_cluster::Cluster;
+use cornelrail_lib::{
+    name::Node,
+    process::raft::{Member, VoterChange},
+};
+use datadriven::{TestCase, walk};
+use std::fmt::Write;
+
+/// A running scenario; `last` is the node that the last command named.
+struct Scenario {
+    cluster: Cluster,
+    last: u64,
+}
+
+fn argument(case: &TestCase, name: &str) -> Option<String> {
+    let values = case.args.get(name)?;
+    values.first().cloned()
+}
+
+fn number(case: &TestCase, name: &str, default: u64) -> u64 {
+    argument(case, name).map_or(default, |n| n.parse().expect("a number"))
+}
+
+impl Scenario {
+    fn node(&mut self, case: &TestCase) -> u64 {
+        let name = argument(case, "node").unwrap_or_else(|| "leader".to_owned());
+        self.last = match name.as_str() {
+            "leader" => self.cluster.leader().expect("a leader"),
+            "last" => self.last,
+            number => number.parse().expect("a node"),
+        };
+        self.last
+    }
+
+    fn execute(&mut self, case: &TestCase) -> String {
+        match case.directive.as_str() {
+            "run" => self.cluster.run(number(case, "ms", 1_000)),
+            "list" => self.cluster.listed = number(case, "voters", 3),
+            "heal" => self.cluster.cuts.clear(),
+            "status" => return self.status(),
+            "propose" => return self.propose(case),
+            "change" => return self.change(case),
+            "faulty" => {
+                self.cluster.loss = number(case, "loss", 0);
+                self.cluster.delay = number(case, "delay", 3);
+            }
+            _ => {
+                let node = self.node(case);
+                self.disturb(case.directive.as_str(), node);
+            }
+        }
+        self.verdict()
+    }
+
+    fn disturb(&mut self, fault: &str, node: u64) {
+        match fault {
+            "start" => self.cluster.start(node),
+            "crash" => self.cluster.crash(node),
+            "wipe" => self.cluster.wipe(node),
+            "cut" => self.cluster.cut_off(node),
+            "freeze" => self.cluster.machine(node).frozen = true,
+            "thaw" => self.cluster.thaw(node),
+            "snapshot" => self.cluster.snapshot(node),
+            "greet-late" => self.cluster.greet_late(node),
+            other => panic!("no such command: {other}"),
+        }
+    }
+
+    fn propose(&mut self, case: &TestCase) -> String {
+        let node = self.node(case);
+        let count = number(case, "count", 1);
+        let taken = (0..count).filter(|n| {
+            let taken = self.cluster.propose(node, n.to_le_bytes().to_vec());
+            self.cluster.run(1);
+            taken
+        });
+        format!("taken {}\n", taken.count())
+    }
+
+    fn change(&mut self, case: &TestCase) -> String {
+        let leader = self.cluster.leader().expect("a leader");
+        let node = self.node(case);
+        let member = Member {
+            node: Node(node),
+            identity: self.cluster.machine(node).identity,
+        };
+        let change = match argument(case, "to").as_deref() {
+            Some("learner") => VoterChange::Learn(member),
+            Some("voter") => VoterChange::Promote(member),
+            _ => VoterChange::Remove(member),
+        };
+        format!("{}\n", self.cluster.change(leader, change))
+    }
+
+    fn verdict(&self) -> String {
+        match &self.cluster.invariants.breach {
+            Some(breach) => format!("BREACH {breach}\n"),
+            None => "ok\n".to_owned(),
+        }
+    }
+
+    fn status(&self) -> String {
+        let mut out = String::new();
+        for node in self.cluster.nodes() {
+            let machine = &self.cluster.machines[node as usize - 1];
+            let Some(raft) = &machine.raft else {
+                let _ = writeln!(out, "{node} down");
+                continue;
+            };
+            let role = match (raft.is_leader(), self.cluster.has_lease(node)) {
+                (true, true) => "leads",
+                (true, false) => "leads without lease",
+                (false, _) => "follows",
+            };
+            let name = |m: &Member| {
+                let lost = self.cluster.machines[m.node.0 as usize - 1].identity != m.identity;
+                format!("{}{}", m.node, if lost { "(lost)" } else { "" })
+            };
+            let voters: Vec<String> = raft.membership().voters.iter().map(name).collect();
+            let learners: Vec<String> = raft.membership().learners.iter().map(name).collect();
+            let _ = writeln!(
+                out,
+                "{node} {role} term={} applied={} voters={} learners={}",
+                raft.term(),
+                machine.applied,
+                voters.join(","),
+                learners.join(",")
+            );
+        }
+        out + &self.verdict()
+    }
+}
+
+#[test]
+fn scripted_faults_end_as_written() {
+    walk("tests/scenarios/raft", |file| {
+        let mut scenario = None;
+        file.run(|case| {
+            if case.directive == "cluster" {
+                let voters = number(case, "voters", 3);
+                let machines = number(case, "machines", voters);
+                let cluster = Cluster::new(machines, voters, number(case, "seed", 1));
+                scenario = Some(Scenario { cluster, last: 1 });
+                return "ok\n".to_owned();
+            }
+            scenario.as_mut().expect("a cluster first").execute(case)
+        });
+    });
+}
