--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,3 +5,6 @@
 mod test_key;
 mod test_settings;
 mod test_unit;
+mod raft_cluster;
+mod test_raft_scenarios;
+mod test_raft_schedules;
