node: settings of the host, and tests of the operators' address

The daemon has to refuse a settings file whose keys cannot be read or whose data folder cannot be written, with the file and line; the routes of the operators' address had no test.

The tests ask every route, also one that does not exist, with five kinds of bad token, and try the two ways round an approval: a browser's stored credentials at the API, and a form without or with a wrong seal. Control characters in log values are escaped, which a test with a line break brought up.

Connections wait for the server's own time-outs; a slow sender without a token is not tested.

--- a/lib/src/process/operator_api.rs
+++ b/lib/src/process/operator_api.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     name::{Epoch, Fence, Node, Service, Target, Version, Zone},
-    version::fleet::{Applied, NoteRecord, ServiceKind, TargetPhase, ZoneState},
+    version::{
+        fleet::{Applied, NoteRecord, ServiceKind, TargetPhase, ZoneState},
+        note_error::MAX_NOTE_BYTES,
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +23,7 @@
 /// Path of the metrics as Prometheus text.
 pub const METRICS_PATH: &str = "/metrics";
 /// Longest release note, in bytes.
-pub const NOTE_BYTES_MAX: usize = 64 << 10;
+pub const NOTE_BYTES_MAX: usize = MAX_NOTE_BYTES;
 
 /// One entry in the fleet's status.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/process/settings/check.rs
+++ b/lib/src/process/settings/check.rs
@@ -1,11 +1,11 @@
 //! Checks of a settings file beyond its shape.
 
 use super::{
-    Assigner, Limits, Listen, Log, Once, Operator, Peer, Sending, Settings, Timing, Tls,
+    Assigner, Limits, Listen, Log, Once, Operator, Peer, Sending, Settings, Tls, check_timing,
     error::{Fault, SettingsFault},
     raw::{
-        Number, RawLimits, RawListen, RawLog, RawOnce, RawOperator, RawPeer, RawSettings,
-        RawTiming, RawTls, Text, line,
+        Number, RawLimits, RawListen, RawLog, RawOnce, RawOperator, RawPeer, RawSettings, RawTls,
+        Text, line,
     },
 };
 use crate::{
@@ -15,8 +15,6 @@
 use serde_saphyr::{Location, Spanned};
 use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
-/// Longest time span of the control plane.
-const TIMING_MAX: Duration = Duration::from_secs(60);
 /// Most voters of a fleet.
 const VOTERS_MAX: usize = 7;
 /// Length of a BLAKE3 digest in hex digits.
@@ -42,7 +40,7 @@
         data: raw.data.as_ref().map(|data| PathBuf::from(&data.value)),
         tls: tls(&raw.tls)?,
         operators: operators(&raw.operators)?,
-        timing: timing(&raw.timing)?,
+        timing: check_timing::timing(&raw.timing)?,
         sending: raw.sending.unwrap_or(Sending::Home),
         assigner: raw.assigner.unwrap_or(Assigner::Weighted),
         log: log(&raw.log)?,
@@ -53,7 +51,7 @@
 }
 
 /// A fault at the line of a value.
-fn value_fault(
+pub(super) fn value_fault(
     place: Location,
     key: &'static str,
     problem: impl Into<String>,
@@ -108,12 +106,20 @@
 }
 
 /// A time span, or its default.
-fn span(key: &'static str, text: Option<&Text>, default: Duration) -> Result<Duration, Fault> {
+pub(super) fn span(
+    key: &'static str,
+    text: Option<&Text>,
+    default: Duration,
+) -> Result<Duration, Fault> {
     with_unit(key, text, Span(default)).map(|span| span.0)
 }
 
 /// A time span that must not be zero, or its default.
-fn real_span(key: &'static str, text: Option<&Text>, default: Duration) -> Result<Duration, Fault> {
+pub(super) fn real_span(
+    key: &'static str,
+    text: Option<&Text>,
+    default: Duration,
+) -> Result<Duration, Fault> {
     let value = span(key, text, default)?;
     match text {
         Some(text) if value.is_zero() => Err(value_fault(
@@ -360,90 +366,6 @@
     }
 }
 
-fn timing(raw: &RawTiming) -> Result<Timing, Fault> {
-    let default = Timing::default();
-    let timing = Timing {
-        heartbeat: real_span(
-            "timing.heartbeat",
-            raw.heartbeat.as_ref(),
-            default.heartbeat,
-        )?,
-        entry_lease: span(
-            "timing.entry_lease",
-            raw.entry_lease.as_ref(),
-            default.entry_lease,
-        )?,
-        target_lease: span(
-            "timing.target_lease",
-            raw.target_lease.as_ref(),
-            default.target_lease,
-        )?,
-        election: real_span("timing.election", raw.election.as_ref(), default.election)?,
-        drift: span("timing.drift", raw.drift.as_ref(), default.drift)?,
-    };
-    timing_order(raw, &timing).map(|()| timing)
-}
-
-/// Checks that the leases outlast what renews them.
-fn timing_order(raw: &RawTiming, timing: &Timing) -> Result<(), Fault> {
-    let place = |part: &Option<Text>| {
-        [
-            part,
-            &raw.heartbeat,
-            &raw.election,
-            &raw.entry_lease,
-            &raw.target_lease,
-            &raw.drift,
-        ]
-        .into_iter()
-        .flatten()
-        .next()
-        .map_or(Location::UNKNOWN, |text| text.referenced)
-    };
-    let longest = timing.entry_lease.max(timing.election);
-    if longest > TIMING_MAX {
-        return Err(value_fault(
-            place(&raw.entry_lease),
-            "timing",
-            "a span is longer than 60s",
-            "shorten it: keys would stay unserved that long",
-        ));
-    }
-    if timing.entry_lease <= 2 * timing.heartbeat + timing.election {
-        return Err(value_fault(
-            place(&raw.entry_lease),
-            "timing.entry_lease",
-            "is not longer than two heartbeats and an election",
-            "lengthen it, or a change of leader stops every entry",
-        ));
-    }
-    if timing.target_lease > timing.entry_lease {
-        return Err(value_fault(
-            place(&raw.target_lease),
-            "timing.target_lease",
-            "is longer than the entry's lease",
-            "shorten it to `timing.entry_lease` or less",
-        ));
-    }
-    if timing.target_lease <= 2 * timing.heartbeat {
-        return Err(value_fault(
-            place(&raw.target_lease),
-            "timing.target_lease",
-            "is not longer than two heartbeats",
-            "lengthen it, or one lost probe costs the target its lease",
-        ));
-    }
-    if timing.drift >= timing.heartbeat {
-        return Err(value_fault(
-            place(&raw.drift),
-            "timing.drift",
-            "is not shorter than a heartbeat",
-            "shorten it; clocks of healthy hosts part by far less",
-        ));
-    }
-    Ok(())
-}
-
 fn log(raw: &RawLog) -> Result<Log, Fault> {
     let default = Log::default();
     let folder = match &raw.folder {
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -5,6 +5,7 @@
 //! unit, such as `250ms` or `64KiB`.
 
 mod check;
+mod check_timing;
 mod error;
 mod raw;
 mod with_unit;
--- a/node/src/process/logging.rs
+++ b/node/src/process/logging.rs
@@ -110,7 +110,19 @@
         write!(out, "{}: ", record.target())?;
     }
     let text = record.args().to_string();
-    write!(out, "{}", text.trim_end().replace('\n', "\\n"))
+    write!(out, "{}", one_line(text.trim_end()))
+}
+
+/// Escapes control characters: a value from outside forges no line and drives no terminal.
+fn one_line(text: &str) -> String {
+    let mut line = String::with_capacity(text.len());
+    for c in text.chars() {
+        match c.is_control() {
+            true => line.extend(c.escape_default()),
+            false => line.push(c),
+        }
+    }
+    line
 }
 
 #[derive(Debug, Serialize)]
--- a/node/src/process/mod.rs
+++ b/node/src/process/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod logging;
 pub mod operator;
+pub mod settings_file;
 pub mod telemetry;
--- a/node/src/process/operator/api.rs
+++ b/node/src/process/operator/api.rs
@@ -165,7 +165,7 @@
         },
         Err(ParseError::PayloadTooLarge) => (
             StatusCode::PAYLOAD_TOO_LARGE,
-            "the note is longer than 64KiB; split it into several notes",
+            "the note is longer than 16KiB; split it into several notes",
         ),
         Err(_) => (
             StatusCode::BAD_REQUEST,
--- a/node/src/process/operator/page.rs
+++ b/node/src/process/operator/page.rs
@@ -113,14 +113,14 @@
 /// Reads the note of a form. Browsers end lines with two characters; a note has one.
 async fn form_note(request: &mut Request, response: &mut Response) -> Option<String> {
     if request.form_data_max_size(FORM_BYTES_MAX).await.is_err() {
-        let text = "the form cannot be read; a note has 64KiB at most";
+        let text = "the form cannot be read; a note has 16KiB at most";
         error(response, StatusCode::BAD_REQUEST, text);
         return None;
     }
     let text = request.form::<String>("note").await.unwrap_or_default();
     let text = text.replace("\r\n", "\n");
     if text.len() > NOTE_BYTES_MAX {
-        let text = "the note is longer than 64KiB; split it into several notes";
+        let text = "the note is longer than 16KiB; split it into several notes";
         error(response, StatusCode::PAYLOAD_TOO_LARGE, text);
         return None;
     }
--- /dev/null
+++ b/node/src/process/settings_file.rs
@@ -0,0 +1,176 @@
+//! Settings file of this host: reading it, and checking that the host fits it.
+
+use cornelrail_lib::process::settings::{Settings, SettingsError};
+use miette::Diagnostic;
+use std::{
+    fs::{self, File},
+    io::{self, Read},
+    path::{Path, PathBuf},
+};
+use thiserror::Error;
+
+/// Longest settings file, in bytes: room for 3,300 peers.
+const FILE_BYTES_MAX: u64 = 4 << 20;
+/// File that is written and removed to try the data folder.
+const TRIAL_FILE: &str = ".cornelrail-trial";
+
+/// Why a daemon cannot start with a settings file.
+#[derive(Debug, Error, Diagnostic)]
+pub enum LoadError {
+    /// The file cannot be read.
+    #[error("{}:1: cannot read the settings: {fault}", path.display())]
+    #[diagnostic(
+        code(cornelrail::settings::read),
+        help("check the path and its permissions")
+    )]
+    Read {
+        /// The settings file.
+        path: PathBuf,
+        /// Why.
+        fault: io::Error,
+    },
+    /// The file is far too long.
+    #[error("{}:1: longer than 4MiB", path.display())]
+    #[diagnostic(
+        code(cornelrail::settings::size),
+        help("name a settings file; this is none")
+    )]
+    Size {
+        /// The settings file.
+        path: PathBuf,
+    },
+    /// The file is wrong.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] SettingsError),
+    /// A file that the settings name cannot be read.
+    #[error("{}:{line}: `{key}`: cannot read {}: {fault}", settings.display(), path.display())]
+    #[diagnostic(
+        code(cornelrail::settings::keys),
+        help("make it with `cornelrail keys make`, and let this user read it")
+    )]
+    Key {
+        /// The settings file.
+        settings: PathBuf,
+        /// Line of the key.
+        line: usize,
+        /// Key of the value.
+        key: &'static str,
+        /// The file that it names.
+        path: PathBuf,
+        /// Why.
+        fault: io::Error,
+    },
+    /// The data folder cannot be written.
+    #[error("{}:{line}: `data`: cannot write {}: {fault}", settings.display(), path.display())]
+    #[diagnostic(
+        code(cornelrail::settings::data),
+        help("make the folder on a disk, and let this user write it")
+    )]
+    Data {
+        /// The settings file.
+        settings: PathBuf,
+        /// Line of the key.
+        line: usize,
+        /// The data folder.
+        path: PathBuf,
+        /// Why.
+        fault: io::Error,
+    },
+}
+
+/// Reads a settings file and checks it, without a look at the host. Relative paths in it start at
+/// the file's own folder.
+pub fn read(path: &Path) -> Result<Settings, LoadError> {
+    read_text(path).and_then(|text| parse(&text, path))
+}
+
+/// Reads a settings file and checks that this host can run it: its keys can be read, and a voter's
+/// data folder can be made and written.
+pub fn load(path: &Path) -> Result<Settings, LoadError> {
+    let text = read_text(path)?;
+    let settings = parse(&text, path)?;
+    check_keys(&settings, &text, path)?;
+    check_data(&settings, &text, path)?;
+    Ok(settings)
+}
+
+fn read_text(path: &Path) -> Result<String, LoadError> {
+    let fail = |fault| LoadError::Read {
+        path: path.to_owned(),
+        fault,
+    };
+    let file = File::open(path).map_err(fail)?;
+    let mut text = String::new();
+    let bytes = file
+        .take(FILE_BYTES_MAX + 1)
+        .read_to_string(&mut text)
+        .map_err(fail)?;
+    if bytes as u64 > FILE_BYTES_MAX {
+        return Err(LoadError::Size {
+            path: path.to_owned(),
+        });
+    }
+    Ok(text)
+}
+
+fn parse(text: &str, path: &Path) -> Result<Settings, LoadError> {
+    let mut settings = Settings::parse(text, &path.display().to_string())?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    let place = |file: &mut PathBuf| *file = folder.join(&file);
+    settings.data.iter_mut().for_each(place);
+    settings.log.folder.iter_mut().for_each(place);
+    let tls = &mut settings.tls;
+    [&mut tls.authority, &mut tls.certificate, &mut tls.key]
+        .into_iter()
+        .for_each(place);
+    Ok(settings)
+}
+
+fn check_keys(settings: &Settings, text: &str, path: &Path) -> Result<(), LoadError> {
+    let tls = &settings.tls;
+    let files = [
+        ("authority", &tls.authority),
+        ("certificate", &tls.certificate),
+        ("key", &tls.key),
+    ];
+    for (key, file) in files {
+        File::open(file).map_err(|fault| LoadError::Key {
+            settings: path.to_owned(),
+            line: line_of(text, key),
+            key,
+            path: file.clone(),
+            fault,
+        })?;
+    }
+    Ok(())
+}
+
+fn check_data(settings: &Settings, text: &str, path: &Path) -> Result<(), LoadError> {
+    let Some(folder) = &settings.data else {
+        return Ok(());
+    };
+    try_folder(folder).map_err(|fault| LoadError::Data {
+        settings: path.to_owned(),
+        line: line_of(text, "data"),
+        path: folder.clone(),
+        fault,
+    })
+}
+
+/// Makes a folder if it is not there, and writes a file in it that it removes again.
+fn try_folder(folder: &Path) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    let trial = folder.join(TRIAL_FILE);
+    File::create(&trial)?.sync_all()?;
+    fs::remove_file(&trial)
+}
+
+/// Line of the first key of this name, from 1.
+fn line_of(text: &str, key: &str) -> usize {
+    let is_key = |line: &str| {
+        let rest = line.trim_start().strip_prefix(key);
+        rest.is_some_and(|rest| rest.starts_with(':'))
+    };
+    text.lines().position(is_key).map_or(1, |line| line + 1)
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,1 +1,4 @@
 //! Tests of the package.
+
+mod test_logging;
+mod test_operator;
