--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_logging;
 mod test_operator;
+mod test_voter;
