--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,3 +1,5 @@
 //! Tests of the package.
 
+mod test_logging;
+mod test_operator;
 mod test_voter;
