home: moves go by events, not by heartbeats

Cause: a planned move waited for the next lease order and the next report, and a request could reach the new owner before its grant; the home task's timer span while it had no lease of its own. Ruled out: a slow controller (a tick takes under 40 ms in the debug build). Conclusion: orders and reports leave at once; starvation is a matter of its own.

--- a/lib/src/connection/lease.rs
+++ b/lib/src/connection/lease.rs
@@ -187,6 +187,16 @@
         })
     }
 
+    /// Makes the next order due at once, since what it grants has changed.
+    pub fn hasten(&mut self, now: Moment) {
+        self.due = self.due.min(now);
+    }
+
+    /// End of the lease that the target is sure to hold, unless it restarted.
+    pub fn sure_until(&self) -> Moment {
+        self.confirmed.unwrap_or(Moment::ZERO)
+    }
+
     /// Takes in the answer to order `serial`; an answer to an older order changes nothing.
     pub fn answered(&mut self, now: Moment, serial: u64, answer: &LeaseAnswer) -> Tie {
         self.expire(now);
--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -103,6 +103,7 @@
         };
         leading.controller.on_report(now, report);
         let lease = leading.controller.lease_for(report.node);
+        let urgent = !report.quiet.is_empty() || !report.gone.is_empty();
         let grant = self
             .replica
             .missing(report.applied, lease.unwrap_or_default());
@@ -115,6 +116,9 @@
             // The asker may have given up meanwhile.
             let _ = reply.send(answer);
         });
+        if urgent {
+            self.look();
+        }
     }
 
     fn announce(&mut self, announcement: &Announcement) -> Reply {
--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -115,6 +115,8 @@
     pub operators: mpsc::Receiver<OperatorCall>,
     /// Crashes that the home task saw.
     pub crashes: mpsc::UnboundedReceiver<Crash>,
+    /// Wishes of the home task for an early report.
+    pub nudges: mpsc::Receiver<()>,
 }
 
 /// What the control task works with.
@@ -221,6 +223,7 @@
                     None => return,
                 },
                 Some(crash) = inputs.crashes.recv() => self.crash(crash),
+                Some(()) = inputs.nudges.recv() => self.beat(),
                 _ = beats.tick() => self.beat(),
                 _ = looks.tick() => self.look(),
             }
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -19,7 +19,7 @@
     request::{
         core::Core,
         front::Front,
-        home::{self, HomeHandle},
+        home::{self, HomeHandle, Outlets},
     },
     version::view::View,
 };
@@ -194,7 +194,12 @@
     let peers = peer_links(&settings, &sockets.transport);
     let (view_tx, view) = watch::channel(View::default());
     let (crashes_tx, crashes) = mpsc::unbounded_channel();
-    let home = home::start(clock, settings.clone(), view.clone(), crashes_tx);
+    let (nudges_tx, nudges) = mpsc::channel(1);
+    let outlets = Outlets {
+        crashes: crashes_tx,
+        nudges: nudges_tx,
+    };
+    let home = home::start(clock, settings.clone(), view.clone(), outlets);
     let register = register::start(clock, settings.clone(), life, peers.clone(), view.clone());
     let (operator_handle, operators) = OperatorHandle::new();
     let (control, control_channel) = control::channel();
@@ -211,6 +216,7 @@
         voter: voter_events,
         operators,
         crashes,
+        nudges,
     };
     control::start(setup, inputs, control_channel);
     let core = Core {
--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -28,6 +28,8 @@
 };
 
 const MESSAGES_HELD: usize = 16_384;
+/// Shortest sleep between two looks at the clock.
+const BUSY_PAUSE: Duration = Duration::from_millis(1);
 /// Longest sleep between two looks at the clock.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -154,19 +156,38 @@
     settings: Arc<Settings>,
     view: watch::Receiver<View>,
     handle: HomeHandle,
-    crashes: mpsc::UnboundedSender<Crash>,
+    outlets: Outlets,
     dispatch: Dispatch,
     targets: HeldTargets,
     open: BTreeMap<RequestId, Open>,
+    held_back: Vec<HeldBack>,
+    told: usize,
+    due: Moment,
     idle: Vec<oneshot::Sender<()>>,
 }
 
+/// A request whose target has not confirmed the grant for its key yet.
+struct HeldBack {
+    arrival: Arrival,
+    target: Target,
+    hash: KeyHash,
+}
+
+/// Where the home task's news go.
+#[derive(Debug, Clone)]
+pub struct Outlets {
+    /// Crashes of targets.
+    pub crashes: mpsc::UnboundedSender<Crash>,
+    /// Told when the next report should not wait for its time.
+    pub nudges: mpsc::Sender<()>,
+}
+
 /// Starts the task.
 pub fn start(
     clock: Clock,
     settings: Arc<Settings>,
     view: watch::Receiver<View>,
-    crashes: mpsc::UnboundedSender<Crash>,
+    outlets: Outlets,
 ) -> HomeHandle {
     let (tx, rx) = mpsc::channel(MESSAGES_HELD);
     let handle = HomeHandle { tx };
@@ -174,11 +195,14 @@
         clock,
         view,
         handle: handle.clone(),
-        crashes,
+        outlets,
         dispatch: Dispatch::new(dispatch_config(&settings)),
         targets: HeldTargets::new(&settings),
         settings,
         open: BTreeMap::new(),
+        held_back: Vec::new(),
+        told: 0,
+        due: Moment::ZERO,
         idle: Vec::new(),
     };
     tokio::spawn(home.run(rx));
@@ -221,9 +245,12 @@
     }
 
     fn next_wakeup(&self) -> Moment {
-        let idle = self.clock.now() + IDLE_PAUSE;
+        let now = self.clock.now();
+        let idle = now + IDLE_PAUSE;
         let dispatch = self.dispatch.next_wakeup().unwrap_or(idle);
-        idle.min(dispatch).min(self.targets.next_wakeup(idle))
+        let due = idle.min(dispatch).min(self.targets.next_wakeup(idle));
+        // What is overdue cannot be done yet, such as an order without a lease of our own.
+        due.max(now + BUSY_PAUSE)
     }
 
     fn handle(&mut self, message: HomeMessage) {
@@ -250,6 +277,7 @@
                     self.dispatch.report(now, &renewed.target, running);
                 }
                 self.publish_targets(now);
+                self.release(now);
             }
             HomeMessage::Collect { report, reply } => {
                 let report = self.collect(now, report);
@@ -279,8 +307,45 @@
             running: BTreeMap::new(),
         };
         self.targets.count(&open, now);
+        let target = open.keyed.clone();
         self.open.insert(arrival.id, open);
-        self.dispatch.arrive(now, arrival);
+        match target {
+            Some(target) if !self.targets.confirmed(&target, hash) => {
+                self.held_back.push(HeldBack {
+                    arrival,
+                    target,
+                    hash,
+                });
+            }
+            _ => self.dispatch.arrive(now, arrival),
+        }
+    }
+
+    /// Lets requests go on whose grants are confirmed, or that are not open any more.
+    fn release(&mut self, now: Moment) {
+        let held_back = std::mem::take(&mut self.held_back);
+        for held in held_back {
+            if !self.open.contains_key(&held.arrival.id) {
+                continue;
+            }
+            let late = now >= held.arrival.deadline;
+            if late || self.targets.confirmed(&held.target, held.hash) {
+                self.dispatch.arrive(now, held.arrival);
+            } else {
+                self.held_back.push(held);
+            }
+        }
+    }
+
+    /// Asks for an early report if a move waits for this entry's word.
+    fn nudge(&mut self, now: Moment) {
+        let view = self.view.borrow().clone();
+        let quiet = self.targets.quiet(now, &view, &self.open).len();
+        if quiet > self.told {
+            // A nudge that is waiting already does for this one too.
+            let _ = self.outlets.nudges.try_send(());
+        }
+        self.told = quiet;
     }
 
     fn finish(&mut self, now: Moment, id: RequestId, attempt: u32, ending: Ending) {
@@ -341,11 +406,18 @@
 
     fn step(&mut self) {
         let now = self.clock.now();
-        self.dispatch.tick(now);
-        self.renew_leases(now);
+        if now >= self.due {
+            self.release(now);
+            self.dispatch.tick(now);
+            self.renew_leases(now);
+            self.due = now + BUSY_PAUSE;
+        }
         for action in self.dispatch.take_actions() {
             self.carry_out(now, action);
         }
+        if self.targets.moving() {
+            self.nudge(now);
+        }
         if self.open.is_empty() {
             for reply in self.idle.drain(..) {
                 let _ = reply.send(());
@@ -386,7 +458,7 @@
                 incarnation,
             } => {
                 // The control task is gone only when the daemon stops.
-                let _ = self.crashes.send(Crash {
+                let _ = self.outlets.crashes.send(Crash {
                     fingerprint,
                     target,
                     incarnation,
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -18,7 +18,7 @@
         report::{GoneTarget, RangeLoad, Report},
     },
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Orders without an answer count as missed after this many heartbeats.
 const MISSED_BEATS: u32 = 2;
@@ -71,6 +71,8 @@
     draining: bool,
     link: TargetLink,
     lease: HomeLease,
+    /// Grants by the fleet's state.
+    wanted: Vec<Grant>,
     /// Grants that the target may act on: those of the last accepted order.
     granted: Vec<Grant>,
     /// Grants of orders whose answers are awaited or were missed.
@@ -92,7 +94,8 @@
     direct: bool,
     timing: LeaseTiming,
     held: BTreeMap<Target, Held>,
-    fleet: std::sync::Arc<Fleet>,
+    fleet: Arc<Fleet>,
+    moving: bool,
     counts: Vec<Count>,
     counted: Moment,
 }
@@ -110,7 +113,8 @@
                 drift: timing.drift,
             },
             held: BTreeMap::new(),
-            fleet: Default::default(),
+            fleet: Arc::default(),
+            moving: false,
             counts: Vec::new(),
             counted: Moment::ZERO,
         }
@@ -142,16 +146,26 @@
         for (target, state) in fleet.targets.iter().filter(|(_, state)| mine(state)) {
             self.hold(now, target, state);
         }
+        let ranges = fleet.services.values().flat_map(|service| &service.ranges);
+        self.moving = ranges.into_iter().any(|range| {
+            let held = range.owner.as_ref().and_then(|owner| self.held.get(owner));
+            range.next.is_some() && held.is_some()
+        });
         gone
     }
 
     fn hold(&mut self, now: Moment, target: &Target, state: &TargetState) {
         let draining = state.phase == TargetPhase::Draining;
+        let wanted = self.fleet.grants_of(target);
         if let Some(held) = self.held.get_mut(target)
             && held.info == state.info
             && held.lease.epoch() == state.epoch
         {
+            if held.draining != draining || held.wanted != wanted {
+                held.lease.hasten(now);
+            }
             held.draining = draining;
+            held.wanted = wanted;
             return;
         }
         let lease = HomeLease::new(
@@ -166,6 +180,7 @@
             draining,
             link: TargetLink::start(state.info.address),
             lease,
+            wanted,
             granted: Vec::new(),
             pending: Vec::new(),
         };
@@ -225,7 +240,7 @@
             let Some(due) = held.lease.poll(now, &entry) else {
                 continue;
             };
-            let grants = fleet.grants_of(target);
+            let grants = held.wanted.clone();
             held.pending.extend(grants.iter().cloned());
             renewals.push(Renewal {
                 target: target.clone(),
@@ -267,6 +282,17 @@
         }
     }
 
+    /// Whether the target is known to hold the grant that a request needs.
+    pub(super) fn confirmed(&self, target: &Target, hash: KeyHash) -> bool {
+        if self.direct || !self.is_home(target) {
+            return true;
+        }
+        self.held.get(target).is_some_and(|held| {
+            let mut grants = held.granted.iter();
+            grants.any(|grant| grant.range.contains(hash) && held.wanted.contains(grant))
+        })
+    }
+
     /// When a lease next needs care.
     pub(super) fn next_wakeup(&self, latest: Moment) -> Moment {
         let wakeups = self.held.values().map(|held| held.lease.next_wakeup());
@@ -297,7 +323,7 @@
             Route::Keyed { .. } | Route::Unserved | Route::Unknown => return None,
         };
         let own = match self.is_home(target) {
-            true => held.lease.lease_until().min(until),
+            true => held.lease.sure_until().min(until),
             false => until,
         };
         Some(Permit {
@@ -371,7 +397,12 @@
     }
 
     /// Moves whose old owner neither runs a request of the range nor may act on its grant.
-    fn quiet(&self, now: Moment, view: &View, open: &BTreeMap<RequestId, Open>) -> Vec<Move> {
+    pub(super) fn quiet(
+        &self,
+        now: Moment,
+        view: &View,
+        open: &BTreeMap<RequestId, Open>,
+    ) -> Vec<Move> {
         let mut quiet = Vec::new();
         for (service, state) in &view.fleet.services {
             for assignment in &state.ranges {
@@ -394,6 +425,11 @@
         quiet
     }
 
+    /// Whether a range of a held target is on its way to another owner.
+    pub(super) fn moving(&self) -> bool {
+        self.moving
+    }
+
     fn released(&self, held: &Held, range: KeyRange, now: Moment) -> bool {
         let mut grants = held.granted.iter().chain(&held.pending);
         let named = grants.any(|grant| grant.range.overlaps(&range));
