--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -20,6 +20,7 @@
 };
 use tokio::time::{sleep, timeout_at};
 
+const LONGEST_MICROS: u64 = 600_000_000;
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 
 /// One request of a caller.
@@ -101,7 +102,7 @@
 impl Caller {
     /// Caller with these settings and nothing counted.
     pub fn new(settings: CallerSettings) -> Self {
-        let latency = Histogram::new(3).expect("three digits are valid");
+        let latency = Histogram::new_with_bounds(1, LONGEST_MICROS, 3).expect("valid bounds");
         Caller {
             settings,
             client: Client::default(),
