--- a/node/src/process/mod.rs
+++ b/node/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod operator;
 pub mod protocol;
 pub mod register;
+pub mod settings_file;
 pub mod store;
 pub mod telemetry;
 pub mod transport;
