cli: demo and stand-in on the command line

Their options are read by the same reader as all others, so a wrong name lists the right ones. Weighed: one table of options for all subcommands, which would hide which subcommand takes what.

--- a/cli/src/args/mod.rs
+++ b/cli/src/args/mod.rs
@@ -1,11 +1,15 @@
 //! Arguments of the command line.
 
+mod demo;
 mod entry;
 mod reader;
 
 pub(crate) use entry::Entry;
 
-use crate::{error::CommandError, help::Topic, output::Format};
+use crate::{
+    command::stand_in::StandInOptions, demo::DemoOptions, error::CommandError, help::Topic,
+    output::Format,
+};
 use cornelrail_lib::process::unit::Span;
 use entry::EntryOptions;
 use reader::{Reader, Word};
@@ -87,6 +91,10 @@
         /// File of the token.
         file: PathBuf,
     },
+    /// Show the fleet at work.
+    Demo(DemoOptions),
+    /// Run stand-in targets.
+    StandIn(StandInOptions),
 }
 
 /// Who reads the output; known before the arguments are checked, so errors suit the reader too.
@@ -117,6 +125,8 @@
         Topic::Explain => parse_explain(&mut reader)?,
         Topic::Settings => parse_settings(&mut reader)?,
         Topic::Keys => parse_keys(&mut reader)?,
+        Topic::Demo => demo::parse_demo(&mut reader)?,
+        Topic::StandIn => demo::parse_stand_in(&mut reader)?,
     };
     Ok(command.map_or(Invocation::Help(topic), Invocation::Command))
 }
@@ -128,6 +138,8 @@
         "explain" => Ok(Topic::Explain),
         "settings" => Ok(Topic::Settings),
         "keys" => Ok(Topic::Keys),
+        "demo" => Ok(Topic::Demo),
+        "stand-in" => Ok(Topic::StandIn),
         _ => Err(unknown_command(format!("unknown command `{name}`"))),
     }
 }
--- a/cli/src/args/reader.rs
+++ b/cli/src/args/reader.rs
@@ -70,6 +70,36 @@
         })
     }
 
+    /// The value of an option, a number from 1 to `max`.
+    pub(super) fn number(&mut self, option: &str, max: u64) -> Result<u64, CommandError> {
+        let form = format!("a whole number from 1 to {max}");
+        let number = self.parse(option, &form)?;
+        match (1..=max).contains(&number) {
+            true => Ok(number),
+            false => Err(CommandError::arguments(
+                format!("`{number}` is no value for --{option}"),
+                format!("write {form}"),
+            )),
+        }
+    }
+
+    /// The value of an option, one of a few names.
+    pub(super) fn one_of<T: Copy>(
+        &mut self,
+        option: &str,
+        choices: &[(&str, T)],
+    ) -> Result<T, CommandError> {
+        let value = self.value()?;
+        let found = choices.iter().find(|(name, _)| *name == value);
+        found.map(|(_, choice)| *choice).ok_or_else(|| {
+            let names: Vec<_> = choices.iter().map(|(name, _)| *name).collect();
+            CommandError::arguments(
+                format!("`{value}` is no value for --{option}"),
+                format!("write one of: {}", names.join(", ")),
+            )
+        })
+    }
+
     /// The words of a subcommand, if there are as many as it takes.
     pub(super) fn exact<const N: usize>(
         &self,
--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -1,12 +1,15 @@
 //! Subcommands, one file each.
 
+mod demo;
 mod explain;
 mod keys;
 mod note;
 mod settings;
+pub(crate) mod stand_in;
 mod status;
 
 use crate::{args::Command, error::CommandError, output::Output};
+use stand_in::StandInOptions;
 
 /// Carries out a subcommand.
 pub(crate) fn run(command: &Command) -> Result<Output, CommandError> {
@@ -24,5 +27,13 @@
         Command::KeysMake { folder, nodes } => keys::make(folder, *nodes),
         Command::KeysAdd { folder, node } => keys::add(folder, *node),
         Command::KeysToken { file } => keys::token(file),
+        Command::Demo(options) => demo::run(options),
+        Command::StandIn(options) => run_stand_in(options),
     }
 }
+
+/// Runs stand-ins, which print what they did by themselves.
+fn run_stand_in(options: &StandInOptions) -> Result<Output, CommandError> {
+    stand_in::run(options).map_err(|fault| CommandError::Run(fault.to_string()))?;
+    Ok(Output::empty())
+}
--- a/cli/src/help.rs
+++ b/cli/src/help.rs
@@ -15,6 +15,10 @@
     Settings,
     /// `keys`.
     Keys,
+    /// `demo`.
+    Demo,
+    /// `stand-in`.
+    StandIn,
 }
 
 const COMMAND: &str = "\
@@ -69,6 +73,37 @@
 
 --json             one JSON object";
 
+const DEMO: &str = "\
+cornelrail demo [--requests N]
+  three entries and stand-in targets in one
+  process; ends with a table of figures
+
+--requests N       requests to send, 1000
+--workload NAME    kindloon or nilebay
+--fault NAME       none, slow, zone-out, kill
+                   or cold
+--policy NAME      weighted, modulo, consistent
+                   or direct
+--seed S           seed of all random choices
+--load SHARE       of the targets' capacity, 0.5
+--json             one JSON object";
+
+const STAND_IN: &str = "\
+cornelrail stand-in NAME --entry ADDR
+  targets for trials; they run until the process
+  is told to stop, then drain
+
+--entry ADDR       an entry's targets' address;
+                   may stand several times
+--service NAME     payroll-core
+--zone NAME        a
+--count N          targets in this process, 1
+--slots N          requests at once, 4
+--pool             the service's keys have no
+                   owners
+--median SPAN      time of a request, 20ms
+--drain SPAN       time to finish, 30s";
+
 /// Help about a topic.
 pub(crate) fn text(topic: Topic) -> &'static str {
     match topic {
@@ -78,6 +113,8 @@
         Topic::Explain => EXPLAIN,
         Topic::Settings => SETTINGS,
         Topic::Keys => KEYS,
+        Topic::Demo => DEMO,
+        Topic::StandIn => STAND_IN,
     }
 }
 
@@ -91,6 +128,8 @@
             Topic::Explain => "explain",
             Topic::Settings => "settings",
             Topic::Keys => "keys",
+            Topic::Demo => "demo",
+            Topic::StandIn => "stand-in",
         }
     }
 
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod authority;
 mod client;
 mod command;
+mod demo;
 mod error;
 mod exit;
 mod help;
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -3,7 +3,7 @@
 use crate::{error::CommandError, exit};
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde::Serialize;
-use serde_json::{Value, json};
+use serde_json::json;
 use std::{
     io::{self, Write},
     process::ExitCode,
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct Output {
     text: String,
-    json: Value,
+    json: String,
     code: u8,
 }
 
@@ -33,18 +33,26 @@
     /// Output of lines alone.
     pub(crate) fn text(text: impl Into<String>) -> Self {
         let text = text.into();
-        Output {
-            json: json!({ "text": text }),
-            text,
-            code: exit::DONE,
-        }
+        let value = json!({ "text": text });
+        Output::new(text, value)
+    }
+
+    /// No output at all.
+    pub(crate) fn empty() -> Self {
+        Output::with_json(String::new(), String::new())
     }
 
     /// Output of lines for people and a value for machines.
     pub(crate) fn new(text: String, value: impl Serialize) -> Self {
+        let json = serde_json::to_string(&value).unwrap_or_default();
+        Output::with_json(text, json)
+    }
+
+    /// Output of lines for people and a JSON object for machines.
+    pub(crate) fn with_json(text: String, json: String) -> Self {
         Output {
             text,
-            json: serde_json::to_value(value).unwrap_or(Value::Null),
+            json,
             code: exit::DONE,
         }
     }
@@ -61,11 +69,13 @@
 
     /// Prints the output; a reader that has gone is no error.
     pub(crate) fn print(&self, format: Format) {
-        let mut out = io::stdout().lock();
-        let _ = match format {
-            Format::Text => writeln!(out, "{}", self.text.trim_end()),
-            Format::Json => writeln!(out, "{}", self.json),
+        let text = match format {
+            Format::Text => self.text.trim_end(),
+            Format::Json => &self.json,
         };
+        if !text.is_empty() {
+            let _ = writeln!(io::stdout().lock(), "{text}");
+        }
     }
 }
 
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -8,7 +8,9 @@
 
 /// Widest line that a phone shows without turning it.
 const COLUMNS: usize = 48;
-const TOPICS: [&str; 5] = ["note", "status", "explain", "settings", "keys"];
+const TOPICS: [&str; 7] = [
+    "note", "status", "explain", "settings", "keys", "demo", "stand-in",
+];
 
 /// Writes the first sample with one text replaced; gives its path.
 fn edited_sample(folder: &TempDir, from: &str, to: &str) -> String {
@@ -87,6 +89,11 @@
         run(&["note", "apply", "f", "--wait", "6"]),
         run(&["keys", "make", "folder"]),
         run(&["settings", "check", "nowhere.yaml"]),
+        run(&["demo", "--fault", "flood"]),
+        run(&["demo", "--requests", "0"]),
+        run(&["demo", "--load", "nan"]),
+        run(&["stand-in", "w-1"]),
+        run(&["stand-in", "w-1", "--entry", "here"]),
     ]
     .map(|run| run.screen());
 
