docs: pages of the product, compared with the code by tests

Users, operators and developers had no page, and pages drift from code.

Tests compare settings and their defaults, events, metrics, headers, statuses of refusals, numbered errors, exit codes, help and the names of proofs with the code.

--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -160,3 +160,23 @@
     assert!(made.out.contains(&digest));
     assert!(!made.out.contains(token.trim()));
 }
+
+#[test]
+fn the_page_of_the_command_has_its_help_and_exit_codes() {
+    let page = fs::read_to_string(root().join("docs/CLI.md")).expect("the page");
+    let exits = fs::read_to_string(root().join("cli/src/exit.rs")).expect("the codes");
+    let bare = run(&["--help"]).out;
+    let helps = TOPICS.map(|topic| run(&[topic, "--help"]).out);
+
+    for help in helps.iter().chain([&bare]) {
+        assert!(page.contains(&format!("```text\n{help}```")), "{help}");
+    }
+    let codes: Vec<_> = exits
+        .lines()
+        .filter_map(|line| line.strip_suffix(';')?.split("u8 = ").nth(1))
+        .collect();
+    assert_eq!(codes.len(), 6);
+    for code in codes {
+        assert!(page.contains(&format!("| {code} | ")), "{code}");
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Tests of the package.
 
+mod test_docs;
 mod test_logging;
 mod test_operator;
 mod test_voter;
