--- a/node/src/request/front.rs
+++ b/node/src/request/front.rs
@@ -27,7 +27,7 @@
     Depot, FlowCtrl, Request, Response, async_trait, handler::Handler, http::body::ResBody,
 };
 use std::time::Duration;
-use tracing::{Instrument, info_span};
+use tracing::{Instrument, debug_span};
 
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
@@ -48,7 +48,7 @@
 
     async fn answer(&self, request: &mut Request) -> Result<Answer, Refusal> {
         let mut head = self.head(request)?;
-        let span = info_span!("entry", request = head.id, service = %head.service);
+        let span = debug_span!("entry", request = head.id, service = %head.service);
         telemetry::adopt(&span, request.headers());
         head.trace = telemetry::traceparent(&span);
         self.pass(request, head).instrument(span).await
