--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -8,7 +8,9 @@
 
 /// Widest line that a phone shows without turning it.
 const COLUMNS: usize = 48;
-const TOPICS: [&str; 5] = ["note", "status", "explain", "settings", "keys"];
+const TOPICS: [&str; 7] = [
+    "note", "status", "explain", "settings", "keys", "demo", "stand-in",
+];
 
 /// Writes the first sample with one text replaced; gives its path.
 fn edited_sample(folder: &TempDir, from: &str, to: &str) -> String {
@@ -87,6 +89,11 @@
         run(&["note", "apply", "f", "--wait", "6"]),
         run(&["keys", "make", "folder"]),
         run(&["settings", "check", "nowhere.yaml"]),
+        run(&["demo", "--fault", "flood"]),
+        run(&["demo", "--requests", "0"]),
+        run(&["demo", "--load", "nan"]),
+        run(&["stand-in", "w-1"]),
+        run(&["stand-in", "w-1", "--entry", "here"]),
     ]
     .map(|run| run.screen());
 
@@ -153,3 +160,23 @@
     assert!(made.out.contains(&digest));
     assert!(!made.out.contains(token.trim()));
 }
+
+#[test]
+fn the_page_of_the_command_has_its_help_and_exit_codes() {
+    let page = fs::read_to_string(root().join("docs/CLI.md")).expect("the page");
+    let exits = fs::read_to_string(root().join("cli/src/exit.rs")).expect("the codes");
+    let bare = run(&["--help"]).out;
+    let helps = TOPICS.map(|topic| run(&[topic, "--help"]).out);
+
+    for help in helps.iter().chain([&bare]) {
+        assert!(page.contains(&format!("```text\n{help}```")), "{help}");
+    }
+    let codes: Vec<_> = exits
+        .lines()
+        .filter_map(|line| line.strip_suffix(';')?.split("u8 = ").nth(1))
+        .collect();
+    assert_eq!(codes.len(), 6);
+    for code in codes {
+        assert!(page.contains(&format!("| {code} | ")), "{code}");
+    }
+}
