--- a/lib/src/request/dispatch/admit.rs
+++ b/lib/src/request/dispatch/admit.rs
@@ -8,6 +8,8 @@
 use rand::Rng;
 use std::time::Duration;
 
+/// Turns of service that a request may wait for, if that is longer than the configured wait.
+const PATIENT_TURNS: u32 = 2;
 /// Shortest time after which a caller may come back.
 const RETRY_LEAST: Duration = Duration::from_millis(50);
 /// Longest time after which a caller may come back.
@@ -50,27 +52,35 @@
         let Some(outlook) = self.outlook(id) else {
             return self.refuse(now, id, Reason::NoOwner);
         };
-        let Some(request) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get(&id) else {
             return;
         };
         let rank = request.arrival.rank();
+        let latest = request.arrival.deadline - outlook.bound;
         let left = request.arrival.deadline.since(now);
         let late = outlook.wait + outlook.bound > left;
-        let long = outlook.wait > self.config.queue_wait && rank != Rank::First;
+        let patience = self.patience(rank, outlook.bound);
+        let long = patience.is_some_and(|p| outlook.wait > p);
         if late || long || (outlook.full && !self.displace(now, id, rank)) {
             return self.refuse(now, id, Reason::Overload);
         }
-        self.wait_in_line(id, rank, outlook.bound);
+        let latest = patience.map_or(latest, |p| latest.min(now + p));
+        self.wait_in_line(id, rank, latest);
         self.trim(now, id);
     }
 
+    /// Longest time that a request of this rank waits, if not for its deadline alone.
+    fn patience(&self, rank: Rank, bound: Duration) -> Option<Duration> {
+        let patience = self.config.queue_wait.max(bound * PATIENT_TURNS);
+        (rank != Rank::First).then_some(patience)
+    }
+
     /// Puts a request in its queue, with a timer for its latest useful start.
-    fn wait_in_line(&mut self, id: RequestId, rank: Rank, bound: Duration) {
+    fn wait_in_line(&mut self, id: RequestId, rank: Rank, latest: Moment) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         let retried = request.attempts > 0;
-        let latest = request.arrival.deadline - bound;
         request.queued = true;
         self.set_timer(id, Some(latest));
         if let Some(queue) = self.queue_mut(id) {
--- a/lib/src/request/dispatch/limit.rs
+++ b/lib/src/request/dispatch/limit.rs
@@ -12,13 +12,13 @@
 /// Successes after which a target that still calls itself cold is no longer believed.
 const COLD_SUCCESSES: u32 = 64;
 /// Weight of the latest latency in the mean of its level.
-const LEVEL_WEIGHT: f64 = 0.2;
+const LEVEL_WEIGHT: f64 = 0.04;
 /// Age after which the mean of a level no longer counts.
 const LEVEL_LIFE: Duration = Duration::from_secs(5);
 /// Latencies of a level before its mean counts.
-const LEVEL_SAMPLES: u32 = 8;
+const LEVEL_SAMPLES: u32 = 30;
 /// Throughput of a level, as a share of that of the level below, under which it is given up.
-const LEVEL_GAIN: f64 = 0.9;
+const LEVEL_GAIN: f64 = 0.8;
 /// Successes after which a level that was given up is tried again.
 const RETRY_SUCCESSES: u32 = 50;
 /// Highest level whose latency is followed.
@@ -111,11 +111,9 @@
         if now.since(entry.at) >= LEVEL_LIFE {
             *entry = Level::default();
         }
-        entry.mean = match entry.samples {
-            0 => value,
-            _ => entry.mean + (value - entry.mean) * LEVEL_WEIGHT,
-        };
-        entry.samples += 1;
+        entry.samples = entry.samples.saturating_add(1);
+        let weight = LEVEL_WEIGHT.max(1.0 / f64::from(entry.samples));
+        entry.mean += (value - entry.mean) * weight;
         entry.at = now;
     }
 
--- a/lib/src/request/dispatch/model.rs
+++ b/lib/src/request/dispatch/model.rs
@@ -182,7 +182,7 @@
     pub rule: PoolRule,
     /// Most requests that wait for one target, and for one slot of a pool.
     pub queue_slots: usize,
-    /// Longest expected wait before newcomers are shed.
+    /// Longest wait of a request that is neither once-only nor important.
     pub queue_wait: Duration,
     /// Retries as a share of fresh requests.
     pub retry_share: f64,
@@ -201,7 +201,7 @@
             seed: 0,
             rule: PoolRule::Weighted,
             queue_slots: 256,
-            queue_wait: Duration::from_millis(500),
+            queue_wait: Duration::from_millis(200),
             retry_share: 0.1,
             hedge_share: 0.05,
             health: HealthConfig::default(),
