health: two aged requests mark a straggler, and late cancels count

Cause: one request older than twice the peers' 95th percentile ejected a target; with a log-normal service time that is one false ejection a second at doc-intake, and two of six ejected at 70 % load leave no room (p99.9 205 ms with nobody slowed). Weighed: a higher single bound alone sees a ten-fold slowdown later; two aged requests at once are rare by chance and certain in a slowdown. A hedge's aborted loser now counts as a latency.

--- a/lib/src/connection/health.rs
+++ b/lib/src/connection/health.rs
@@ -24,8 +24,11 @@
 const ENOUGH_SAMPLES: usize = 20;
 /// Recent latency, as a multiple of the peers' median, from which a target is a straggler.
 const STRAGGLER_RATIO: f64 = 3.0;
-/// Age of a request in flight, as a multiple of the peers' 95th percentile, that marks a straggler.
-const AGE_RATIO: f64 = 2.0;
+/// Age of two requests in flight, as a multiple of the peers' 95th percentile, that marks a
+/// straggler.
+const PAIR_AGE_RATIO: f64 = 2.0;
+/// Age of one request in flight, as a multiple of the peers' 95th percentile, that marks one.
+const SINGLE_AGE_RATIO: f64 = 4.0;
 /// Latency of a probe, as a multiple of the peers' median, that counts as prompt.
 const PROMPT_RATIO: f64 = 2.5;
 /// Prompt answers in a row after which an ejected target returns.
@@ -146,17 +149,19 @@
         }
     }
 
-    /// The request sent at `sent` ended; `served` if with an answer.
+    /// The request sent at `sent` ended; `served` if with an answer. One that was given up late tells
+    /// that the target is at least that slow.
     pub fn ended(&mut self, now: Moment, target: &Target, sent: Moment, flight: u64, served: bool) {
         let prompt = self.median.map(|m| m.mul_f64(PROMPT_RATIO));
         let Some(peer) = self.peers.get_mut(target) else {
             return;
         };
         peer.flights.remove(&(sent, flight));
-        if !served {
+        let latency = now.since(sent);
+        let telling = self.tail.is_some_and(|t| latency > t);
+        if !served && !telling {
             return;
         }
-        let latency = now.since(sent);
         if prompt.is_some_and(|limit| latency <= limit) {
             peer.pause = self.config.probe_pause;
             peer.next_probe = peer.next_probe.min(now + peer.pause);
@@ -231,9 +236,8 @@
         let (Some(median), Some(tail)) = (self.median, self.tail) else {
             return;
         };
-        let old = tail.mul_f64(AGE_RATIO);
         for peer in self.peers.values_mut() {
-            peer.judge(now, median, old);
+            peer.judge(now, median, tail);
         }
         self.eject();
     }
@@ -276,12 +280,16 @@
 }
 
 impl Peer {
-    fn judge(&mut self, now: Moment, median: Duration, old: Duration) {
-        let age = self.flights.first().map(|(sent, _)| now.since(*sent));
-        let aged = age.is_some_and(|a| a > old);
+    fn judge(&mut self, now: Moment, median: Duration, tail: Duration) {
+        let mut ages = self.flights.iter().map(|(sent, _)| now.since(*sent));
+        let oldest = ages.next().unwrap_or_default();
+        let second = ages.next().unwrap_or_default();
+        let single = oldest > tail.mul_f64(SINGLE_AGE_RATIO);
+        let pair = second > tail.mul_f64(PAIR_AGE_RATIO);
+        let aged = single || pair;
         let recent = self.recent(now).unwrap_or(median);
         let seen = match aged {
-            true => recent.max(age.unwrap_or_default()),
+            true => recent.max(oldest),
             false => recent,
         };
         let base = median.as_secs_f64().max(1e-6);
