--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,9 +1,16 @@
 //! Tests of the policy library.
 
+#[allow(dead_code, reason = "the bench in examples uses the rest")]
+mod dispatch_model;
 mod model;
 mod raft_cluster;
 mod test_controller;
+#[allow(dead_code, reason = "the dispatch bench uses the rest")]
+mod test_dispatch;
+mod test_health;
 mod test_key;
+mod test_once;
+mod test_quarantine;
 mod test_raft_scenarios;
 mod test_raft_schedules;
 mod test_settings;
