log: store tests; a cut-off write is told from a flipped bit by a mark

A write that was cut off leaves nothing or zeros; a flipped bit in the last record must not pass for one, since that record may have been acknowledged. The reader took a record whose checksum was all zeros for cut off.

Taking a last byte of zero instead would have let one flipped record in 256 pass as cut off, so each record now ends in a byte that is never zero.

--- a/lib/src/process/record.rs
+++ b/lib/src/process/record.rs
@@ -1,8 +1,9 @@
 //! Records in the files of a data folder.
 //!
-//! A record is a header, a payload and the payload's CRC-32C. The header holds the format version,
-//! the digest of the fleet's name, the payload's length and a CRC-32C of these, so a reader knows
-//! whether the length can be trusted before it uses it.
+//! A record is a header, a payload, the payload's CRC-32C and a mark. The header holds the format
+//! version, the digest of the fleet's name, the payload's length and a CRC-32C of these, so a reader
+//! knows whether the length can be trusted before it uses it. The mark is never zero: a write that
+//! was cut off, which leaves zeros or nothing, is told from a record that was whole once.
 
 use super::raft::{Entry, HardState, Identity, Snapshot};
 use crate::name::Node;
@@ -15,6 +16,10 @@
 const HEADER_BYTES: usize = 18;
 /// Length of a checksum, in bytes.
 const SUM_BYTES: usize = 4;
+/// Last byte of each record.
+const MARK: u8 = 0xa5;
+/// Length of what follows the payload, in bytes.
+const TAIL_BYTES: usize = SUM_BYTES + 1;
 
 /// Digest of a fleet's name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +93,7 @@
     buffer.extend(sum.to_le_bytes());
     buffer.extend(&payload);
     buffer.extend(crc32c::crc32c(&payload).to_le_bytes());
+    buffer.push(MARK);
 }
 
 /// Records of one file, in order; ends after the first error.
@@ -123,21 +129,22 @@
         }
         let header = rest.get(..HEADER_BYTES).ok_or(RecordError::Torn(at))?;
         let length = self.check_header(header, rest)?;
-        let end = HEADER_BYTES + length;
-        let body = rest.get(HEADER_BYTES..end + SUM_BYTES);
-        let (payload, sum) = body.ok_or(RecordError::Torn(at))?.split_at(length);
-        if number(sum) != u64::from(crc32c::crc32c(payload)) {
-            return Err(self.unsound(rest, end + SUM_BYTES));
+        let end = HEADER_BYTES + length + TAIL_BYTES;
+        let body = rest.get(HEADER_BYTES..end).ok_or(RecordError::Torn(at))?;
+        let (payload, tail) = body.split_at(length);
+        let sum = u64::from(crc32c::crc32c(payload));
+        if number(&tail[..SUM_BYTES]) != sum || tail[SUM_BYTES] != MARK {
+            return Err(self.unsound(&rest[end - 1..]));
         }
         let record = postcard::from_bytes(payload).map_err(|_| RecordError::Damaged(at))?;
-        Ok((record, end + SUM_BYTES))
+        Ok((record, end))
     }
 
     fn check_header(&self, header: &[u8], rest: &[u8]) -> Result<usize, RecordError> {
         let offset = self.offset as u64;
         let (fields, sum) = header.split_at(HEADER_BYTES - SUM_BYTES);
         if number(sum) != u64::from(crc32c::crc32c(fields)) {
-            return Err(self.unsound(rest, HEADER_BYTES));
+            return Err(self.unsound(&rest[HEADER_BYTES..]));
         }
         let found = number(&fields[..2]) as u16;
         if found > FORMAT {
@@ -149,11 +156,11 @@
         Ok(number(&fields[10..]) as usize)
     }
 
-    /// Tells a write that was cut off, which leaves zeros from within the record up to the end of
-    /// the file, from damage.
-    fn unsound(&self, rest: &[u8], end: usize) -> RecordError {
+    /// Tells a write that was cut off from damage, by the bytes from the record's mark on: a whole
+    /// record leaves at least that one.
+    fn unsound(&self, rest: &[u8]) -> RecordError {
         let at = self.offset as u64;
-        match rest[end - SUM_BYTES..].iter().all(|b| *b == 0) {
+        match rest.iter().all(|b| *b == 0) {
             true => RecordError::Torn(at),
             false => RecordError::Damaged(at),
         }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Tests of the package.
 
+mod test_store;
 mod test_voter;
