--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -10,7 +10,7 @@
     moment::Moment,
     name::Node,
     process::raft::{
-        Action, Batch, ChangeError, Entry, Membership, Message, Payload, Raft, RaftConfig,
+        Action, Batch, ChangeError, Entry, Member, Membership, Message, Payload, Raft, RaftConfig,
         RoleNews, VoterChange,
     },
 };
@@ -109,6 +109,8 @@
 /// State of a voter, for operators.
 #[derive(Debug, Clone)]
 pub struct VoterStatus {
+    /// This node with the identity of its data folder.
+    pub member: Member,
     /// The known leader, the term, and whether this voter leads.
     pub role: RoleNews,
     /// Last committed index.
@@ -334,6 +336,7 @@
         let lease = self.raft.lease_end().filter(|end| now < *end);
         let longest = now + self.election;
         VoterStatus {
+            member: self.raft.member(),
             role: RoleNews {
                 leader: self.raft.leader(),
                 term: self.raft.term(),
--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -2,7 +2,13 @@
 
 use cornelrail_lib::name::Node;
 use cornelrail_node::process::voter::{self, ProposeError, VoterConfig, VoterEvent, VoterHandle};
-use std::{path::Path, time::Duration};
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 use tokio::{sync::mpsc, time};
 
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -21,47 +27,69 @@
     }
 }
 
+type Handles = Arc<Mutex<Vec<VoterHandle>>>;
+
 /// Voters whose messages are handed to one another.
 struct Group {
-    handles: Vec<VoterHandle>,
+    handles: Handles,
     commits: Vec<mpsc::UnboundedReceiver<(u64, Vec<u8>)>>,
 }
 
 fn start(root: &Path, count: u64) -> Group {
-    let started: Vec<_> = (1..=count)
-        .map(|n| voter::start(config(root, n, count)).unwrap())
+    let handles = Handles::default();
+    let commits = (1..=count)
+        .map(|n| join(root, n, count, &handles))
         .collect();
-    let handles: Vec<VoterHandle> = started.iter().map(|(h, _)| h.clone()).collect();
-    let mut commits = Vec::new();
-    for (at, (_, mut events)) in started.into_iter().enumerate() {
-        let peers = handles.clone();
-        let (sender, receiver) = mpsc::unbounded_channel();
-        commits.push(receiver);
-        tokio::spawn(async move {
-            while let Some(event) = events.recv().await {
-                match event {
-                    VoterEvent::Send { to, message } => {
-                        peers[to.0 as usize - 1].receive(Node(at as u64 + 1), message);
-                    }
-                    VoterEvent::Committed { index, command, .. } => {
-                        let _ = sender.send((index, command));
-                    }
-                    VoterEvent::Install { index, snapshot } => {
-                        let _ = sender.send((index, snapshot));
+    Group { handles, commits }
+}
+
+/// Starts a voter in its place; gives what it commits and installs.
+fn join(
+    root: &Path,
+    node: u64,
+    count: u64,
+    handles: &Handles,
+) -> mpsc::UnboundedReceiver<(u64, Vec<u8>)> {
+    let (handle, mut events) = voter::start(config(root, node, count)).unwrap();
+    let place = node as usize - 1;
+    let mut all = handles.lock().unwrap();
+    match all.get_mut(place) {
+        Some(old) => *old = handle,
+        None => all.push(handle),
+    }
+    let peers = Arc::clone(handles);
+    let (sender, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            match event {
+                VoterEvent::Send { to, message } => {
+                    let peer = peers.lock().unwrap().get(to.0 as usize - 1).cloned();
+                    if let Some(peer) = peer {
+                        peer.receive(Node(node), message);
                     }
-                    VoterEvent::Role { .. } | VoterEvent::Failed(_) => {}
                 }
+                VoterEvent::Committed { index, command, .. } => {
+                    let _ = sender.send((index, command));
+                }
+                VoterEvent::Install { index, snapshot } => {
+                    let _ = sender.send((index, snapshot));
+                }
+                VoterEvent::Role { .. } | VoterEvent::Failed(_) => {}
             }
-        });
-    }
-    Group { handles, commits }
+        }
+    });
+    receiver
+}
+
+fn handles(group: &Group) -> Vec<VoterHandle> {
+    group.handles.lock().unwrap().clone()
 }
 
 /// Proposes to whoever leads until the command is committed.
 async fn propose(group: &Group, command: &[u8]) -> u64 {
     let attempt = async {
         loop {
-            for handle in &group.handles {
+            for handle in handles(group) {
                 match handle.propose(command.to_vec()).await {
                     Ok(index) => return index,
                     Err(ProposeError::NotLeader(_) | ProposeError::Unknown) => {}
@@ -91,8 +119,8 @@
         propose(&group, &[n]).await;
     }
     commits_of(&mut group, 10).await;
-    assert!(group.handles[0].has_lease().await);
-    group.handles[0].stop().await;
+    assert!(handles(&group)[0].has_lease().await);
+    handles(&group)[0].stop().await;
     let mut group = start(root.path(), 1);
     commits_of(&mut group, 10).await;
 }
@@ -106,8 +134,73 @@
     }
     commits_of(&mut group, 10).await;
     let mut leases = 0;
-    for handle in &group.handles {
+    for handle in handles(&group) {
         leases += u32::from(handle.has_lease().await);
     }
     assert_eq!(leases, 1);
 }
+
+/// Waits until the voters are just those that run, with the folders of now.
+async fn repaired(group: &Group) {
+    let attempt = async {
+        loop {
+            let mut present = BTreeSet::new();
+            let mut voters = BTreeSet::new();
+            for handle in handles(group) {
+                let status = handle.status().await.unwrap();
+                present.insert(status.member);
+                if status.lease.is_some() && status.commit == status.last {
+                    voters = status.membership.voters;
+                }
+            }
+            if present == voters {
+                return;
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    time::timeout(PATIENCE, attempt).await.unwrap();
+}
+
+#[tokio::test]
+async fn two_disks_lost_in_turn_with_a_repair_between_lose_nothing() {
+    let root = tempfile::tempdir().unwrap();
+    let mut group = start(root.path(), 3);
+    for n in 0..10 {
+        propose(&group, &[n]).await;
+    }
+    commits_of(&mut group, 10).await;
+    for node in [1, 2] {
+        handles(&group)[node - 1].stop().await;
+        fs::remove_dir_all(root.path().join(format!("voter-{node}"))).unwrap();
+        group.commits[node - 1] = join(root.path(), node as u64, 3, &group.handles);
+        repaired(&group).await;
+    }
+    group.commits.pop();
+    commits_of(&mut group, 10).await;
+}
+
+#[tokio::test]
+async fn voter_that_missed_five_hundred_commits_gets_a_snapshot() {
+    let root = tempfile::tempdir().unwrap();
+    let mut group = start(root.path(), 3);
+    propose(&group, &[0]).await;
+    handles(&group)[1].stop().await;
+    for n in 0..500u64 {
+        propose(&group, &n.to_le_bytes()).await;
+    }
+    for handle in handles(&group) {
+        if let Some(status) = handle.status().await {
+            handle.snapshot(status.commit, b"state".to_vec()).await;
+        }
+    }
+    let last = propose(&group, b"last").await;
+    group.commits[1] = join(root.path(), 2, 3, &group.handles);
+    let mut seen = Vec::new();
+    while seen.last().is_none_or(|(index, _)| *index < last) {
+        let next = time::timeout(PATIENCE, group.commits[1].recv()).await;
+        seen.push(next.unwrap().unwrap());
+    }
+    assert_eq!(seen[0].1, b"state");
+    assert_eq!(seen.last().unwrap().1, b"last");
+}
