--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_key;
 mod test_once;
 mod test_quarantine;
+mod test_raft_rules;
 mod test_raft_scenarios;
 mod test_raft_schedules;
 mod test_settings;
