cornelraild: settings by the checked loader

In a trial of the README's three daemons none started: paths of the sample settings began at the working folder, not at the file's own, and the data folder was not tried before the start.

The daemon now reads its settings as the command does, through settings_file::load, and logs CR0004. Weighed: absolute paths in the samples, which cannot be committed.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,7 @@
 use cornelrail_node::process::{
     daemon,
     logging::{self, EventLog},
+    settings_file,
     telemetry::Telemetry,
 };
 use lexopt::{
@@ -11,7 +12,10 @@
     Parser,
 };
 use miette::{Diagnostic, IntoDiagnostic, Report, Result};
-use std::{fs, io, path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -31,18 +35,6 @@
         help("run `cornelraild SETTINGS.yaml`")
     )]
     Missing,
-    /// The settings file cannot be read.
-    #[error("cannot read {}: {source}", path.display())]
-    #[diagnostic(
-        code(cornelrail::arguments::file),
-        help("check the path and that this user may read the file")
-    )]
-    File {
-        /// The file.
-        path: PathBuf,
-        /// What the system said.
-        source: io::Error,
-    },
 }
 
 enum Wish {
@@ -63,12 +55,6 @@
     Ok(Wish::Run(file.ok_or(ArgumentError::Missing)?))
 }
 
-fn load(path: PathBuf) -> Result<Settings> {
-    let name = path.display().to_string();
-    let text = fs::read_to_string(&path).map_err(|source| ArgumentError::File { path, source })?;
-    Ok(Settings::parse(&text, &name)?)
-}
-
 fn fail(report: &Report, code: u8) -> ExitCode {
     eprintln!("{report:?}");
     ExitCode::from(code)
@@ -83,11 +69,11 @@
         Ok(Wish::Run(path)) => path,
         Err(report) => return fail(&report, EXIT_USAGE),
     };
-    let settings = match load(path) {
+    let settings = match settings_file::load(&path) {
         Ok(settings) => settings,
-        Err(report) => return fail(&report, EXIT_USAGE),
+        Err(error) => return fail(&error.into(), EXIT_USAGE),
     };
-    match run(settings) {
+    match run(settings, &path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             Event::StartFailed.log(format_args!("why={report}"));
@@ -96,8 +82,9 @@
     }
 }
 
-fn run(settings: Settings) -> Result<()> {
+fn run(settings: Settings, path: &Path) -> Result<()> {
     let _logger = logging::start(&settings.log)?;
+    Event::SettingsLoaded.log(format_args!("file={}", path.display()));
     let telemetry = Telemetry::install()?;
     let metrics = telemetry.metrics;
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
