operators: answers that pass between entries

A note sent to an entry that does not lead was committed, yet its sender got 'no leader answered': three daemons, note apply at entry 1, leader 2, CR0040 in every log and exit code 4.

The cause is NoteAnswer's internal tag: postcard cannot read it, so the leader's reply was dropped on its way. Ruled out: the leader's deadline (the log shows the commit 3 ms after the call). The answer in JSON is now {"accepted": {...}}. The effect of a note came with list marks and line breaks inside; it is now one sentence a line.

--- a/lib/src/process/operator_api.rs
+++ b/lib/src/process/operator_api.rs
@@ -6,6 +6,7 @@
 use crate::{
     name::{Epoch, Fence, Node, Service, Target, Version, Zone},
     version::{
+        effect::Effect,
         fleet::{Applied, NoteRecord, ServiceKind, TargetPhase, ZoneState},
         note_error::MAX_NOTE_BYTES,
     },
@@ -145,7 +146,7 @@
 
 /// Answer to a note that is only checked.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "result", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum CheckAnswer {
     /// It could be applied now.
     Fine {
@@ -176,7 +177,7 @@
 
 /// Answer to a note that was sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "result", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum NoteAnswer {
     /// It is committed, now or when it was first sent.
     Accepted {
@@ -273,3 +274,10 @@
     /// What is wrong, with the remedy.
     pub error: String,
 }
+
+/// What a note would do, a sentence a line.
+pub fn effect_lines(effect: &Effect) -> Vec<String> {
+    let changes = effect.changes.iter().map(|change| change.0.clone());
+    let services = effect.services.iter().map(ToString::to_string);
+    changes.chain(services).collect()
+}
--- a/node/src/process/control/operators.rs
+++ b/node/src/process/control/operators.rs
@@ -10,7 +10,7 @@
     name::{Service, Target, Version, Zone},
     process::operator_api::{
         CheckAnswer, EntryStatus, ExplainAnswer, InForceAnswer, NoteAnswer, ServiceStatus,
-        StatusAnswer, TargetStatus, ZoneStatus,
+        StatusAnswer, TargetStatus, ZoneStatus, effect_lines,
     },
     version::{
         explain::Explanation,
@@ -231,7 +231,7 @@
         Ok(effect) => CheckAnswer::Fine {
             version: fleet.version.next(),
             digest: note.digest(),
-            effect: effect.to_string().lines().map(str::to_owned).collect(),
+            effect: effect_lines(&effect),
         },
         Err(error) => refused(error.to_string()),
     }
