cornelraild: an error of the host names its place in the settings

An address in use named its key but neither file nor line, and a key under a flow mapping was placed at line 1: the new test of the program was red on 'entry.yaml:1' where line 12 holds the key.

Lines are now looked up under their section. Weighed: keeping locations in the typed Settings, which every reader of them would have to carry. The operators' address also closes connections that stay silent; it had only a limit on their number.

--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -41,11 +41,23 @@
 
 /// Runs the command to its end.
 pub(crate) fn run(args: &[&str]) -> Run {
+    finish(command(args))
+}
+
+/// Runs the command to its end in a folder, so that its output holds no path of the machine.
+pub(crate) fn run_in(folder: &Path, args: &[&str]) -> Run {
+    let mut command = command(args);
+    command.current_dir(folder);
+    finish(command)
+}
+
+/// Runs a prepared command to its end.
+pub(crate) fn finish(mut command: Command) -> Run {
     let Output {
         status,
         stdout,
         stderr,
-    } = command(args).output().expect("the command runs");
+    } = command.output().expect("the command runs");
     Run {
         code: status.code().expect("the command ends by itself"),
         out: String::from_utf8(stdout).expect("text"),
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -1,6 +1,6 @@
 //! Help, errors and exit codes of the command, as an operator sees them on a phone.
 
-use crate::support::{root, run};
+use crate::support::{root, run, run_in};
 use insta::assert_snapshot;
 use serde_json::Value;
 use std::{fs, os::unix::fs::PermissionsExt};
@@ -12,13 +12,13 @@
     "note", "status", "explain", "settings", "keys", "demo", "stand-in",
 ];
 
-/// Writes the first sample with one text replaced; gives its path.
-fn edited_sample(folder: &TempDir, from: &str, to: &str) -> String {
+/// A folder with the first sample, one text replaced, as `entry.yaml`.
+fn edited_sample(from: &str, to: &str) -> TempDir {
     let text = fs::read_to_string(root().join("sample/entry-1.yaml")).expect("the sample");
     assert!(text.contains(from));
-    let path = folder.path().join("entry.yaml");
-    fs::write(&path, text.replace(from, to)).expect("written");
-    path.to_str().expect("text").to_owned()
+    let folder = TempDir::new().expect("a folder");
+    fs::write(folder.path().join("entry.yaml"), text.replace(from, to)).expect("written");
+    folder
 }
 
 #[test]
@@ -43,21 +43,31 @@
 
 #[test]
 fn bad_settings_are_one_error_with_line_and_remedy() {
-    let folder = TempDir::new().expect("a folder");
-    let path = edited_sample(&folder, "zone: a\n", "zone: a\nzone: b\n");
-
-    let text = run(&["settings", "check", &path]);
-    let json = run(&["settings", "check", &path, "--json"]);
+    let edits = [
+        ("zone: a\n", "zone: a\nzone: b\n"),
+        ("fleet: sample", "flet: sample"),
+        ("data: data-1\n", ""),
+        ("127.0.0.1:7101", "localhost:7101"),
+        (
+            "operators:\n  - name",
+            "timing: {drift: 20}\noperators:\n  - name",
+        ),
+    ];
+    let args = ["settings", "check", "entry.yaml"];
+    let folders = edits.map(|(from, to)| edited_sample(from, to));
+
+    let screens = folders
+        .each_ref()
+        .map(|folder| run_in(folder.path(), &args).screen());
+    let json = run_in(
+        folders[0].path(),
+        &["settings", "check", "entry.yaml", "--json"],
+    );
 
     let json: Value = serde_json::from_str(&json.out).expect("one object");
     assert_eq!(json["code"], "cornelrail::settings::duplicate");
     assert_eq!(json["remedy"], "keep one of the two");
-    let screen = text
-        .screen()
-        .replace(folder.path().to_str().expect("text"), "/f");
-    assert!(screen.contains(":6:"), "{screen}");
-    assert_eq!(text.code, 1);
-    assert!(text.out.is_empty());
+    assert_snapshot!(screens.join("\n"));
 }
 
 #[test]
--- a/cli/tests/test_entry.rs
+++ b/cli/tests/test_entry.rs
@@ -1,6 +1,6 @@
 //! The command asks an entry and tells people and machines the same.
 
-use crate::support::{Run, command};
+use crate::support::{Run, command, finish};
 use cornelrail_lib::{
     name::{Node, Version},
     process::{
@@ -66,16 +66,11 @@
     }
 
     fn run_as(&self, token: &str, args: &[&str]) -> Run {
-        let output = command(args)
+        let mut command = command(args);
+        command
             .env("CORNELRAIL_TO", self.address.to_string())
-            .env("CORNELRAIL_TOKEN_FILE", self.folder.path().join(token))
-            .output()
-            .expect("the command runs");
-        Run {
-            code: output.status.code().expect("an exit code"),
-            out: String::from_utf8(output.stdout).expect("text"),
-            err: String::from_utf8(output.stderr).expect("text"),
-        }
+            .env("CORNELRAIL_TOKEN_FILE", self.folder.path().join(token));
+        finish(command)
     }
 
     fn run(&self, args: &[&str]) -> Run {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,9 +2,9 @@
 
 use cornelrail_lib::process::{event::Event, settings::Settings};
 use cornelrail_node::process::{
-    daemon,
+    daemon::{self, DaemonError},
     logging::{self, EventLog},
-    settings_file,
+    settings_file::{self, LoadError},
     telemetry::Telemetry,
 };
 use lexopt::{
@@ -19,8 +19,8 @@
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
-const HELP: &str = "cornelraild: the cornelrail daemon of an entry host
-usage: cornelraild SETTINGS.yaml";
+const HELP: &str = "cornelraild SETTINGS.yaml [--help]
+the daemon of one entry host";
 
 /// Exit code for bad arguments or settings.
 const EXIT_USAGE: u8 = 2;
@@ -82,6 +82,21 @@
     }
 }
 
+/// Adds the place in the settings to the error of an address.
+fn located(error: DaemonError, path: &Path) -> Report {
+    match error {
+        DaemonError::Listen {
+            name,
+            address,
+            source,
+        } => {
+            Event::AddressInUse.log(format_args!("listen={name} address={address}"));
+            LoadError::listen(path, name, address, source).into()
+        }
+        other => other.into(),
+    }
+}
+
 fn run(settings: Settings, path: &Path) -> Result<()> {
     let _logger = logging::start(&settings.log)?;
     Event::SettingsLoaded.log(format_args!("file={}", path.display()));
@@ -92,7 +107,9 @@
         tokio::spawn(Telemetry::upkeep(metrics.clone()));
         let mut term = signal(SignalKind::terminate()).into_diagnostic()?;
         let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
-        let daemon = daemon::start(settings, metrics).await?;
+        let daemon = daemon::start(settings, metrics)
+            .await
+            .map_err(|error| located(error, path))?;
         tokio::select! {
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
--- a/node/src/process/operator/mod.rs
+++ b/node/src/process/operator/mod.rs
@@ -19,7 +19,7 @@
 };
 use gate::Shared;
 use metrics_exporter_prometheus::PrometheusHandle;
-use salvo::{Router, Server, Service, conn::tcp::TcpAcceptor};
+use salvo::{Router, Server, Service, conn::tcp::TcpAcceptor, fuse::FuseConfig};
 use std::{future::Future, io, time::Duration};
 use tokio::net::TcpListener;
 
@@ -37,7 +37,9 @@
     shutdown: impl Future<Output = ()> + Send + 'static,
 ) -> io::Result<()> {
     let acceptor = TcpAcceptor::try_from(listener)?;
-    let server = Server::new(acceptor).max_connections(CONNECTIONS_MAX);
+    let server = Server::new(acceptor)
+        .fuse_config(FuseConfig::strict())
+        .max_connections(CONNECTIONS_MAX);
     let stop = server.handle();
     let watcher = tokio::spawn(async move {
         shutdown.await;
--- a/node/src/process/settings_file.rs
+++ b/node/src/process/settings_file.rs
@@ -5,6 +5,7 @@
 use std::{
     fs::{self, File},
     io::{self, Read},
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 use thiserror::Error;
@@ -77,6 +78,38 @@
         /// Why.
         fault: io::Error,
     },
+    /// An address cannot be listened on.
+    #[error("{}:{line}: `listen.{key}`: cannot listen on {address}: {fault}", settings.display())]
+    #[diagnostic(
+        code(cornelrail::settings::listen),
+        help("end the process that holds the address, or set another one")
+    )]
+    Listen {
+        /// The settings file.
+        settings: PathBuf,
+        /// Line of the key.
+        line: usize,
+        /// Key of the value.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        fault: io::Error,
+    },
+}
+
+impl LoadError {
+    /// The error of an address that cannot be listened on; `key` is its key under `listen`.
+    pub fn listen(path: &Path, key: &'static str, address: SocketAddr, fault: io::Error) -> Self {
+        let text = fs::read_to_string(path).unwrap_or_default();
+        LoadError::Listen {
+            settings: path.to_owned(),
+            line: line_of(&text, "listen", key),
+            key,
+            address,
+            fault,
+        }
+    }
 }
 
 /// Reads a settings file and checks it, without a look at the host. Relative paths in it start at
@@ -137,7 +170,7 @@
     for (key, file) in files {
         File::open(file).map_err(|fault| LoadError::Key {
             settings: path.to_owned(),
-            line: line_of(text, key),
+            line: line_of(text, "tls", key),
             key,
             path: file.clone(),
             fault,
@@ -152,7 +185,7 @@
     };
     try_folder(folder).map_err(|fault| LoadError::Data {
         settings: path.to_owned(),
-        line: line_of(text, "data"),
+        line: line_of(text, "data", "data"),
         path: folder.clone(),
         fault,
     })
@@ -166,11 +199,24 @@
     fs::remove_file(&trial)
 }
 
-/// Line of the first key of this name, from 1.
-fn line_of(text: &str, key: &str) -> usize {
-    let is_key = |line: &str| {
-        let rest = line.trim_start().strip_prefix(key);
-        rest.is_some_and(|rest| rest.starts_with(':'))
-    };
-    text.lines().position(is_key).map_or(1, |line| line + 1)
+/// Line of a key, from 1; `section` is the key that it stands under, or is the key itself.
+fn line_of(text: &str, section: &str, key: &str) -> usize {
+    let is_section = |line: &&str| holds_key(line, section) && !line.starts_with([' ', '#']);
+    let lines = || text.lines().enumerate();
+    let start = lines()
+        .find(|(_, line)| is_section(line))
+        .map_or(0, |(i, _)| i);
+    lines()
+        .skip(start)
+        .find(|(_, line)| holds_key(line, key))
+        .map_or(start + 1, |(i, _)| i + 1)
+}
+
+/// Whether a line holds `key:` as a word of its own.
+fn holds_key(line: &str, key: &str) -> bool {
+    line.match_indices(key).any(|(at, _)| {
+        let before = line[..at].chars().next_back();
+        let is_start = !before.is_some_and(|c| c.is_alphanumeric() || matches!(c, '_' | '/' | '#'));
+        is_start && line[at + key.len()..].starts_with(':')
+    })
 }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -3,4 +3,5 @@
 mod test_docs;
 mod test_logging;
 mod test_operator;
+mod test_program;
 mod test_voter;
