--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,11 +6,11 @@
 mod raft_cluster;
 mod seeded;
 mod test_controller;
-#[allow(dead_code, reason = "the dispatch bench uses the rest")]
 mod test_dispatch;
 mod test_health;
 mod test_key;
 mod test_once;
+mod test_operator_api;
 mod test_quarantine;
 mod test_raft_rules;
 mod test_raft_scenarios;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,8 +2,9 @@
 
 use cornelrail_lib::process::{event::Event, settings::Settings};
 use cornelrail_node::process::{
-    daemon,
+    daemon::{self, DaemonError},
     logging::{self, EventLog},
+    settings_file::{self, LoadError},
     telemetry::Telemetry,
 };
 use lexopt::{
@@ -11,12 +12,15 @@
     Parser,
 };
 use miette::{Diagnostic, IntoDiagnostic, Report, Result};
-use std::{fs, io, path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
-const HELP: &str = "cornelraild: the cornelrail daemon of an entry host
-usage: cornelraild SETTINGS.yaml";
+const HELP: &str = "cornelraild SETTINGS.yaml [--help]
+the daemon of one entry host";
 
 /// Exit code for bad arguments or settings.
 const EXIT_USAGE: u8 = 2;
@@ -31,18 +35,6 @@
         help("run `cornelraild SETTINGS.yaml`")
     )]
     Missing,
-    /// The settings file cannot be read.
-    #[error("cannot read {}: {source}", path.display())]
-    #[diagnostic(
-        code(cornelrail::arguments::file),
-        help("check the path and that this user may read the file")
-    )]
-    File {
-        /// The file.
-        path: PathBuf,
-        /// What the system said.
-        source: io::Error,
-    },
 }
 
 enum Wish {
@@ -63,12 +55,6 @@
     Ok(Wish::Run(file.ok_or(ArgumentError::Missing)?))
 }
 
-fn load(path: PathBuf) -> Result<Settings> {
-    let name = path.display().to_string();
-    let text = fs::read_to_string(&path).map_err(|source| ArgumentError::File { path, source })?;
-    Ok(Settings::parse(&text, &name)?)
-}
-
 fn fail(report: &Report, code: u8) -> ExitCode {
     eprintln!("{report:?}");
     ExitCode::from(code)
@@ -83,11 +69,11 @@
         Ok(Wish::Run(path)) => path,
         Err(report) => return fail(&report, EXIT_USAGE),
     };
-    let settings = match load(path) {
+    let settings = match settings_file::load(&path) {
         Ok(settings) => settings,
-        Err(report) => return fail(&report, EXIT_USAGE),
+        Err(error) => return fail(&error.into(), EXIT_USAGE),
     };
-    match run(settings) {
+    match run(settings, &path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             Event::StartFailed.log(format_args!("why={report}"));
@@ -96,8 +82,24 @@
     }
 }
 
-fn run(settings: Settings) -> Result<()> {
+/// Adds the place in the settings to the error of an address.
+fn located(error: DaemonError, path: &Path) -> Report {
+    match error {
+        DaemonError::Listen {
+            name,
+            address,
+            source,
+        } => {
+            Event::AddressInUse.log(format_args!("listen={name} address={address}"));
+            LoadError::listen(path, name, address, source).into()
+        }
+        other => other.into(),
+    }
+}
+
+fn run(settings: Settings, path: &Path) -> Result<()> {
     let _logger = logging::start(&settings.log)?;
+    Event::SettingsLoaded.log(format_args!("file={}", path.display()));
     let telemetry = Telemetry::install()?;
     let metrics = telemetry.metrics;
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
@@ -105,7 +107,9 @@
         tokio::spawn(Telemetry::upkeep(metrics.clone()));
         let mut term = signal(SignalKind::terminate()).into_diagnostic()?;
         let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
-        let daemon = daemon::start(settings, metrics).await?;
+        let daemon = daemon::start(settings, metrics)
+            .await
+            .map_err(|error| located(error, path))?;
         tokio::select! {
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
