ownership: proofs by properties and scenarios, controller in parts

Random commands check cover, single ownership, fences, homes and the version after every step; a closed loop of controller, fleet and ideal entries under random kills, leaves, zone changes and leader changes checks that every key is served again within 1 s and that the controller then rests. Notes have scenarios for the race, the resend and every refusal, and a property over replays and restarts. A first form of the closed-loop test demanded rest after 40 s and was red on budgeted moves still under way, not on a fault; it now waits for rest within the time in which the budget moves every key.

--- a/lib/src/version/apply.rs
+++ b/lib/src/version/apply.rs
@@ -166,9 +166,10 @@
         let ended = self
             .life_mut(target, incarnation)
             .is_some_and(|state| state.phase != TargetPhase::Serving);
-        if !ended || self.holds_ranges(target) {
+        if !ended {
             return false;
         }
+        self.take_away(target, Cause::OwnerLost);
         self.targets.remove(target);
         self.refresh_pools();
         true
@@ -374,7 +375,9 @@
         let mut services = std::mem::take(&mut self.services);
         for (name, state) in &mut services {
             if state.settings.kind == ServiceKind::Pool {
-                state.home = self.serving(name).find_map(|(_, target)| target.home);
+                state.home = self
+                    .serving(name.as_str())
+                    .find_map(|(_, target)| target.home);
             }
         }
         self.services = services;
--- a/lib/src/version/assigner/mod.rs
+++ b/lib/src/version/assigner/mod.rs
@@ -8,6 +8,7 @@
     key::{KeyHash, KeyRange},
     name::{Target, Zone},
     process::settings::Assigner,
+    version::report::Peak,
 };
 
 /// Who holds a range, as far as the assigner cares.
@@ -32,6 +33,8 @@
     pub moving: bool,
     /// Its measured load, in requests a second.
     pub rate: f64,
+    /// Its busiest key, if it is known.
+    pub peak: Option<Peak>,
 }
 
 /// One target that may be given ranges.
--- a/lib/src/version/assigner/weighted.rs
+++ b/lib/src/version/assigner/weighted.rs
@@ -6,10 +6,7 @@
 //! split so that they can move alone, cold neighbours of one owner are joined.
 
 use super::{Holder, Placement, Plan, RangeView, TargetView, View};
-use crate::{
-    key::{KeyHash, KeyRange},
-    name::Zone,
-};
+use crate::{key::KeyHash, name::Zone};
 use std::collections::BTreeMap;
 
 /// Part of a range's weight that follows its measured load, where there is any.
@@ -22,10 +19,14 @@
 const HIGH_UTILIZATION: f64 = 1.1;
 /// Utilization, over a mean of 1, below which a target is given ranges.
 const LOW_UTILIZATION: f64 = 0.9;
+/// Targets above their goals from which a move for balance is sought.
+const DONORS_TRIED: usize = 4;
 /// Moves for balance in one plan.
 const BALANCE_MOVES: usize = 8;
 /// Weight above which a range is split, as a part of the mean weight of a target.
 const SPLIT_ABOVE: f64 = 0.2;
+/// Part of a range's load from which on its busiest key is cut out.
+const PEAK_PART: f64 = 0.5;
 /// Weight of two neighbours below which they are joined, as a part of the mean weight of a target.
 const MERGE_BELOW: f64 = 0.05;
 /// Ranges for each target, above which cold neighbours are joined.
@@ -179,16 +180,24 @@
         }
     }
 
+    /// The move that removes most imbalance for the keys moved, from one of the targets that are
+    /// furthest above their goals to the one that is furthest below.
     fn best_move(&self, churn: f64) -> Option<(usize, usize)> {
-        let targets = 0..self.goals.len();
         let order = |a: &usize, b: &usize| self.utilization(*a).total_cmp(&self.utilization(*b));
-        let from = targets.clone().max_by(order)?;
-        let to = targets.min_by(order)?;
+        let mut targets: Vec<usize> = (0..self.goals.len()).collect();
+        targets.sort_by(order);
+        let (to, from) = (*targets.first()?, *targets.last()?);
         let even =
             self.utilization(from) < HIGH_UTILIZATION && self.utilization(to) > LOW_UTILIZATION;
-        if from == to || even {
+        if even {
             return None;
         }
+        let donors = targets.iter().rev().take(DONORS_TRIED);
+        let mut donors = donors.filter(|from| self.utilization(**from) > 1.0 && **from != to);
+        donors.find_map(|from| Some((self.best_range(*from, to, churn)?, to)))
+    }
+
+    fn best_range(&self, from: usize, to: usize, churn: f64) -> Option<usize> {
         let movable = |place: &usize| {
             let range = &self.view.ranges[*place];
             self.holders[*place] == Holder::Target(from)
@@ -202,7 +211,7 @@
         };
         let places = (0..self.view.ranges.len()).filter(movable);
         let best = places.max_by(|a, b| value(*a).total_cmp(&value(*b)))?;
-        (value(best) > 0.0).then_some((best, to))
+        (value(best) > 0.0).then_some(best)
     }
 
     /// Imbalance removed by moving a weight: the fall of the squared distances from the goals.
@@ -221,8 +230,8 @@
             let range = self.view.ranges[*place].range;
             self.weights[*place] > limit && !plan.moves.iter().any(|m| m.range == range)
         });
-        let middles = hot.map(|place| middle(&self.view.ranges[place].range));
-        plan.splits = middles.take(CUTS_PER_PLAN).collect();
+        let cuts = hot.flat_map(|place| cuts(&self.view.ranges[place]));
+        plan.splits = cuts.take(CUTS_PER_PLAN).collect();
     }
 
     fn merge_cold(&self, plan: &mut Plan) {
@@ -246,7 +255,18 @@
     }
 }
 
-fn middle(range: &KeyRange) -> KeyHash {
-    let (first, last) = (range.first().0, range.last().0);
-    KeyHash(first + (last - first) / 2 + 1)
+/// Where to cut a hot range: around a key that makes up half of its load, else in the middle.
+fn cuts(view: &RangeView) -> Vec<KeyHash> {
+    let (first, last) = (view.range.first().0, view.range.last().0);
+    let alone = view.peak.filter(|peak| peak.rate >= view.rate * PEAK_PART);
+    let Some(peak) = alone else {
+        return vec![KeyHash(first + (last - first) / 2 + 1)];
+    };
+    let above = peak.hash.0.checked_add(1).map(KeyHash);
+    let around = [Some(peak.hash), above];
+    around
+        .into_iter()
+        .flatten()
+        .filter(|at| view.range.split(*at).is_some())
+        .collect()
 }
--- a/lib/src/version/command.rs
+++ b/lib/src/version/command.rs
@@ -72,7 +72,7 @@
         /// The life that leaves; a later one is not touched.
         incarnation: Incarnation,
     },
-    /// A drained or lost target that owns nothing is forgotten.
+    /// A lost target, or a drained one without a request in flight, is forgotten.
     Remove {
         /// The target.
         target: Target,
--- a/lib/src/version/effect.rs
+++ b/lib/src/version/effect.rs
@@ -289,9 +289,11 @@
 
 fn compare_services(before: &Fleet, after: &Fleet) -> Vec<ServiceEffect> {
     let slots = |fleet: &Fleet, name: &Service| {
-        fleet.serving(name).fold((0, 0), |(count, slots), (_, t)| {
-            (count + 1, slots + t.info.slots)
-        })
+        fleet
+            .serving(name.as_str())
+            .fold((0, 0), |(count, slots), (_, t)| {
+                (count + 1, slots + t.info.slots)
+            })
     };
     let names = before.services.keys();
     names
--- a/lib/src/version/fleet.rs
+++ b/lib/src/version/fleet.rs
@@ -249,15 +249,23 @@
             ServiceKind::Pool => state
                 .home
                 .map_or(Route::Unserved, |home| Route::Pool { home }),
-            ServiceKind::Keyed => self.route_keyed(state, hash),
+            ServiceKind::Keyed => self.route_keyed(service, state, hash),
         }
     }
 
-    fn route_keyed<'a>(&'a self, state: &'a ServiceState, hash: KeyHash) -> Route<'a> {
+    fn route_keyed<'a>(
+        &'a self,
+        service: &str,
+        state: &'a ServiceState,
+        hash: KeyHash,
+    ) -> Route<'a> {
         let assignment = &state.ranges[range_table::position(&state.ranges, hash)];
         let (Some(owner), None) = (&assignment.owner, &assignment.next) else {
             return Route::Unserved;
         };
+        if self.is_stranded(service, owner) {
+            return Route::Unserved;
+        }
         match self.targets.get(owner).and_then(|target| target.home) {
             Some(home) => Route::Keyed {
                 target: owner,
@@ -268,6 +276,11 @@
         }
     }
 
+    /// Whether the target has to be emptied and no other one may take its ranges over.
+    fn is_stranded(&self, service: &str, owner: &Target) -> bool {
+        !self.may_serve(owner) && self.serving(service).next().is_none()
+    }
+
     /// Targets that the entry commands, draining ones included.
     pub fn targets_of_home(&self, node: Node) -> impl Iterator<Item = (&Target, &TargetState)> {
         self.targets
@@ -283,6 +296,9 @@
         let Some(service) = self.services.get(&state.info.service) else {
             return Vec::new();
         };
+        if self.is_stranded(state.info.service.as_str(), target) {
+            return Vec::new();
+        }
         service
             .ranges
             .iter()
@@ -307,9 +323,9 @@
     }
 
     /// Targets of a service that may be given work.
-    pub fn serving(&self, service: &Service) -> impl Iterator<Item = (&Target, &TargetState)> {
+    pub fn serving(&self, service: &str) -> impl Iterator<Item = (&Target, &TargetState)> {
         self.targets.iter().filter(move |(_, state)| {
-            state.info.service == *service
+            state.info.service.as_str() == service
                 && state.phase == TargetPhase::Serving
                 && self.zone_serves(&state.info.zone)
         })
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as one version of the fleet's state.
 
-pub mod apply;
+pub mod admission;
+mod apply;
 pub mod assigner;
 pub mod command;
 pub mod controller;
@@ -12,5 +13,6 @@
 mod moves;
 pub mod note;
 pub mod note_error;
+mod placement;
 mod range_table;
 pub mod report;
--- a/lib/src/version/note.rs
+++ b/lib/src/version/note.rs
@@ -201,9 +201,12 @@
     }
 }
 
+/// First line of the parser's message, without the place, which stands before it.
 fn plain_detail(error: &YamlError) -> String {
     let text = error.to_string();
-    text.lines().next().unwrap_or_default().to_owned()
+    let line = text.lines().next().unwrap_or_default();
+    let end = line.find(" at line ").unwrap_or(line.len());
+    line[..end].to_owned()
 }
 
 #[derive(Debug, Deserialize)]
--- a/lib/src/version/report.rs
+++ b/lib/src/version/report.rs
@@ -2,7 +2,7 @@
 
 use super::command::Move;
 use crate::{
-    key::KeyRange,
+    key::{KeyHash, KeyRange},
     name::{Incarnation, Node, Service, Target, Version, Zone},
 };
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,15 @@
     pub incarnation: Incarnation,
 }
 
+/// The busiest key of a range.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Peak {
+    /// The key's hash.
+    pub hash: KeyHash,
+    /// Its requests a second.
+    pub rate: f64,
+}
+
 /// Load of one range as its owner's home measured it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RangeLoad {
@@ -27,6 +36,8 @@
     pub rate: f64,
     /// Time that a slow request took, in milliseconds: the 95th percentile.
     pub slow_ms: f64,
+    /// Its busiest key, if the home knows it.
+    pub peak: Option<Peak>,
 }
 
 /// What an entry tells the leader; it is the entry's heartbeat too.
--- a/lib/tests/model/mod.rs
+++ b/lib/tests/model/mod.rs
@@ -162,6 +162,33 @@
         }
     }
 
+    /// Kills an entry.
+    pub fn crash_entry(&mut self, number: u64) {
+        if let Some(entry) = self.entries.get_mut(&Node(number)) {
+            entry.alive = false;
+        }
+    }
+
+    /// Starts a dead entry again, as a new life that has the log.
+    pub fn raise_entry(&mut self, number: u64) {
+        let index = self.fleet.index;
+        if let Some(entry) = self.entries.get_mut(&Node(number)).filter(|e| !e.alive) {
+            entry.alive = true;
+            entry.incarnation = entry.incarnation.next();
+            entry.applied = index;
+        }
+    }
+
+    /// Takes a zone out or brings it back, whatever that leaves.
+    pub fn toggle_zone(&mut self, zone: &str) {
+        let serves = self.fleet.zone_serves(&Zone::from(zone));
+        let state = if serves { "out" } else { "in" };
+        let version = self.fleet.version;
+        self.note(&format!(
+            "builds_on: {version}\nchanged: {{zones: {{{zone}: {state}}}}}\nallow: [last-zone, no-targets]"
+        ));
+    }
+
     /// Lets a target ask to leave.
     pub fn leave(&mut self, name: &str) {
         let Some(machine) = self.machines.get(name) else {
@@ -311,6 +338,7 @@
                 range: grant.range,
                 rate: self.rate_of(&grant.range),
                 slow_ms: 10.0,
+                peak: None,
             })
             .collect()
     }
@@ -364,7 +392,7 @@
     pub fn imbalance(&self) -> f64 {
         let serving: Vec<f64> = self
             .fleet
-            .serving(&Service::from(SERVICE))
+            .serving(SERVICE)
             .map(|(name, _)| self.load_of(name))
             .collect();
         let mean = serving.iter().sum::<f64>() / serving.len().max(1) as f64;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,5 +2,7 @@
 
 mod model;
 mod test_controller;
+mod test_fleet;
 mod test_key;
+mod test_note;
 mod test_unit;
--- a/lib/tests/test_controller.rs
+++ b/lib/tests/test_controller.rs
@@ -1,9 +1,11 @@
 //! The controller and the fleet in a closed loop: after any loss every key is served again.
 
-use crate::model::Model;
-use cornelrail_lib::process::settings::Assigner;
+use crate::model::{Model, zone_of};
+use cornelrail_lib::{name::Target, process::settings::Assigner};
+use quickcheck::{QuickCheck, TestResult};
 use std::time::Duration;
 
+const RECOVERIES: u64 = 24;
 const LIMIT: Duration = Duration::from_secs(1);
 
 #[test]
@@ -20,11 +22,8 @@
 #[test]
 fn a_killed_entrys_targets_are_served_again_within_a_second() {
     let mut model = Model::with_targets(Assigner::Weighted, 20);
-    model
-        .entries
-        .values_mut()
-        .take(2)
-        .for_each(|e| e.alive = false);
+    model.crash_entry(1);
+    model.crash_entry(2);
     let took = model.run_until(Duration::from_secs(5), Model::is_whole);
     assert!(took.is_some_and(|t| t <= LIMIT), "{took:?}");
 }
@@ -79,3 +78,72 @@
     );
     assert!(model.imbalance() < 1.2, "imbalance {}", model.imbalance());
 }
+
+/// One random fault or change.
+fn disturb(model: &mut Model, kind: u8, which: u8) {
+    let number = u64::from(which % 9) + 1;
+    let name = format!("w-{number:02}");
+    let life = u64::from(which) + 1000 * model.fleet.index;
+    match kind % 9 {
+        0 | 1 => model.kill(&name),
+        2 => model.start(&name, zone_of(number).as_str(), life),
+        3 => model.crash_entry(number),
+        4 => model.raise_entry(number),
+        5 => model.leave(&name),
+        6 => model.change_leader(),
+        7 => model.toggle_zone(zone_of(number).as_str()),
+        _ => {
+            model.stuck.insert(Target::from(name.as_str()));
+        }
+    }
+}
+
+/// Ends the faults that last: one target and one entry in each zone that serves.
+fn mend(model: &mut Model) {
+    model.stuck.clear();
+    for number in 1..=3 {
+        model.raise_entry(number);
+        let zone = zone_of(number);
+        model.start(&format!("fresh-{number}"), zone.as_str(), 1);
+        if !model.fleet.zone_serves(&zone) {
+            model.toggle_zone(zone.as_str());
+        }
+    }
+}
+
+/// Whether a few seconds pass without a command before the churn budget could have moved every key.
+fn comes_to_rest(model: &mut Model) -> bool {
+    (0..20).any(|_| {
+        let count = model.commands.len();
+        model.run(SECONDS);
+        model.commands.len() == count
+    })
+}
+
+/// Runs the faults, mends them, and says which rule of recovery was broken.
+fn recover(faults: Vec<(u8, u8, u8)>) -> TestResult {
+    let mut model = Model::new(Assigner::Weighted);
+    (1..=9).for_each(|number| model.start(&format!("w-{number:02}"), zone_of(number).as_str(), 1));
+    model.run(LIMIT);
+    for (kind, which, pause) in faults.iter().take(40) {
+        disturb(&mut model, *kind, *which);
+        model.run(Duration::from_millis(u64::from(*pause) * 4));
+    }
+    mend(&mut model);
+    let whole = model.run_until(2 * LIMIT, Model::is_whole);
+    if whole.is_none_or(|took| took > LIMIT) {
+        return TestResult::error(format!("whole after {whole:?}"));
+    }
+    if !comes_to_rest(&mut model) || model.is_moving() || model.imbalance() > 1.3 {
+        return TestResult::error(format!("no rest: imbalance {}", model.imbalance()));
+    }
+    TestResult::from_bool(model.is_whole())
+}
+
+/// After any faults every key is served within a second of the last one, and then the controller
+/// comes to rest.
+#[test]
+fn the_fleet_repairs_itself() {
+    let recover: fn(Vec<(u8, u8, u8)>) -> TestResult = recover;
+    QuickCheck::new().tests(RECOVERIES).quickcheck(recover);
+}
