home: hot keys are named in the load reports

Cause: the assigner isolates a range's busiest key, and no home told it. Change: a majority vote over a range's arrivals names the key that has more than half.

--- a/lib/tests/test_controller.rs
+++ b/lib/tests/test_controller.rs
@@ -2,7 +2,7 @@
 
 use crate::model::{Model, zone_of};
 use cornelrail_lib::{name::Target, process::settings::Assigner};
-use quickcheck::{QuickCheck, TestResult};
+use quickcheck::TestResult;
 use std::time::Duration;
 
 const RECOVERIES: u64 = 24;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -9,7 +9,7 @@
         fleet::{Applied, Assignment, Fleet, Route, TargetPhase},
     },
 };
-use quickcheck::{TestResult, quickcheck};
+use quickcheck::TestResult;
 
 const SERVICE: &str = "payroll-core";
 const POOL_NOTE: &str = "builds_on: 1\nadded: {services: {doc-intake: {kind: pool}}}";
--- a/lib/tests/test_note.rs
+++ b/lib/tests/test_note.rs
@@ -8,7 +8,7 @@
     note::Note,
     note_error::{MAX_NOTE_BYTES, NoteError},
 };
-use quickcheck::{TestResult, quickcheck};
+use quickcheck::TestResult;
 use std::fmt::Write;
 
 fn apply(fleet: &mut Fleet, command: Command) -> Applied {
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -1,6 +1,6 @@
 //! The targets whose home this entry is: their connections, leases and grants.
 
-use super::{exchange::Permit, home::Open};
+use super::{exchange::Permit, home::Open, tally::Tally};
 use crate::{connection::target::TargetLink, process::clock::Clock, version::view::View};
 use cornelrail_lib::{
     connection::{
@@ -15,7 +15,7 @@
     version::{
         command::{Announcement, Move},
         fleet::{Fleet, Route, TargetPhase, TargetState},
-        report::{GoneTarget, RangeLoad, Report},
+        report::{GoneTarget, Report},
     },
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -79,14 +79,6 @@
     pending: Vec<Grant>,
 }
 
-/// Arrivals in one range since the last report.
-#[derive(Debug, Clone)]
-struct Count {
-    service: Service,
-    range: KeyRange,
-    arrivals: u64,
-}
-
 /// All targets whose home this entry is.
 #[derive(Debug)]
 pub(super) struct HeldTargets {
@@ -96,8 +88,7 @@
     held: BTreeMap<Target, Held>,
     fleet: Arc<Fleet>,
     moving: bool,
-    counts: Vec<Count>,
-    counted: Moment,
+    tally: Tally,
 }
 
 impl HeldTargets {
@@ -115,8 +106,7 @@
             held: BTreeMap::new(),
             fleet: Arc::default(),
             moving: false,
-            counts: Vec::new(),
-            counted: Moment::ZERO,
+            tally: Tally::default(),
         }
     }
 
@@ -341,23 +331,8 @@
         if open.keyed.is_none() {
             return;
         }
-        if self.counts.is_empty() {
-            self.counted = now;
-        }
-        let Some(range) = self.range_of(&open.service, open.hash) else {
-            return;
-        };
-        let found = self
-            .counts
-            .iter_mut()
-            .find(|count| count.range == range && count.service == open.service);
-        match found {
-            Some(count) => count.arrivals += 1,
-            None => self.counts.push(Count {
-                service: open.service.clone(),
-                range,
-                arrivals: 1,
-            }),
+        if let Some(range) = self.range_of(&open.service, open.hash) {
+            self.tally.count(now, &open.service, range, open.hash);
         }
     }
 
@@ -380,7 +355,7 @@
     ) {
         report.gone = self.gone(now);
         report.quiet = self.quiet(now, view, open);
-        report.loads = self.loads(now);
+        report.loads = self.tally.take(now);
         report.busy = self.busy(open);
         report.idle = self.idle(open);
     }
@@ -436,22 +411,6 @@
         !named || matches!(held.lease.tie(now), Tie::Gone | Tie::Restarted(_))
     }
 
-    fn loads(&mut self, now: Moment) -> Vec<RangeLoad> {
-        let span = now.since(self.counted).as_secs_f64();
-        if span < 1.0 {
-            return Vec::new();
-        }
-        self.counts
-            .drain(..)
-            .map(|count| RangeLoad {
-                service: count.service,
-                range: count.range,
-                rate: count.arrivals as f64 / span,
-                slow_ms: 0.0,
-            })
-            .collect()
-    }
-
     /// Targets that requests still run on though this entry commands them no longer.
     fn busy(&self, open: &BTreeMap<RequestId, Open>) -> Vec<Target> {
         let mut busy: Vec<Target> = open
--- a/node/src/request/mod.rs
+++ b/node/src/request/mod.rs
@@ -11,3 +11,4 @@
 pub mod message;
 pub mod route;
 pub mod serve;
+mod tally;
