lease: a target that is gone is found gone

Cause: every order to a silent target put off the end of the lease that it might believe to hold, and orders went on, so its ranges were never taken away. A killed one-voter fleet showed it: a lost target owned its keys for 30 s and more. Ruled out: the controller, which had no report of the loss. Change: after two misses the orders grant nothing until one is answered, and an order that certainly was not sent extends nothing; a silent link to a peer is made anew after 500 ms instead of 1500 ms. The property in test_health took an order of no length for a lease until its arrival; it now takes it for none.

--- a/lib/src/connection/lease.rs
+++ b/lib/src/connection/lease.rs
@@ -223,6 +223,15 @@
         self.tie(now)
     }
 
+    /// Takes in that order `serial` certainly did not arrive.
+    pub fn unsent(&mut self, now: Moment, serial: u64) -> Tie {
+        let sent = self.outstanding.take_if(|order| order.serial == serial);
+        if sent.is_some() {
+            self.misses += 1;
+        }
+        self.tie(now)
+    }
+
     /// Condition of the tie now.
     pub fn tie(&self, now: Moment) -> Tie {
         if let Some(verdict) = self.verdict {
@@ -250,7 +259,13 @@
     }
 
     /// Length that may be granted: it ends within the entry's own lease at the latest arrival.
+    ///
+    /// A target that misses orders is sent orders of no length until it answers one. Each order
+    /// with a length would put off the end of what it may believe to hold.
     fn grantable(&self, now: Moment, entry: &EntryLease) -> Option<Duration> {
+        if self.misses >= SUSPECT_MISSES {
+            return entry.valid(now).then_some(Duration::ZERO);
+        }
         let left = entry.until()?.since(now + self.timing.timeout);
         let lease = self.timing.lease.min(left);
         (lease >= self.timing.heartbeat).then_some(lease)
@@ -259,6 +274,11 @@
     fn accept(&mut self, now: Moment, order: &Outstanding, warmth: Warmth) {
         self.misses = 0;
         self.warmth = warmth;
+        if order.lease.is_zero() {
+            // It is back; the next order grants.
+            self.due = now;
+            return;
+        }
         self.confirmed = self.confirmed.max(Some(order.sent + order.lease));
         self.accepted_end = self.accepted_end.max(now + order.lease);
     }
@@ -270,6 +290,9 @@
     }
 
     fn latest_end(&self, order: &Outstanding) -> Moment {
+        if order.lease.is_zero() {
+            return order.sent;
+        }
         order.sent + self.timing.timeout + order.lease
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_fleet;
 mod test_health;
 mod test_key;
+mod test_lease;
 mod test_note;
 mod test_once;
 mod test_operator_api;
--- a/lib/tests/test_health.rs
+++ b/lib/tests/test_health.rs
@@ -70,7 +70,10 @@
                 if rng.random_range(0..4) > 0 {
                     let end = arrival + order.lease;
                     assert!(entry.until().is_some_and(|e| end <= e));
-                    target_end = target_end.max(end);
+                    // An order of no length grants nothing.
+                    if !order.lease.is_zero() {
+                        target_end = target_end.max(end);
+                    }
                     let answered = (rng.random_range(0..4) > 0).then_some(arrival);
                     flights.push((end, answered, order.serial));
                 }
--- /dev/null
+++ b/lib/tests/test_lease.rs
@@ -0,0 +1,110 @@
+//! A home's lease on a target ends in time, whatever becomes of its orders.
+
+use cornelrail_lib::{
+    connection::{
+        lease::{EntryLease, HomeLease, LeaseTiming, Tie},
+        order::{LeaseAnswer, Warmth},
+    },
+    moment::Moment,
+    name::{Epoch, Incarnation, Target},
+};
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(10);
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+fn timing() -> LeaseTiming {
+    LeaseTiming {
+        heartbeat: Duration::from_millis(100),
+        timeout: Duration::from_millis(200),
+        lease: Duration::from_millis(400),
+        drift: Duration::from_millis(20),
+    }
+}
+
+fn accepted() -> LeaseAnswer {
+    LeaseAnswer {
+        target: Target::from("w-1"),
+        incarnation: Incarnation(1),
+        accepted: true,
+        epoch: Epoch(1),
+        warmth: Warmth::Warm,
+        running: 0,
+    }
+}
+
+/// A home and its target, step by step.
+struct Pair {
+    now: Moment,
+    entry: EntryLease,
+    lease: HomeLease,
+}
+
+/// A home whose own lease does not end in the test.
+fn pair() -> Pair {
+    let now = Moment::from_millis(1_000);
+    let mut entry = EntryLease::new();
+    entry.renewed(now, Duration::from_secs(60));
+    Pair {
+        now,
+        entry,
+        lease: HomeLease::new(now, Incarnation(1), Epoch(1), now, timing()),
+    }
+}
+
+impl Pair {
+    /// Goes on for a while; `answer` says what becomes of each order.
+    fn run(&mut self, span: Duration, mut answer: impl FnMut(&mut HomeLease, Moment, u64)) {
+        let end = self.now + span;
+        while self.now < end {
+            if let Some(order) = self.lease.poll(self.now, &self.entry) {
+                answer(&mut self.lease, self.now, order.serial);
+            }
+            self.now = self.now + STEP;
+        }
+    }
+
+    fn answered(&mut self, span: Duration) {
+        self.run(span, |lease, now, serial| {
+            lease.answered(now, serial, &accepted());
+        });
+    }
+}
+
+#[test]
+fn a_target_that_refuses_connections_is_gone_within_its_lease() {
+    let mut pair = pair();
+    pair.answered(LIMIT);
+    assert_eq!(pair.lease.tie(pair.now), Tie::Leased);
+    pair.run(LIMIT, |lease, now, serial| {
+        lease.unsent(now, serial);
+    });
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+}
+
+#[test]
+fn a_target_that_swallows_orders_is_gone_though_they_go_on() {
+    let mut pair = pair();
+    pair.answered(LIMIT);
+    pair.run(LIMIT, |_, _, _| {});
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+}
+
+#[test]
+fn a_target_that_never_answered_its_new_home_is_gone_too() {
+    let mut pair = pair();
+    pair.run(LIMIT, |lease, now, serial| {
+        lease.unsent(now, serial);
+    });
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+}
+
+#[test]
+fn a_target_that_answers_again_before_its_lease_is_over_is_leased_again() {
+    let mut pair = pair();
+    pair.answered(LIMIT);
+    pair.run(Duration::from_millis(300), |_, _, _| {});
+    assert_eq!(pair.lease.tie(pair.now), Tie::Suspect);
+    pair.answered(LIMIT);
+    assert_eq!(pair.lease.tie(pair.now), Tie::Leased);
+}
--- a/node/src/connection/peer.rs
+++ b/node/src/connection/peer.rs
@@ -19,6 +19,8 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 const MESSAGES_HELD: usize = 4_096;
+/// A connection that has brought nothing for so long is made anew; keep-alives come more often.
+const SILENCE: Duration = Duration::from_millis(500);
 
 /// Both halves of a stream to a peer.
 #[derive(Debug)]
@@ -49,6 +51,8 @@
             peer,
             connection: None,
             notices: None,
+            datagrams: 0,
+            heard: Instant::now(),
             redial: Instant::now(),
         };
         tokio::spawn(link.run(rx));
@@ -86,6 +90,8 @@
     peer: Peer,
     connection: Option<Connection>,
     notices: Option<SendStream>,
+    datagrams: u64,
+    heard: Instant,
     redial: Instant,
 }
 
@@ -101,8 +107,7 @@
     }
 
     async fn connect(&mut self) {
-        let closed = |connection: &Connection| connection.close_reason().is_some();
-        if !self.connection.as_ref().is_none_or(closed) {
+        if self.is_alive() {
             return;
         }
         self.connection = None;
@@ -112,9 +117,24 @@
         }
         let dialled = timeout(DIAL_TIMEOUT, self.transport.dial(&self.peer)).await;
         self.connection = dialled.ok().and_then(Result::ok);
+        self.heard = Instant::now();
         self.redial = Instant::now() + REDIAL_PAUSE;
     }
 
+    /// Whether the connection is open and has brought something of late. One that fell silent is
+    /// left to the streams that still use it.
+    fn is_alive(&mut self) -> bool {
+        let Some(connection) = &self.connection else {
+            return false;
+        };
+        let datagrams = connection.stats().udp_rx.datagrams;
+        if datagrams != self.datagrams {
+            self.datagrams = datagrams;
+            self.heard = Instant::now();
+        }
+        connection.close_reason().is_none() && self.heard.elapsed() < SILENCE
+    }
+
     async fn notify(&mut self, control: &Control) {
         if self.notices.is_none() {
             let Some(connection) = &self.connection else {
--- a/node/src/connection/target.rs
+++ b/node/src/connection/target.rs
@@ -120,25 +120,31 @@
         let _ = self.tx.try_send(LinkMessage::Return(connection));
     }
 
-    /// Renews the target's lease; `None` if no answer came within `limit`.
-    pub async fn renew(&self, order: &LeaseOrder, limit: Duration) -> Option<LeaseAnswer> {
-        timeout(limit, self.renew_unbounded(order)).await.ok()?
+    /// Renews the target's lease. An answer that is not there within `limit` counts as broken.
+    pub async fn renew(
+        &self,
+        order: &LeaseOrder,
+        limit: Duration,
+    ) -> Result<LeaseAnswer, ExchangeError> {
+        let renewed = timeout(limit, self.renew_unbounded(order)).await;
+        renewed.unwrap_or(Err(ExchangeError::Broken))
     }
 
-    async fn renew_unbounded(&self, order: &LeaseOrder) -> Option<LeaseAnswer> {
-        let body = serde_json::to_vec(order).ok()?;
+    async fn renew_unbounded(&self, order: &LeaseOrder) -> Result<LeaseAnswer, ExchangeError> {
+        let body = serde_json::to_vec(order).map_err(|_| ExchangeError::NotSent)?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(LEASE_PATH)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(whole(body.into()))
-            .ok()?;
-        let mut connection = self.borrow().await.ok()?;
-        let answer = connection.exchange(request).await.ok()?;
-        let body = answer.into_body().collect().await.ok()?.to_bytes();
+            .map_err(|_| ExchangeError::NotSent)?;
+        let mut connection = self.borrow().await?;
+        let answer = connection.exchange(request).await?;
+        let body = answer.into_body().collect().await;
+        let body = body.map_err(|_| ExchangeError::Broken)?.to_bytes();
         self.give_back(connection);
-        serde_json::from_slice(&body).ok()
+        serde_json::from_slice(&body).map_err(|_| ExchangeError::Broken)
     }
 }
 
--- a/node/src/process/transport.rs
+++ b/node/src/process/transport.rs
@@ -29,7 +29,7 @@
 use thiserror::Error;
 
 const IDLE_TIMEOUT_MS: u32 = 1_500;
-const KEEP_ALIVE: Duration = Duration::from_millis(400);
+const KEEP_ALIVE: Duration = Duration::from_millis(150);
 const STREAMS_HELD: u32 = 20_000;
 const INITIAL_RTT: Duration = Duration::from_millis(5);
 
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -1,7 +1,11 @@
 //! The targets whose home this entry is: their connections, leases and grants.
 
 use super::{exchange::Permit, home::Open, tally::Tally};
-use crate::{connection::target::TargetLink, process::clock::Clock, version::view::View};
+use crate::{
+    connection::target::{ExchangeError, TargetLink},
+    process::clock::Clock,
+    version::view::View,
+};
 use cornelrail_lib::{
     connection::{
         lease::{EntryLease, HomeLease, LeaseTiming, Tie},
@@ -55,13 +59,14 @@
     serial: u64,
     incarnation: Incarnation,
     grants: Vec<Grant>,
-    answer: Option<LeaseAnswer>,
+    answer: Result<LeaseAnswer, ExchangeError>,
 }
 
 impl Renewed {
     /// Requests that the target says it runs.
     pub(super) fn running(&self) -> Option<u32> {
-        self.answer.as_ref().map(|answer| answer.running)
+        let answer = self.answer.as_ref().ok();
+        answer.map(|answer| answer.running)
     }
 }
 
@@ -259,16 +264,19 @@
             return;
         }
         match &renewed.answer {
-            Some(answer) => {
+            Ok(answer) => {
                 held.lease.answered(now, renewed.serial, answer);
                 if answer.accepted {
                     held.granted = renewed.grants.clone();
                     held.pending.clear();
                 }
             }
-            None => {
+            Err(ExchangeError::Broken) => {
                 held.lease.missed(now, renewed.serial);
             }
+            Err(ExchangeError::NotSent) => {
+                held.lease.unsent(now, renewed.serial);
+            }
         }
     }
 
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,8 +1,10 @@
 //! Tests of the package.
 
+mod hosts;
 mod test_docs;
 mod test_logging;
 mod test_operator;
+mod test_processes;
 mod test_program;
 mod test_store;
 mod test_voter;
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -6,7 +6,7 @@
     name::{Fence, Incarnation, Service, Target},
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -197,6 +197,16 @@
         pairs
     }
 
+    /// Fences of all grants that targets were given.
+    pub fn fences(&self) -> BTreeSet<Fence> {
+        let state = self.lock();
+        state
+            .tenures
+            .iter()
+            .map(|tenure| tenure.grant.fence)
+            .collect()
+    }
+
     /// Pairs of tenures of one range by two targets, or two lives of one, at the same time.
     pub fn overlapping_grants(&self) -> u64 {
         let book = self.lock();
