--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -43,6 +43,11 @@
             }
         }
         let membership = self.membership().changed(change)?;
+        let learns = matches!(change, VoterChange::Learn(_));
+        let answering = membership.voters.iter().filter(|m| self.answers(now, **m));
+        if !learns && answering.count() < membership.quorum() {
+            return Err(ChangeError::NoQuorum);
+        }
         self.append_own(now, Payload::Membership(membership))
             .ok_or(ChangeError::NotLeader(self.leader))
     }
--- a/lib/src/process/raft/election.rs
+++ b/lib/src/process/raft/election.rs
@@ -29,14 +29,11 @@
 }
 
 impl Raft {
-    /// Whether this voter is the only one and leads without asking.
-    pub(super) fn is_alone(&self) -> bool {
-        let voters = &self.membership().voters;
-        match voters.len() {
-            0 => self.log.is_empty() && self.config.listed == [self.config.node],
-            1 => voters.contains(&self.member()),
-            _ => false,
-        }
+    /// Whether this voter founds a fleet all alone and need not wait for anyone. A sole voter of a
+    /// fleet that exists waits, since it may have granted a lease to a leader that was removed.
+    pub(super) fn is_first(&self, now: Moment) -> bool {
+        let listed = self.config.listed == [self.config.node];
+        listed && self.log.is_empty() && !self.may_be_leased(now)
     }
 
     /// Starts an election, if this voter may.
@@ -45,11 +42,9 @@
         self.forget_leader();
         self.greet();
         let electorate = self.membership().clone();
-        if electorate.is_voter(self.member()) {
-            let ballot = match electorate.voters.len() {
-                1 => Ballot::Real,
-                _ => Ballot::Pre,
-            };
+        if self.may_campaign() {
+            let alone = electorate.voters.iter().eq([&self.member()]);
+            let ballot = if alone { Ballot::Real } else { Ballot::Pre };
             self.ask_for_votes(now, ballot, electorate);
         } else if let Some(founders) = self.founders(now) {
             self.ask_for_votes(now, Ballot::Founding, founders);
@@ -139,7 +134,10 @@
     /// Draws the time of the next election.
     pub(super) fn reset_deadline(&mut self, now: Moment) {
         let span = self.config.election.as_micros() as u64;
-        let extra = self.rng.next_u64() % span.max(1);
+        let extra = match self.membership().voters.len() {
+            1 => 0,
+            _ => self.rng.next_u64() % span.max(1),
+        };
         self.deadline = now + self.config.election + Duration::from_micros(extra);
     }
 
@@ -149,6 +147,16 @@
         self.is_leader() || followed.is_some_and(|end| now < end)
     }
 
+    /// Whether this voter may be needed to lead: it votes, or its removal may not be committed yet
+    /// and stand in no other log.
+    fn may_campaign(&self) -> bool {
+        let own = self.member();
+        let former = self.log.former_membership();
+        let pending = self.log.membership_index() > self.commit;
+        let leaving = pending && former.is_some_and(|m| m.is_voter(own));
+        self.membership().is_voter(own) || leaving
+    }
+
     fn may_vote(&self, sender: Member, term: u64) -> bool {
         let free = self.hard.vote.is_none_or(|v| v == sender);
         term == self.hard.term && free && self.leader.is_none()
@@ -190,10 +198,11 @@
         for voter in electorate.voters.iter().filter(|v| **v != own) {
             self.send_durable(*voter, next, body.clone());
         }
+        let votes = electorate.voters.iter().filter(|v| **v == own);
         self.role = Role::Candidate(Candidacy {
             ballot,
+            votes: votes.copied().collect(),
             electorate,
-            votes: BTreeSet::from([own]),
         });
         self.count_votes(now);
     }
--- a/lib/src/process/raft/follower.rs
+++ b/lib/src/process/raft/follower.rs
@@ -55,6 +55,14 @@
         entries: Vec<Entry>,
         commit: u64,
     ) -> AppendOutcome {
+        let expected = prev_index + 1..;
+        if !entries
+            .iter()
+            .map(|e| e.index)
+            .eq(expected.take(entries.len()))
+        {
+            return AppendOutcome::Differs(self.commit);
+        }
         if !self.agrees(prev_index, prev_term) {
             return AppendOutcome::Differs(self.meeting_hint(prev_index));
         }
--- a/lib/src/process/raft/log.rs
+++ b/lib/src/process/raft/log.rs
@@ -109,6 +109,12 @@
         self.memberships.last().map_or(0, |(i, _)| *i)
     }
 
+    /// Membership that the one in force replaced, if it is held.
+    pub fn former_membership(&self) -> Option<&Membership> {
+        let former = self.memberships.len().checked_sub(2)?;
+        self.memberships.get(former).map(|(_, m)| m)
+    }
+
     /// Appends an entry; its index must follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/lib/src/process/raft/membership.rs
+++ b/lib/src/process/raft/membership.rs
@@ -73,6 +73,9 @@
     /// A node votes once.
     #[error("the node votes under another identity; remove {0} first")]
     Doubled(Member),
+    /// Too few of the voters that would remain answer.
+    #[error("no majority of the voters after the change answers; repair a voter first")]
+    NoQuorum,
     /// The last voter cannot be removed.
     #[error("{0} is the last voter; add another voter first")]
     LastVoter(Member),
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -144,7 +144,7 @@
     pub fn tick(&mut self, now: Moment) {
         if matches!(self.role, Role::Leader(_)) {
             self.lead(now);
-        } else if self.deadline <= now || self.is_alone() {
+        } else if self.deadline <= now || self.is_first(now) {
             self.campaign(now);
         }
     }
--- a/lib/src/process/raft/replication.rs
+++ b/lib/src/process/raft/replication.rs
@@ -280,7 +280,7 @@
                 stamp,
                 outcome: AppendOutcome::Matched(index),
             } => {
-                self.settle(index);
+                self.settle(index.min(last));
                 stamp
             }
             Body::AppendReply {
@@ -302,7 +302,7 @@
                 self.waiting = None;
                 if done {
                     self.offset = 0;
-                    self.settle(index);
+                    self.settle(index.min(last));
                 }
                 stamp
             }
