log: status tells syncs and founder; a lost leader's replacement is timed

The status now counts synced batches, and the membership names the identity that founded the fleet, so that a log founded anew after the loss of its only disk can be told from the former one.

--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -100,7 +100,7 @@
         });
         let founders: Option<Vec<Member>> = identities.collect();
         founders
-            .map(Membership::of)
+            .map(|members| Membership::of(self.config.identity, members))
             .filter(|m| m.is_voter(self.member()))
     }
 
--- a/lib/src/process/raft/log.rs
+++ b/lib/src/process/raft/log.rs
@@ -2,7 +2,7 @@
 
 use super::{
     config::Restored,
-    membership::Membership,
+    membership::{Identity, Membership},
     message::{Entry, Payload, Snapshot},
 };
 use std::collections::{BTreeSet, VecDeque};
@@ -98,6 +98,7 @@
     /// Membership in force: that of the last entry that holds one, committed or not.
     pub fn membership(&self) -> &Membership {
         const NOBODY: &Membership = &Membership {
+            founder: Identity::ANY,
             voters: BTreeSet::new(),
             learners: BTreeSet::new(),
         };
--- a/lib/src/process/raft/membership.rs
+++ b/lib/src/process/raft/membership.rs
@@ -84,6 +84,8 @@
 /// Voters and learners as of one log entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
+    /// Who founded the fleet; another founder means another log, though the fleet's name be equal.
+    pub founder: Identity,
     /// Members whose votes and acknowledgements count.
     pub voters: BTreeSet<Member>,
     /// Members that only receive the log.
@@ -92,8 +94,9 @@
 
 impl Membership {
     /// Membership of the given voters, without learners.
-    pub fn of(voters: impl IntoIterator<Item = Member>) -> Self {
+    pub fn of(founder: Identity, voters: impl IntoIterator<Item = Member>) -> Self {
         Membership {
+            founder,
             voters: voters.into_iter().collect(),
             learners: BTreeSet::new(),
         }
--- a/lib/tests/test_raft_rules.rs
+++ b/lib/tests/test_raft_rules.rs
@@ -21,7 +21,7 @@
 
 /// Voter 1 of 3 in term 4, with a command of term 2 that is not known to be committed.
 fn restored() -> Raft {
-    let membership = Membership::of([1, 2, 3].map(member));
+    let membership = Membership::of(member(1).identity, [1, 2, 3].map(member));
     let entry = |index, term, payload| Entry {
         index,
         term,
--- a/lib/tests/test_raft_schedules.rs
+++ b/lib/tests/test_raft_schedules.rs
@@ -1,6 +1,6 @@
 //! Random schedules of faults break no invariant, and a healed group commits again.
 
-use crate::raft_cluster::Cluster;
+use crate::raft_cluster::{Cluster, ELECTION_MS};
 use cornelrail_lib::{
     name::Node,
     process::raft::{Member, VoterChange},
@@ -172,6 +172,33 @@
     }
 }
 
+/// Model time from a leader's loss to the lease of the next one, in milliseconds.
+fn failover(count: u64, seed: u64) -> u64 {
+    let mut cluster = Cluster::new(count, count, seed);
+    cluster.run(1_000);
+    let leader = cluster.leader().expect("a leader after a quiet second");
+    cluster.crash(leader);
+    let lost = cluster.now;
+    while cluster.leader().is_none() && cluster.now < lost + 10_000 {
+        cluster.run(1);
+    }
+    cluster.now - lost
+}
+
+#[test]
+fn lost_leader_is_replaced_within_four_election_timeouts() {
+    for count in [3, 5] {
+        let mut times: Vec<u64> = (0..200).map(|seed| failover(count, seed)).collect();
+        times.sort_unstable();
+        let (median, worst) = (times[times.len() / 2], times[times.len() - 1]);
+        println!(
+            "{count} voters: median {median} ms, worst {worst} ms of {}",
+            times.len()
+        );
+        assert!(worst <= 4 * ELECTION_MS, "worst is {worst} ms");
+    }
+}
+
 #[test]
 fn schedules_of_faults_break_no_invariant() {
     let tests = std::env::var("RAFT_SCHEDULES").map_or(150, |n| n.parse().expect("a number"));
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -123,6 +123,8 @@
     pub membership: Membership,
     /// End of the lease that this voter holds as leader.
     pub lease: Option<Instant>,
+    /// Batches synced to disk since the start.
+    pub batches: u64,
 }
 
 enum Request {
@@ -226,6 +228,7 @@
         outbox: VecDeque::new(),
         proposals: BTreeMap::new(),
         stopping: None,
+        batches: 0,
     };
     tokio::spawn(voter.run());
     Ok((VoterHandle { requests }, receiver))
@@ -268,6 +271,7 @@
     outbox: VecDeque<VoterEvent>,
     proposals: BTreeMap<u64, Proposal>,
     stopping: Option<oneshot::Sender<()>>,
+    batches: u64,
 }
 
 impl Voter {
@@ -346,6 +350,7 @@
             last: self.raft.last_index(),
             snapshot: self.raft.snapshot_index(),
             membership: self.raft.membership().clone(),
+            batches: self.batches,
             lease: lease.map(|end| self.origin + end.min(longest).since(Moment::ZERO)),
         }
     }
@@ -354,6 +359,7 @@
         match result {
             Ok(()) => {
                 self.disk = Disk::Idle(store);
+                self.batches += 1;
                 self.raft.persisted(self.now(), number);
             }
             Err(error) => {
--- a/node/tests/test_store.rs
+++ b/node/tests/test_store.rs
@@ -3,7 +3,9 @@
 use cornelrail_lib::{
     name::Node,
     process::{
-        raft::{Batch, Entry, HardState, Member, Membership, Payload, Restored, Snapshot},
+        raft::{
+            Batch, Entry, HardState, Identity, Member, Membership, Payload, Restored, Snapshot,
+        },
         record::{FORMAT, FleetDigest, Record, encode},
     },
 };
@@ -222,10 +224,13 @@
     let snapshot = Snapshot {
         index: 4,
         term: 9,
-        membership: Membership::of([Member {
-            node: Node(1),
-            identity: cornelrail_lib::process::raft::Identity(5),
-        }]),
+        membership: Membership::of(
+            Identity(5),
+            [Member {
+                node: Node(1),
+                identity: Identity(5),
+            }],
+        ),
         data: vec![1],
     };
     let mut bytes = Vec::new();
--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -7,7 +7,7 @@
     fs,
     path::Path,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{sync::mpsc, time};
 
@@ -140,6 +140,31 @@
     assert_eq!(leases, 1);
 }
 
+#[tokio::test]
+async fn commands_of_one_burst_share_a_sync() {
+    let root = tempfile::tempdir().unwrap();
+    let group = start(root.path(), 1);
+    propose(&group, b"first").await;
+    let handle = handles(&group)[0].clone();
+    let before = handle.status().await.unwrap();
+    let started = Instant::now();
+    let proposals = (0..2_000u64).map(|n| {
+        let handle = handle.clone();
+        tokio::spawn(async move { handle.propose(n.to_le_bytes().to_vec()).await })
+    });
+    for proposal in proposals.collect::<Vec<_>>() {
+        proposal.await.unwrap().unwrap();
+    }
+    let after = handle.status().await.unwrap();
+    let (commits, batches) = (after.commit - before.commit, after.batches - before.batches);
+    println!(
+        "{commits} commits in {batches} syncs, {:?}",
+        started.elapsed()
+    );
+    assert_eq!(commits, 2_000);
+    assert!(batches < 200);
+}
+
 /// Waits until the voters are just those that run, with the folders of now.
 async fn repaired(group: &Group) {
     let attempt = async {
