--- a/lib/tests/test_raft_schedules.rs
+++ b/lib/tests/test_raft_schedules.rs
@@ -54,10 +54,11 @@
     }
 }
 
-/// A schedule for a group of three or five.
+/// A schedule for a group that has had `settle` milliseconds to found its fleet.
 #[derive(Debug, Clone)]
 struct Schedule {
     count: u64,
+    settle: u64,
     seed: u64,
     steps: Vec<Step>,
 }
@@ -66,15 +67,19 @@
     fn arbitrary(g: &mut Gen) -> Self {
         Schedule {
             count: *g.choose(&[1, 3, 3, 5]).expect("not empty"),
+            settle: *g.choose(&[0, 5, 150, 200, 700]).expect("not empty"),
             seed: u64::arbitrary(g),
             steps: Vec::arbitrary(g),
         }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let (count, seed) = (self.count, self.seed);
+        let whole = self.clone();
         let shorter = self.steps.shrink();
-        Box::new(shorter.map(move |steps| Schedule { count, seed, steps }))
+        Box::new(shorter.map(move |steps| Schedule {
+            steps,
+            ..whole.clone()
+        }))
     }
 }
 
@@ -146,7 +151,7 @@
 /// Runs the schedule, heals the group and asks it for one more commit on every machine.
 fn holds(schedule: Schedule) -> TestResult {
     let mut cluster = Cluster::new(schedule.count, schedule.count, schedule.seed);
-    cluster.run(700);
+    cluster.run(schedule.settle);
     for step in &schedule.steps {
         apply(&mut cluster, step);
     }
