--- a/lib/src/process/raft/membership.rs
+++ b/lib/src/process/raft/membership.rs
@@ -73,6 +73,9 @@
     /// A node votes once.
     #[error("the node votes under another identity; remove {0} first")]
     Doubled(Member),
+    /// Too few of the voters that would remain answer.
+    #[error("no majority of the voters after the change answers; repair a voter first")]
+    NoQuorum,
     /// The last voter cannot be removed.
     #[error("{0} is the last voter; add another voter first")]
     LastVoter(Member),
@@ -81,6 +84,8 @@
 /// Voters and learners as of one log entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
+    /// Who founded the fleet; another founder means another log, though the fleet's name be equal.
+    pub founder: Identity,
     /// Members whose votes and acknowledgements count.
     pub voters: BTreeSet<Member>,
     /// Members that only receive the log.
@@ -89,8 +94,9 @@
 
 impl Membership {
     /// Membership of the given voters, without learners.
-    pub fn of(voters: impl IntoIterator<Item = Member>) -> Self {
+    pub fn of(founder: Identity, voters: impl IntoIterator<Item = Member>) -> Self {
         Membership {
+            founder,
             voters: voters.into_iter().collect(),
             learners: BTreeSet::new(),
         }
