dispatch: a request that ran in a crash runs alone the next time

Cause: up to slots - 1 innocent requests run beside the one that crashes its target. Sent again among others, the culprit takes more down, and an innocent one may be seen in two crashes and be put into quarantine. Weighed: not sending any of them again (each crash would then cost its neighbours' answers), and counting crashes in company half. Alone, the second crash is proof and harms nobody else.

--- a/lib/src/request/dispatch/mod.rs
+++ b/lib/src/request/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod send;
 mod state;
+mod suspects;
 
 pub use model::{
     Action, Arrival, Choice, DispatchConfig, Ending, Importance, PoolRule, RequestId, TargetLoad,
@@ -26,6 +27,7 @@
     moment::Moment,
     name::{Incarnation, Service, Target},
     request::outcome::Reason,
+    version::command::Fingerprint,
 };
 use model::Rank;
 use rand::SeedableRng;
@@ -35,6 +37,7 @@
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
+use suspects::Suspects;
 
 /// Pause of new work to a target that turned one away or could not be reached.
 const HOLD: Duration = Duration::from_millis(20);
@@ -50,6 +53,7 @@
     flights: BTreeMap<(RequestId, u32), Flight>,
     timers: BTreeSet<(Moment, RequestId)>,
     holds: BTreeSet<(Moment, Target)>,
+    suspects: Suspects,
     actions: Vec<Action>,
     serial: u64,
     closing: bool,
@@ -67,6 +71,7 @@
             flights: BTreeMap::new(),
             timers: BTreeSet::new(),
             holds: BTreeSet::new(),
+            suspects: Suspects::default(),
             actions: Vec::new(),
             serial: 0,
             closing: false,
@@ -89,7 +94,7 @@
                 self.join(now, &view);
                 let life = view.incarnation;
                 let mut slot = Slot::new(view, &self.config);
-                slot.running = self.inherit(&target, life);
+                self.inherit(&target, life, &mut slot);
                 self.slots.insert(target, slot);
             }
         }
@@ -177,6 +182,11 @@
         }
     }
 
+    /// A request ran when a target of another home crashed: here it runs alone from now on.
+    pub fn suspect_elsewhere(&mut self, now: Moment, fingerprint: Fingerprint) {
+        self.suspects.add(now, fingerprint);
+    }
+
     /// Takes in a target's own account of its load.
     pub fn report(&mut self, now: Moment, target: &Target, running: u32) {
         let service = self.slots.get(target).map(|s| &s.view.service);
@@ -289,13 +299,15 @@
         }
     }
 
-    /// Attempts that a target which comes back may still be running; those of another life are
-    /// forgotten.
-    fn inherit(&mut self, target: &Target, life: Incarnation) -> u32 {
+    /// Counts the attempts that a target which comes back may still be running; those of another
+    /// life are forgotten.
+    fn inherit(&mut self, target: &Target, life: Incarnation, slot: &mut Slot) {
         self.flights
             .retain(|_, f| f.target != *target || f.incarnation == life);
-        let running = self.flights.values().filter(|f| f.target == *target);
-        running.count() as u32
+        for flight in self.flights.values().filter(|f| f.target == *target) {
+            slot.running += 1;
+            slot.alone |= flight.alone;
+        }
     }
 
     /// Takes an attempt off its target and learns from it; returns the target's service.
@@ -305,6 +317,7 @@
             return None;
         }
         slot.running = slot.running.saturating_sub(1);
+        slot.alone &= !flight.alone;
         let latency = now.since(flight.sent);
         let served = ending == Ending::Answered;
         match ending {
@@ -356,7 +369,7 @@
         request.ran |= !matches!(ending, Ending::Shed | Ending::NotSent);
         if ending == Ending::Crashed {
             request.crashes += 1;
-            self.suspect(id, target, life);
+            self.suspect(now, id, target, life);
         }
         self.again(now, id);
     }
--- a/lib/src/request/dispatch/send.rs
+++ b/lib/src/request/dispatch/send.rs
@@ -32,6 +32,7 @@
     pub(super) fn pump_target(&mut self, now: Moment, target: &Target) {
         while let Some(slot) = self.slots.get(target).filter(|s| s.free(now))
             && let Some(id) = slot.queue.first()
+            && (slot.running == 0 || !self.suspected(now, id))
         {
             self.start(now, id, target);
         }
@@ -45,10 +46,32 @@
         while let Some(id) = self.groups.get(service).and_then(|g| g.queue.first())
             && let Some(target) = self.choose(now, id)
         {
-            self.start(now, id, &target);
+            match self.suspected(now, id) {
+                true => self.isolate(now, id, &target),
+                false => self.start(now, id, &target),
+            }
         }
     }
 
+    fn suspected(&self, now: Moment, id: RequestId) -> bool {
+        let request = self.requests.get(&id);
+        let fingerprint = request.and_then(|r| r.arrival.fingerprint);
+        fingerprint.is_some_and(|f| self.suspects.contains(now, f))
+    }
+
+    /// Lets a suspect of a pool wait for one target until that has nothing else to do.
+    fn isolate(&mut self, now: Moment, id: RequestId, target: &Target) {
+        self.leave_line(id);
+        let (Some(request), Some(slot)) = (self.requests.get_mut(&id), self.slots.get_mut(target))
+        else {
+            return;
+        };
+        request.arrival.choice = Choice::Keyed(target.clone());
+        request.queued = true;
+        slot.queue.push_front(request.arrival.rank(), id);
+        self.pump_target(now, target);
+    }
+
     /// Takes a request out of its queue and sends it, unless it is too late for that.
     fn start(&mut self, now: Moment, id: RequestId, target: &Target) {
         let late = self
@@ -65,11 +88,13 @@
 
     /// Sends a request to a target.
     fn transmit(&mut self, now: Moment, id: RequestId, target: &Target) {
+        let alone = self.suspected(now, id);
         let (Some(request), Some(slot)) = (self.requests.get_mut(&id), self.slots.get_mut(target))
         else {
             return;
         };
         slot.running += 1;
+        slot.alone = alone;
         self.serial += 1;
         request.attempts += 1;
         let attempt = request.attempts;
@@ -79,6 +104,7 @@
             incarnation: slot.incarnation(),
             sent: now,
             level: slot.running,
+            alone,
             serial: self.serial,
         };
         self.flights.insert((id, attempt), flight);
@@ -107,7 +133,7 @@
             .iter()
             .filter(|t| Some(*t) != avoid)
             .filter_map(|t| self.slots.get(t))
-            .filter(|s| s.free(now))
+            .filter(|s| s.free(now) && s.queue.len() == 0)
             .collect();
         if self.config.rule == PoolRule::TwoChoices {
             let two = free.into_iter().choose_multiple(&mut self.rng, 2);
@@ -201,15 +227,26 @@
         self.actions.push(Action::Deliver { id, attempt });
         if let Some(request) = self.requests.get_mut(&id) {
             request.live.retain(|a| *a != attempt);
+            let fingerprint = request.arrival.fingerprint;
+            if let Some(fingerprint) = fingerprint {
+                self.suspects.clear(fingerprint);
+            }
         }
         self.abort_live(id);
         self.forget(id);
     }
 
     /// Tells that a target crashed while it ran the request.
-    pub(super) fn suspect(&mut self, id: RequestId, target: &Target, incarnation: Incarnation) {
+    pub(super) fn suspect(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        target: &Target,
+        incarnation: Incarnation,
+    ) {
         let fingerprint = self.requests.get(&id).and_then(|r| r.arrival.fingerprint);
         if let Some(fingerprint) = fingerprint {
+            self.suspects.add(now, fingerprint);
             self.actions.push(Action::Suspect {
                 fingerprint,
                 target: target.clone(),
--- a/lib/src/request/dispatch/state.rs
+++ b/lib/src/request/dispatch/state.rs
@@ -54,6 +54,7 @@
     pub(super) incarnation: Incarnation,
     pub(super) sent: Moment,
     pub(super) level: u32,
+    pub(super) alone: bool,
     pub(super) serial: u64,
 }
 
@@ -64,6 +65,7 @@
     pub(super) limit: Limit,
     pub(super) running: u32,
     pub(super) hold: Moment,
+    pub(super) alone: bool,
     pub(super) queue: Queue,
     pub(super) pace: Pace,
 }
@@ -76,6 +78,7 @@
             limit,
             running: 0,
             hold: Moment::ZERO,
+            alone: false,
             queue: Queue::default(),
             pace: Pace::default(),
         }
@@ -89,7 +92,8 @@
 
     /// Whether one more request may go out now.
     pub(super) fn free(&self, now: Moment) -> bool {
-        self.view.enabled && now >= self.hold && self.running < self.limit.current()
+        let ready = self.view.enabled && now >= self.hold;
+        ready && !self.alone && self.running < self.limit.current()
     }
 
     pub(super) fn local(&self, zone: &Zone) -> bool {
--- a/lib/tests/model/mod.rs
+++ b/lib/tests/model/mod.rs
@@ -122,7 +122,8 @@
     pub refused: BTreeMap<&'static str, u64>,
     pub arrived_of: BTreeMap<String, u64>,
     pub answered_of: BTreeMap<String, u64>,
-    pub suspects: u64,
+    /// Crashes by the requests that ran then.
+    pub suspects: BTreeMap<Fingerprint, u64>,
     pub peak: BTreeMap<Target, u32>,
 }
 
@@ -351,7 +352,7 @@
             deadline: self.now + stream.deadline,
             importance: stream.importance[turn],
             once,
-            fingerprint: None,
+            fingerprint: Some(Fingerprint(self.serial)),
             repeatable: !once,
         };
         let first = self.rng.random_range(0..self.entries.len());
@@ -522,7 +523,9 @@
                     Certainty::Unknown => self.figures.unknown += 1,
                 }
             }
-            Action::Suspect { .. } => self.figures.suspects += 1,
+            Action::Suspect { fingerprint, .. } => {
+                *self.figures.suspects.entry(*fingerprint).or_default() += 1;
+            }
         }
     }
 }
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -437,6 +437,7 @@
             "sends" => return self.load(case) + &self.sends(),
             "send" => return self.send(case),
             "loads" => return self.loads(),
+            "suspects" => return self.suspects(),
             other => panic!("unknown directive {other}"),
         }
         String::new()
@@ -463,6 +464,12 @@
             once_tenths: arg(case, "once", 0),
             importance,
         });
+        if case.args.contains_key("request") {
+            let middle = self.model.now + until.since(self.model.now) / 2;
+            self.model.run_until(middle);
+            let arrival = self.arrival(case);
+            self.model.arrive(0, arrival);
+        }
         self.model.run_until(until + Duration::from_secs(1));
         self.model.take_actions();
         self.figures()
@@ -490,10 +497,24 @@
 
     /// Sends one request and prints the actions that follow.
     fn send(&mut self, case: &datadriven::TestCase) -> String {
+        let arrival = self.arrival(case);
+        self.model.take_actions();
+        self.model.arrive(0, arrival);
+        let end = self.model.now + millis(case, "wait", 1000);
+        self.model.run_until(end);
+        let mut out = String::new();
+        for action in self.model.take_actions() {
+            writeln!(out, "{}", describe(&action)).unwrap();
+        }
+        out
+    }
+
+    /// Request as a directive describes it.
+    fn arrival(&mut self, case: &datadriven::TestCase) -> Arrival {
         self.serial += 1;
         let target = arg(case, "key", String::new());
         let once = case.args.contains_key("once");
-        let arrival = Arrival {
+        Arrival {
             choice: match target.as_str() {
                 "" => Choice::Pool,
                 name => Choice::Keyed(Target::from(name)),
@@ -505,14 +526,16 @@
                 .contains_key("request")
                 .then(|| Fingerprint(arg(case, "request", 0))),
             ..pooled(self.serial, self.model.now + millis(case, "deadline", 1000))
-        };
-        self.model.take_actions();
-        self.model.arrive(0, arrival);
-        let end = self.model.now + millis(case, "wait", 1000);
-        self.model.run_until(end);
-        let mut out = String::new();
-        for action in self.model.take_actions() {
-            writeln!(out, "{}", describe(&action)).unwrap();
+        }
+    }
+
+    /// Requests that ran in more than one crash, and the number of those that ran in one.
+    fn suspects(&self) -> String {
+        let counts = &self.model.figures.suspects;
+        let once = counts.values().filter(|c| **c == 1).count();
+        let mut out = format!("{once} ran in one crash\n");
+        for (fingerprint, count) in counts.iter().filter(|(_, c)| **c > 1) {
+            writeln!(out, "{} ran in {count} crashes", fingerprint.0).unwrap();
         }
         out
     }
