--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -10,7 +10,7 @@
             Action, Arrival, Choice, Dispatch, DispatchConfig, Ending, Importance, RequestId,
             TargetView,
         },
-        outcome::Certainty,
+        outcome::{Certainty, Reason},
     },
     version::command::Fingerprint,
 };
@@ -302,6 +302,84 @@
         .quickcheck(holds as fn(u64) -> bool);
 }
 
+/// Dispatch with one target that answered a request in 20 ms, and the time after it.
+fn seasoned() -> (Dispatch, Moment) {
+    let mut dispatch = Dispatch::new(DispatchConfig::default());
+    let start = Moment::from_millis(1);
+    let end = Moment::from_millis(21);
+    dispatch.set_target(start, view("t", "a", 1));
+    dispatch.arrive(start, pooled(1, Moment::from_millis(500)));
+    dispatch.finish(end, RequestId(1), 1, Ending::Answered);
+    dispatch.take_actions();
+    (dispatch, end)
+}
+
+fn keyed(id: u64, deadline: Moment) -> Arrival {
+    Arrival {
+        choice: Choice::Keyed(Target::from("t")),
+        ..pooled(id, deadline)
+    }
+}
+
+fn refusals(dispatch: &mut Dispatch) -> Vec<(RequestId, Certainty, Reason)> {
+    let actions = dispatch.take_actions().into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Refuse { id, refusal } => Some((id, refusal.certainty, refusal.reason)),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_request_that_cannot_end_in_time_is_refused_on_arrival() {
+    let (mut dispatch, now) = seasoned();
+    dispatch.arrive(now, keyed(2, now + Duration::from_secs(1)));
+    dispatch.arrive(now, keyed(3, now + Duration::from_secs(1)));
+
+    dispatch.arrive(now, keyed(4, now + Duration::from_millis(50)));
+
+    let expected = (RequestId(4), Certainty::NotRun, Reason::Overload);
+    assert_eq!(refusals(&mut dispatch), [expected]);
+}
+
+#[test]
+fn the_loss_of_a_target_ends_its_requests_at_once() {
+    let (mut dispatch, now) = seasoned();
+    let deadline = now + Duration::from_secs(1);
+    dispatch.arrive(now, keyed(2, deadline));
+    dispatch.arrive(now, keyed(3, deadline));
+
+    dispatch.remove_target(now, &Target::from("t"));
+
+    let expected = [
+        (RequestId(2), Certainty::Unknown, Reason::NoOwner),
+        (RequestId(3), Certainty::NotRun, Reason::NoOwner),
+    ];
+    assert_eq!(refusals(&mut dispatch), expected);
+}
+
+#[test]
+fn a_shutdown_turns_newcomers_away_and_finishes_the_rest() {
+    let (mut dispatch, now) = seasoned();
+    let deadline = now + Duration::from_secs(1);
+    dispatch.arrive(now, keyed(2, deadline));
+    dispatch.arrive(now, keyed(3, deadline));
+
+    dispatch.shutdown();
+    dispatch.arrive(now, keyed(4, deadline));
+    let turned = refusals(&mut dispatch);
+    dispatch.finish(now, RequestId(2), 1, Ending::Answered);
+    dispatch.finish(now, RequestId(3), 1, Ending::Answered);
+
+    assert_eq!(
+        turned,
+        [(RequestId(4), Certainty::NotRun, Reason::Shutdown)]
+    );
+    assert_eq!(refusals(&mut dispatch), []);
+    assert!(dispatch.idle());
+}
+
 /// Model and settings of one scenario file.
 struct Scenario {
     model: Model,
@@ -358,6 +436,7 @@
             "sends" => return self.load(case) + &self.sends(),
             "send" => return self.send(case),
             "loads" => return self.loads(),
+            "suspects" => return self.suspects(),
             other => panic!("unknown directive {other}"),
         }
         String::new()
@@ -384,6 +463,12 @@
             once_tenths: arg(case, "once", 0),
             importance,
         });
+        if case.args.contains_key("request") {
+            let middle = self.model.now + until.since(self.model.now) / 2;
+            self.model.run_until(middle);
+            let arrival = self.arrival(case);
+            self.model.arrive(0, arrival);
+        }
         self.model.run_until(until + Duration::from_secs(1));
         self.model.take_actions();
         self.figures()
@@ -411,10 +496,24 @@
 
     /// Sends one request and prints the actions that follow.
     fn send(&mut self, case: &datadriven::TestCase) -> String {
+        let arrival = self.arrival(case);
+        self.model.take_actions();
+        self.model.arrive(0, arrival);
+        let end = self.model.now + millis(case, "wait", 1000);
+        self.model.run_until(end);
+        let mut out = String::new();
+        for action in self.model.take_actions() {
+            writeln!(out, "{}", describe(&action)).unwrap();
+        }
+        out
+    }
+
+    /// Request as a directive describes it.
+    fn arrival(&mut self, case: &datadriven::TestCase) -> Arrival {
         self.serial += 1;
         let target = arg(case, "key", String::new());
         let once = case.args.contains_key("once");
-        let arrival = Arrival {
+        Arrival {
             choice: match target.as_str() {
                 "" => Choice::Pool,
                 name => Choice::Keyed(Target::from(name)),
@@ -426,14 +525,16 @@
                 .contains_key("request")
                 .then(|| Fingerprint(arg(case, "request", 0))),
             ..pooled(self.serial, self.model.now + millis(case, "deadline", 1000))
-        };
-        self.model.take_actions();
-        self.model.arrive(0, arrival);
-        let end = self.model.now + millis(case, "wait", 1000);
-        self.model.run_until(end);
-        let mut out = String::new();
-        for action in self.model.take_actions() {
-            writeln!(out, "{}", describe(&action)).unwrap();
+        }
+    }
+
+    /// Requests that ran in more than one crash, and the number of those that ran in one.
+    fn suspects(&self) -> String {
+        let counts = &self.model.figures.suspects;
+        let once = counts.values().filter(|c| **c == 1).count();
+        let mut out = format!("{once} ran in one crash\n");
+        for (fingerprint, count) in counts.iter().filter(|(_, c)| **c > 1) {
+            writeln!(out, "{} ran in {count} crashes", fingerprint.0).unwrap();
         }
         out
     }
