demo: the warm-up lasts until no target is cold

A slower start of the same length was ruled out: how long targets stay cold depends on the router under test. Change: gentle stretches until all are warm, then two seconds at the load of the run.

--- a/cli/src/demo/scene.rs
+++ b/cli/src/demo/scene.rs
@@ -27,8 +27,14 @@
 
 const SERVED_TIMEOUT: Duration = Duration::from_secs(20);
 const SERVED_PAUSE: Duration = Duration::from_millis(100);
-/// Requests that a target serves in the warm-up, for each slot.
-const WARM_UP: u64 = 24;
+/// Number of the stretch that is counted.
+const COUNTED_RUN: u64 = 1;
+/// Load of the warm-up, as a share of the capacity.
+const WARM_UP_LOAD: f64 = 0.25;
+const WARM_UP_STEP: Duration = Duration::from_millis(500);
+const WARM_UP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time at the load of the run before it is counted.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Requests, for each slot, that a cold target must serve until it is warm.
 const COLD_REQUESTS: u32 = 8;
 const COLD_FACTOR: f64 = 3.0;
@@ -150,15 +156,25 @@
         wanted.min(longest).max(1.0)
     }
 
-    /// Sends requests that are not counted, until no target is cold.
+    /// Sends requests that are not counted, until no target is cold, and a little longer.
     async fn warm_up(&self, rate: f64) {
-        let fleets = [&self.workload.keyed, &self.workload.pool];
-        let slots: u32 = fleets.iter().map(|fleet| fleet.targets * fleet.slots).sum();
+        let start = Instant::now();
+        let gentle = WARM_UP_LOAD * self.workload.capacity();
+        let is_cold = || self.targets.iter().any(|target| !target.warm());
+        let mut run = COUNTED_RUN;
+        while is_cold() && start.elapsed() < WARM_UP_TIMEOUT {
+            run += 1;
+            self.send_uncounted(run, gentle, WARM_UP_STEP).await;
+        }
+        self.send_uncounted(run + 1, rate, SETTLE_TIME).await;
+    }
+
+    async fn send_uncounted(&self, run: u64, rate: f64, span: Duration) {
         let stretch = Stretch {
-            requests: u64::from(slots) * WARM_UP,
-            rate: rate.max(0.4 * self.workload.capacity()),
+            requests: (rate * span.as_secs_f64()) as u64,
+            rate,
             seed: self.options.seed,
-            run: 1,
+            run,
         };
         let (progress, _) = watch::channel(0);
         traffic::send(&self.workload, &self.callers, stretch, &progress).await;
@@ -174,7 +190,7 @@
             requests: self.options.requests,
             rate,
             seed: self.options.seed,
-            run: 2,
+            run: COUNTED_RUN,
         };
         let (progress, sent) = watch::channel(0);
         let (over, over_seen) = watch::channel(false);
