--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -3,4 +3,6 @@
 mod test_docs;
 mod test_logging;
 mod test_operator;
+mod test_program;
+mod test_store;
 mod test_voter;
