lease: a target that answers nothing is gone when its lease is over

Cause: each missed order may have arrived, so it extended the lease that the target might hold; orders went on every heartbeat, and a dead target was never called gone. Ruled out: not counting orders whose connection was refused, as a frozen target accepts connections. Now a suspect target's orders end within the lease that it may have already. Test: missed_orders_stop_new_work_and_then_the_target_is_gone now asks for `Gone` while orders are due; it failed with `Suspect` for all of 1.1 s before the change.

--- a/lib/src/connection/lease.rs
+++ b/lib/src/connection/lease.rs
@@ -249,10 +249,15 @@
         }
     }
 
-    /// Length that may be granted: it ends within the entry's own lease at the latest arrival.
+    /// Length that may be granted: it ends within the entry's own lease at the latest arrival, and
+    /// for a suspect target not after the lease that it may have already, which then runs out.
     fn grantable(&self, now: Moment, entry: &EntryLease) -> Option<Duration> {
-        let left = entry.until()?.since(now + self.timing.timeout);
-        let lease = self.timing.lease.min(left);
+        let arrival = now + self.timing.timeout;
+        let left = entry.until()?.since(arrival);
+        let mut lease = self.timing.lease.min(left);
+        if self.misses >= SUSPECT_MISSES {
+            lease = lease.min(self.lease_until().since(arrival));
+        }
         (lease >= self.timing.heartbeat).then_some(lease)
     }
 
--- a/lib/tests/test_health.rs
+++ b/lib/tests/test_health.rs
@@ -120,6 +120,7 @@
 
     assert_eq!(ties[..2], [Tie::Leased, Tie::Leased]);
     assert_eq!(ties[3], Tie::Suspect);
+    assert_eq!(ties[9], Tie::Gone, "while orders are still due: {ties:?}");
     let end = home.lease_until();
     assert_eq!(home.tie(end + DRIFT), Tie::Gone);
 }
