--- a/node/tests/test_docs.rs
+++ b/node/tests/test_docs.rs
@@ -249,3 +249,50 @@
         );
     }
 }
+
+#[test]
+fn the_readme_has_one_command_to_try_and_one_to_test() {
+    let readme = read("README.md");
+    let command = |head: &str| {
+        let (_, rest) = readme
+            .split_once(&format!("## {head}\n"))
+            .expect("a section");
+        let section = rest.split("\n## ").next().expect("a section");
+        let fences: Vec<_> = section.split("```").collect();
+        assert_eq!(fences.len(), 3, "one fenced command under {head}");
+        fences[1].trim_start_matches("console").trim().to_owned()
+    };
+    let ci = read(".ci/run");
+
+    let demo = command("Try it");
+    let test = command("Test");
+
+    assert_eq!(
+        demo,
+        "cargo run --release --bin cornelrail -- demo --requests 1000"
+    );
+    assert!(ci.contains(&test), "CI runs {test}");
+}
+
+#[test]
+fn every_link_leads_somewhere() {
+    let pages = ["README.md", "DEVELOPERS.md", "CHANGELOG.md"].map(str::to_owned);
+    let folder = fs::read_dir(root().join("docs")).expect("pages");
+    let names = folder.map(|entry| entry.expect("a page").file_name().into_string());
+    let docs = names.map(|name| format!("docs/{}", name.expect("text")));
+
+    for page in pages
+        .into_iter()
+        .chain(docs.filter(|name| name.ends_with(".md")))
+    {
+        let text = read(&page);
+        let links = text
+            .split("](")
+            .skip(1)
+            .filter_map(|rest| rest.split(')').next());
+        for link in links.filter(|link| !link.contains("://")) {
+            let place = root().join(&page).with_file_name(link);
+            assert!(place.exists(), "{page} links to {link}");
+        }
+    }
+}
