cli: the next entry is asked where one is silent

During a page the first entry is often the one that is down, and the command then gave up with code 4 though any other entry could answer.

--to takes several addresses and the command connects to the first that takes the connection. Weighed: asking another entry also after a request was sent; a note may be sent again safely, but the operator should know that an entry accepts and does not answer.

--- a/cli/src/args/entry.rs
+++ b/cli/src/args/entry.rs
@@ -9,11 +9,11 @@
 /// Variable that holds the path of the token's file.
 const TOKEN_VARIABLE: &str = "CORNELRAIL_TOKEN_FILE";
 
-/// The entry to ask, and with which token.
+/// The entries to ask, and with which token.
 #[derive(Debug)]
 pub(crate) struct Entry {
-    /// Operators' address of the entry.
-    pub address: SocketAddr,
+    /// Operators' addresses; the next is asked where one cannot be reached.
+    pub addresses: Vec<SocketAddr>,
     /// File with the operator's token.
     pub token: PathBuf,
 }
@@ -45,12 +45,7 @@
                 "add --to ADDR, or set CORNELRAIL_TO",
             ));
         };
-        let address = to.parse().map_err(|_| {
-            CommandError::arguments(
-                format!("`{to}` is no address"),
-                "write an IP number and a port, such as 10.0.0.1:7103",
-            )
-        })?;
+        let addresses = to.split(',').map(address).collect::<Result<_, _>>()?;
         let token = self
             .token
             .or_else(|| env::var_os(TOKEN_VARIABLE).map(PathBuf::from));
@@ -60,6 +55,15 @@
                 "add --token-file FILE, or set CORNELRAIL_TOKEN_FILE",
             ));
         };
-        Ok(Entry { address, token })
+        Ok(Entry { addresses, token })
     }
 }
+
+fn address(text: &str) -> Result<SocketAddr, CommandError> {
+    text.trim().parse().map_err(|_| {
+        CommandError::arguments(
+            format!("`{text}` is no address"),
+            "write an IP number and a port, such as 10.0.0.1:7103",
+        )
+    })
+}
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use std::{error::Error, fs, time::Duration};
+use std::{error::Error, fs, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, runtime::Builder, time};
 
 /// Time that an entry has to take the connection.
@@ -21,10 +21,10 @@
 /// Longest answer, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 << 20;
 
-/// Asks an entry.
+/// Asks the first entry that can be reached.
 #[derive(Debug)]
 pub(crate) struct Client {
-    address: String,
+    addresses: Vec<SocketAddr>,
     token: String,
 }
 
@@ -43,7 +43,7 @@
             fault,
         })?;
         Ok(Client {
-            address: entry.address.to_string(),
+            addresses: entry.addresses.clone(),
             token: token.trim().to_owned(),
         })
     }
@@ -71,7 +71,7 @@
         let request = Request::builder()
             .method(method)
             .uri(path)
-            .header(HOST, &self.address)
+            .header(HOST, "entry")
             .header(AUTHORIZATION, format!("Bearer {}", self.token))
             .header(CONTENT_TYPE, "text/plain; charset=utf-8")
             .body(Full::new(Bytes::from(text)))
@@ -85,7 +85,7 @@
                 .await
                 .unwrap_or_else(|_| Err("it took too long".into()))
         });
-        let answer = answer.map_err(|e| self.unreachable(e.as_ref()))?;
+        let answer = answer.map_err(|e| self.unreachable(e.to_string()))?;
         self.read(&answer)
     }
 
@@ -93,7 +93,7 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, Box<dyn Error + Send + Sync>> {
-        let stream = time::timeout(CONNECT_TIME, TcpStream::connect(&self.address)).await??;
+        let stream = self.connect().await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(connection);
         let response = sender.send_request(request).await?;
@@ -104,6 +104,19 @@
         Ok(Answer { status, body })
     }
 
+    /// Connects to the first entry that can be reached.
+    async fn connect(&self) -> Result<TcpStream, Box<dyn Error + Send + Sync>> {
+        let mut fault = "no address".into();
+        for address in &self.addresses {
+            match time::timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+                Ok(Ok(stream)) => return Ok(stream),
+                Ok(Err(error)) => fault = error.into(),
+                Err(late) => fault = late.into(),
+            }
+        }
+        Err(fault)
+    }
+
     /// Reads an answer; a status that means an error may still carry the answer's own type.
     fn read<T: DeserializeOwned>(&self, answer: &Answer) -> Result<T, CommandError> {
         if let Ok(value) = serde_json::from_slice(&answer.body) {
@@ -116,19 +129,17 @@
         match answer.status {
             StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => Err(CommandError::NotAllowed(text)),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT => {
-                Err(CommandError::Unreachable {
-                    address: self.address.clone(),
-                    problem: text,
-                })
+                Err(self.unreachable(text))
             }
             _ => Err(CommandError::Refused(text)),
         }
     }
 
-    fn unreachable(&self, error: &(dyn Error + Send + Sync)) -> CommandError {
+    fn unreachable(&self, problem: String) -> CommandError {
+        let addresses: Vec<_> = self.addresses.iter().map(ToString::to_string).collect();
         CommandError::Unreachable {
-            address: self.address.clone(),
-            problem: error.to_string(),
+            address: addresses.join(", "),
+            problem,
         }
     }
 }
--- a/cli/src/help.rs
+++ b/cli/src/help.rs
@@ -33,7 +33,8 @@
 cornelrail note status FILE
   on which entries it is in force
 
---to ADDR          operators' address
+--to ADDR[,ADDR]   operators' addresses; the
+                   next if one is silent;
                    or CORNELRAIL_TO
 --token-file FILE  or CORNELRAIL_TOKEN_FILE
 --wait SPAN        wait till it is in force
@@ -43,7 +44,8 @@
 cornelrail status [--to ADDR]
   leader, version, zones, services, entries
 
---to ADDR          operators' address
+--to ADDR[,ADDR]   operators' addresses; the
+                   next if one is silent;
                    or CORNELRAIL_TO
 --token-file FILE  or CORNELRAIL_TOKEN_FILE
 --json             one JSON object";
@@ -52,7 +54,8 @@
 cornelrail explain SERVICE/KEY [--to ADDR]
   who owns the key, under which fence, and why
 
---to ADDR          operators' address
+--to ADDR[,ADDR]   operators' addresses; the
+                   next if one is silent;
                    or CORNELRAIL_TO
 --token-file FILE  or CORNELRAIL_TOKEN_FILE
 --json             one JSON object";
--- a/cli/tests/test_entry.rs
+++ b/cli/tests/test_entry.rs
@@ -248,6 +248,16 @@
     assert_eq!(codes, [0, 1, 3, 4]);
 }
 
+#[test]
+fn the_next_entry_is_asked_where_one_is_silent() {
+    let entry = Entry::start(accepted());
+    let addresses = format!("127.0.0.1:1,{}", entry.address);
+
+    let run = entry.run(&["status", "--to", &addresses]);
+
+    assert_eq!(run.code, 0, "{}", run.err);
+}
+
 #[test]
 fn a_wrong_token_and_a_silent_entry_are_told_apart() {
     let entry = Entry::start(accepted());
