--- a/node/src/process/operator/page.rs
+++ b/node/src/process/operator/page.rs
@@ -8,8 +8,11 @@
     api::{call_status, error, note_status},
     gate::{Session, session},
 };
-use cornelrail_lib::process::operator_api::{
-    CheckAnswer, NOTE_BYTES_MAX, NoteAnswer, StatusAnswer,
+use cornelrail_lib::{
+    process::operator_api::{
+        CheckAnswer, EntryStatus, NOTE_BYTES_MAX, NoteAnswer, StatusAnswer, TargetStatus,
+    },
+    version::fleet::{TargetPhase, ZoneState},
 };
 use salvo::{Depot, Request, Response, handler, http::StatusCode, writing::Text};
 use std::fmt::Write;
@@ -185,9 +188,12 @@
     }
     body.push_str("<h2>Zones</h2><table>");
     for zone in &status.zones {
-        let state = format!("{:?}", zone.state).to_lowercase();
+        let state = match zone.state {
+            ZoneState::In => "in",
+            ZoneState::Out => "out",
+        };
         let load = format!("{} entries, {} targets", zone.entries, zone.targets);
-        write_row(body, &[&zone.zone.0, &state, &load]);
+        write_row(body, &[&zone.zone.0, state, &load]);
     }
     body.push_str("</table><h2>Services</h2><table>");
     for service in &status.services {
@@ -195,17 +201,42 @@
         let moving = format!("{} moving, {} unowned", service.moving, service.unowned);
         write_row(body, &[&service.service.0, &load, &moving]);
     }
-    body.push_str("</table><h2>Entries</h2><table>");
-    for entry in &status.entries {
-        let state = if entry.alive { "up" } else { "lost" };
-        let lag = match entry.lag {
-            Some(lag) => format!("{lag} behind"),
-            None => "unheard".to_owned(),
+    body.push_str("</table>");
+    write_entries(body, &status.entries);
+    write_targets(body, &status.targets);
+}
+
+/// Writes how many entries are up, and a row for each that is not well.
+fn write_entries(body: &mut String, entries: &[EntryStatus]) {
+    let up = entries.iter().filter(|entry| entry.alive).count();
+    let _ = write!(body, "<h2>{up} of {} entries up</h2><table>", entries.len());
+    for entry in entries {
+        let state = match (entry.alive, entry.lag) {
+            (false, _) => "lost".to_owned(),
+            (true, Some(lag)) if lag > 0 => format!("{lag} behind"),
+            (true, _) => continue,
         };
-        write_row(
-            body,
-            &[&entry.entry.to_string(), &entry.zone.0, state, &lag],
-        );
+        write_row(body, &[&entry.entry.to_string(), &entry.zone.0, &state]);
+    }
+    body.push_str("</table>");
+}
+
+/// Writes how many targets serve, and a row for each that does not.
+fn write_targets(body: &mut String, targets: &[TargetStatus]) {
+    let is_serving = |target: &&TargetStatus| target.phase == TargetPhase::Serving;
+    let serving = targets.iter().filter(is_serving).count();
+    let _ = write!(
+        body,
+        "<h2>{serving} of {} targets serve</h2><table>",
+        targets.len()
+    );
+    for target in targets {
+        let state = match target.phase {
+            TargetPhase::Serving => continue,
+            TargetPhase::Draining => "draining",
+            TargetPhase::Lost => "lost",
+        };
+        write_row(body, &[&target.target.0, &target.zone.0, state]);
     }
     body.push_str("</table>");
 }
--- a/node/tests/test_operator.rs
+++ b/node/tests/test_operator.rs
@@ -4,7 +4,7 @@
 use cornelrail_lib::{
     name::{Node, Version},
     process::{
-        operator_api::{CheckAnswer, InForceAnswer, NoteAnswer, StatusAnswer},
+        operator_api::{CheckAnswer, EntryStatus, InForceAnswer, NoteAnswer, StatusAnswer},
         settings::Operator,
     },
 };
@@ -50,6 +50,17 @@
     }
 }
 
+fn entry(number: u64, alive: bool) -> EntryStatus {
+    EntryStatus {
+        entry: Node(number),
+        zone: format!("zone-{number}").as_str().into(),
+        alive,
+        voter: true,
+        applied: None,
+        lag: None,
+    }
+}
+
 fn status() -> StatusAnswer {
     StatusAnswer {
         fleet: "<kindloon>".to_owned(),
@@ -59,7 +70,7 @@
         term: 3,
         version: Version(6),
         index: 40,
-        entries: Vec::new(),
+        entries: vec![entry(1, true), entry(2, false)],
         zones: Vec::new(),
         services: Vec::new(),
         targets: Vec::new(),
@@ -298,6 +309,8 @@
         "{}",
         home.body
     );
+    assert!(home.body.contains("1 of 2 entries up"));
+    assert!(home.body.contains("zone-2") && !home.body.contains("zone-1"));
     assert!(home.body.contains("width=device-width"));
     assert!(!home.body.contains("<script"));
     assert_eq!(home.headers["x-frame-options"], "DENY");
