events: what the catalogue promises is logged, or said not to be

Eleven of 38 events were never logged, and a resent note was logged as refused (CR0041), in a trial where its sender got the first answer again.

A range split, a lifted quarantine, a torn tail, a change of voters, a replaced disk and a refused request now have their lines, and a note that changes no version is told apart: resent, lost the race, or refused. A test compares the events that nothing logs with the list in EVENTS.md: three remain, CR0025, CR0026 and CR0043. The daemon's files are touched where the events arise, and nowhere else.

No test brings about a replaced disk in a whole daemon.

--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -19,6 +19,7 @@
         command::{Announcement, Command},
         controller::{Controller, ControllerConfig, EntryLag},
         fleet::{Fleet, TargetPhase},
+        note::Note,
         report::Report,
     },
 };
@@ -221,7 +222,10 @@
     pub(super) fn log_change(&self, before: &Arc<Fleet>, command: &Command, index: u64) {
         let after = self.replica.fleet();
         match command {
-            Command::Noop | Command::Split { .. } | Command::Merge { .. } => {}
+            Command::Noop | Command::Merge { .. } => {}
+            Command::Split { service, at } => {
+                Event::RangeSplit.log(format_args!("service={service} at={at} index={index}"));
+            }
             Command::Admit(info) => Event::TargetAdmitted.log(format_args!(
                 "target={} service={} incarnation={} index={index}",
                 info.target, info.service, info.incarnation
@@ -252,24 +256,46 @@
             Command::MoveEnd(list) => {
                 Event::MoveEnded.log(format_args!("ranges={} index={index}", list.len()));
             }
-            Command::Note { author, .. } => {
-                let event = match after.version > before.version {
-                    true => Event::NoteAccepted,
-                    false => Event::NoteRefused,
+            Command::Note { author, text } => note_event(before, after, text).log(format_args!(
+                "author={author} version={} index={index}",
+                after.version
+            )),
+            Command::Quarantine {
+                fingerprint,
+                active,
+                ..
+            } => {
+                let event = match active {
+                    true => Event::RequestQuarantined,
+                    false => Event::QuarantineLifted,
                 };
                 event.log(format_args!(
-                    "author={author} version={} index={index}",
-                    after.version
+                    "fingerprint={:016x} index={index}",
+                    fingerprint.0
                 ));
             }
-            Command::Quarantine { fingerprint, .. } => Event::RequestQuarantined.log(format_args!(
-                "fingerprint={:016x} index={index}",
-                fingerprint.0
-            )),
         }
     }
 }
 
+/// What became of a note; a resend counts as what it was at first.
+fn note_event(before: &Fleet, after: &Fleet, text: &str) -> Event {
+    if after.version > before.version {
+        return Event::NoteAccepted;
+    }
+    let Ok(note) = Note::parse(text) else {
+        return Event::NoteRefused;
+    };
+    let digest = note.digest();
+    if before.notes.iter().any(|record| record.digest == digest) {
+        return Event::NoteAccepted;
+    }
+    match winner(before, note.builds_on.next()) {
+        Some(_) => Event::NoteConflict,
+        None => Event::NoteRefused,
+    }
+}
+
 /// The note that made a version.
 pub(super) fn winner(fleet: &Fleet, version: cornelrail_lib::name::Version) -> Option<Winner> {
     let mut notes = fleet.notes.iter().rev();
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -5,17 +5,23 @@
 //! What the layer above has to do comes out as [`VoterEvent`]s; when it is slow, messages to other
 //! voters are dropped, never commits.
 
-use super::store::{Store, StoreError};
+use super::{
+    logging::EventLog,
+    store::{Store, StoreError},
+};
 use cornelrail_lib::{
     moment::Moment,
     name::Node,
-    process::raft::{
-        Action, Batch, ChangeError, Entry, Member, Membership, Message, Payload, Raft, RaftConfig,
-        RoleNews, VoterChange,
+    process::{
+        event::Event,
+        raft::{
+            Action, Batch, ChangeError, Entry, Member, Membership, Message, Payload, Raft,
+            RaftConfig, RoleNews, VoterChange,
+        },
     },
 };
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     path::PathBuf,
     time::{Duration, Instant},
 };
@@ -201,7 +207,8 @@
 pub fn start(config: VoterConfig) -> Result<(VoterHandle, mpsc::Receiver<VoterEvent>), StoreError> {
     let opened = Store::open(&config.folder, &config.fleet, config.node)?;
     if opened.torn > 0 {
-        log::warn!("removed {} bytes of a write that was cut off", opened.torn);
+        let folder = config.folder.display();
+        Event::TornTail.log(format_args!("folder={folder} bytes={}", opened.torn));
     }
     let raft_config = RaftConfig {
         node: config.node,
@@ -217,6 +224,7 @@
     let (events, receiver) = mpsc::channel(EVENTS);
     let raft = Raft::new(raft_config, opened.restored, Moment::ZERO);
     let voter = Voter {
+        membership: raft.membership().clone(),
         raft,
         origin: Instant::now(),
         election: config.election,
@@ -260,6 +268,8 @@
 
 struct Voter {
     raft: Raft,
+    /// Membership that the log of events told of last.
+    membership: Membership,
     origin: Instant,
     election: Duration,
     disk: Disk,
@@ -379,6 +389,28 @@
                 Action::Role(news) => self.change_role(news),
             }
         }
+        if *self.raft.membership() != self.membership {
+            self.log_membership();
+        }
+    }
+
+    /// Writes the new membership to the log, and whether a folder of this node's own is replaced.
+    fn log_membership(&mut self) {
+        self.membership = self.raft.membership().clone();
+        let own = self.raft.member();
+        let former = |member: &Member| member.node == own.node && member.identity != own.identity;
+        if self.membership.voters.iter().any(former) && !self.membership.contains(own) {
+            Event::DiskReplaced.log(format_args!("member={own}"));
+        }
+        let names = |members: &BTreeSet<Member>| {
+            let names: Vec<_> = members.iter().map(ToString::to_string).collect();
+            names.join(",")
+        };
+        Event::VotersChanged.log(format_args!(
+            "voters={} learners={}",
+            names(&self.membership.voters),
+            names(&self.membership.learners)
+        ));
     }
 
     fn write(&mut self, batch: Batch) {
--- a/node/src/request/front.rs
+++ b/node/src/request/front.rs
@@ -9,9 +9,10 @@
     message::{Answer, RequestHead, passed_fields},
     route,
 };
-use crate::process::telemetry;
+use crate::process::{logging::EventLog, telemetry};
 use cornelrail_lib::{
     name::Service,
+    process::event::Event,
     request::{
         header,
         outcome::{Certainty, Reason, Refusal},
@@ -173,6 +174,7 @@
     let reason = refusal.reason.name();
     metrics::counter!("cornelrail_requests_total", "outcome" => outcome).increment(1);
     metrics::counter!("cornelrail_refusals_total", "reason" => reason).increment(1);
+    Event::RequestRefused.log(format_args!("outcome={outcome} reason={reason}"));
     let status = refusal.reason.status(refusal.certainty);
     response.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
     set_field(response, header::OUTCOME, outcome);
--- a/node/tests/test_docs.rs
+++ b/node/tests/test_docs.rs
@@ -130,6 +130,30 @@
     assert_eq!(numbers.len(), Event::ALL.len(), "a number is used twice");
 }
 
+#[test]
+fn events_that_nothing_logs_are_said_to_be() {
+    let code = sources(&root().join("node/src"));
+    let is_logged = |event: &&Event| {
+        let name = format!("Event::{event:?}");
+        let ends = |(at, _): (usize, &str)| {
+            let next = code[at + name.len()..].chars().next();
+            !next.is_some_and(char::is_alphanumeric)
+        };
+        code.match_indices(&name).any(ends)
+    };
+    let silent = Event::ALL.iter().filter(|event| !is_logged(event));
+    let silent: Vec<_> = silent.map(|event| event.code()).collect();
+    let page = read("docs/EVENTS.md");
+
+    let listed: Vec<_> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("- CR"))
+        .collect();
+
+    let listed: Vec<_> = listed.iter().map(|number| format!("CR{number}")).collect();
+    assert_eq!(listed, silent);
+}
+
 #[test]
 fn every_setting_is_documented_with_its_default() {
     let sample = read("sample/entry-1.yaml");
