lease: the end of a target's lease is told by the target's own clock

Cause: under load the ledger of the stand-ins showed up to 157 pairs of targets that held one range at one time. An order read late granted its length from the reading on, and an order that was overtaken granted again what a later one had withdrawn. Ruled out: two owners in the committed state; the fences were always in order. Change: an order carries a serial number and the end by the target's clock, which the last answer showed; the home bounds that end from both sides by its own clock. A home that follows a living one counts with the lease that the former may still grant. Conclusion: the bound no longer rests on how long an order is on its way.

--- a/lib/src/connection/lease.rs
+++ b/lib/src/connection/lease.rs
@@ -1,13 +1,10 @@
 //! Leases of an entry and of the targets that it is the home of.
 //!
 //! An entry's lease ends at the time of sending its heartbeat plus the lease's length, so it never
-//! outlives what the leader counts. A target counts its lease from the arrival of an order. The home
-//! therefore assumes the latest arrival: the order's timeout after sending it, or the arrival of
-//! the answer if that came earlier. What it grants ends before its own lease even then.
-//!
-//! One window remains: a target that freezes with an order unread in its socket counts the lease
-//! from the moment it resumes. Its home sends it no work in that lease, and a later home's higher
-//! epoch ends it; a target that checks no epoch is protected by the silence of its homes alone.
+//! outlives what the leader counts. A target's lease ends at a reading of the target's own clock.
+//! The home knows such readings from answers, and when it asked for them and heard them, so it
+//! bounds the end from both sides by its own clock, however long an order is on its way. What it
+//! grants ends before its own lease.
 
 use super::order::{LeaseAnswer, Warmth};
 use crate::{
@@ -18,6 +15,8 @@
 
 /// Number of missed orders in a row after which new work stops.
 const SUSPECT_MISSES: u32 = 2;
+/// What two cuts to whole milliseconds take off at most.
+const CUT: Duration = Duration::from_millis(2);
 
 /// Lease of this entry, granted by the leader's answers to its heartbeats.
 #[derive(Debug, Clone, Default)]
@@ -57,7 +56,7 @@
 pub struct LeaseTiming {
     /// Pause between orders.
     pub heartbeat: Duration,
-    /// Time after which an order without an answer counts as missed and its connection is closed.
+    /// Time after which an order without an answer counts as missed.
     pub timeout: Duration,
     /// Longest lease that one order grants.
     pub lease: Duration,
@@ -87,17 +86,32 @@
 pub struct Renewal {
     /// Number of the order; its answer names it.
     pub serial: u64,
-    /// Length of the lease to grant.
-    pub lease: Duration,
-    /// When the order counts as missed; its connection must be closed by then.
+    /// End of the lease by the target's clock, in milliseconds; zero grants nothing.
+    pub until_ms: u64,
+    /// When the order counts as missed.
     pub timeout: Moment,
 }
 
+/// Span of the home's clock in which a target's lease ends.
+#[derive(Debug, Clone, Copy)]
+struct End {
+    earliest: Moment,
+    latest: Moment,
+}
+
 #[derive(Debug)]
 struct Outstanding {
     serial: u64,
     sent: Moment,
-    lease: Duration,
+    end: Option<End>,
+}
+
+/// Reading of the target's clock, taken between `asked` and `heard`.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    clock_ms: u64,
+    asked: Moment,
+    heard: Moment,
 }
 
 /// Lease of one target under this entry as its home.
@@ -110,9 +124,9 @@
     serial: u64,
     due: Moment,
     misses: u32,
+    reading: Option<Reading>,
     confirmed: Option<Moment>,
-    accepted_end: Moment,
-    stray_end: Moment,
+    granted_end: Moment,
     warmth: Warmth,
     verdict: Option<Tie>,
 }
@@ -134,9 +148,9 @@
             serial: 0,
             due: now,
             misses: 0,
+            reading: None,
             confirmed: None,
-            accepted_end: inherited.max(now),
-            stray_end: inherited.max(now),
+            granted_end: inherited.max(now),
             warmth: Warmth::Cold,
             verdict: None,
         }
@@ -159,11 +173,7 @@
 
     /// Latest moment at which the target may believe that it holds a lease.
     pub fn lease_until(&self) -> Moment {
-        let end = self.accepted_end.max(self.stray_end);
-        match &self.outstanding {
-            Some(order) => end.max(self.latest_end(order)),
-            None => end,
-        }
+        self.granted_end
     }
 
     /// Order to send now, if one is due and the entry's own lease covers it.
@@ -173,16 +183,21 @@
             return None;
         }
         let lease = self.grantable(now, entry)?;
+        let granted = self.reading.filter(|_| !lease.is_zero());
+        let end = granted.map(|reading| reading.end(now, lease));
+        if let Some(end) = end {
+            self.granted_end = self.granted_end.max(end.latest);
+        }
         self.serial += 1;
         self.due = now + self.timing.heartbeat;
         self.outstanding = Some(Outstanding {
             serial: self.serial,
             sent: now,
-            lease,
+            end,
         });
         Some(Renewal {
             serial: self.serial,
-            lease,
+            until_ms: granted.map_or(0, |reading| reading.until_ms(now, lease)),
             timeout: now + self.timing.timeout,
         })
     }
@@ -207,26 +222,20 @@
             self.verdict = Some(Tie::Restarted(answer.incarnation));
         } else if answer.epoch > self.epoch {
             self.verdict = Some(Tie::Deposed(answer.epoch));
-        } else if answer.accepted {
-            self.accept(now, &order, answer.warmth);
         } else {
-            self.stray(&order);
+            self.reading = Some(Reading {
+                clock_ms: answer.clock_ms,
+                asked: order.sent,
+                heard: now,
+            });
+            self.take_in(now, &order, answer);
         }
         self.tie(now)
     }
 
     /// Takes in that order `serial` failed on its way; the target may still have got it.
     pub fn missed(&mut self, now: Moment, serial: u64) -> Tie {
-        if let Some(order) = self.outstanding.take_if(|o| o.serial == serial) {
-            self.stray(&order);
-        }
-        self.tie(now)
-    }
-
-    /// Takes in that order `serial` certainly did not arrive.
-    pub fn unsent(&mut self, now: Moment, serial: u64) -> Tie {
-        let sent = self.outstanding.take_if(|order| order.serial == serial);
-        if sent.is_some() {
+        if self.outstanding.take_if(|o| o.serial == serial).is_some() {
             self.misses += 1;
         }
         self.tie(now)
@@ -258,49 +267,59 @@
         }
     }
 
-    /// Length that may be granted: it ends within the entry's own lease at the latest arrival.
+    /// Length that may be granted: it ends within the entry's own lease.
     ///
-    /// A target that misses orders is sent orders of no length until it answers one. Each order
-    /// with a length would put off the end of what it may believe to hold.
+    /// A target whose clock is not known, or that misses orders, is sent orders of no length until
+    /// it answers one. Each order with a length would put off the end of what it may believe to hold.
     fn grantable(&self, now: Moment, entry: &EntryLease) -> Option<Duration> {
-        if self.misses >= SUSPECT_MISSES {
+        if self.reading.is_none() || self.misses >= SUSPECT_MISSES {
             return entry.valid(now).then_some(Duration::ZERO);
         }
-        let left = entry.until()?.since(now + self.timing.timeout);
+        let left = entry.until()?.since(now);
         let lease = self.timing.lease.min(left);
         (lease >= self.timing.heartbeat).then_some(lease)
     }
 
-    fn accept(&mut self, now: Moment, order: &Outstanding, warmth: Warmth) {
-        self.misses = 0;
-        self.warmth = warmth;
-        if order.lease.is_zero() {
-            // It is back; the next order grants.
-            self.due = now;
+    fn take_in(&mut self, now: Moment, order: &Outstanding, answer: &LeaseAnswer) {
+        if !answer.accepted {
+            self.misses += 1;
             return;
         }
-        self.confirmed = self.confirmed.max(Some(order.sent + order.lease));
-        self.accepted_end = self.accepted_end.max(now + order.lease);
-    }
-
-    /// Counts an order as missed, though it may have arrived.
-    fn stray(&mut self, order: &Outstanding) {
-        self.misses += 1;
-        self.stray_end = self.stray_end.max(self.latest_end(order));
-    }
-
-    fn latest_end(&self, order: &Outstanding) -> Moment {
-        if order.lease.is_zero() {
-            return Moment::ZERO;
+        self.misses = 0;
+        self.warmth = answer.warmth;
+        match order.end {
+            Some(end) => self.confirmed = self.confirmed.max(Some(end.earliest)),
+            // An order of no length ended what it had; its clock is known now, so the next grants.
+            None => {
+                self.confirmed = None;
+                self.due = now;
+            }
         }
-        order.sent + self.timing.timeout + order.lease
     }
 
     fn expire(&mut self, now: Moment) {
         let limit = self.timing.timeout;
         let late = |o: &mut Outstanding| now >= o.sent + limit;
-        if let Some(order) = self.outstanding.take_if(late) {
-            self.stray(&order);
+        if self.outstanding.take_if(late).is_some() {
+            self.misses += 1;
+        }
+    }
+}
+
+impl Reading {
+    /// Reading of the target's clock at which a lease of this length from `now` ends, rounded down.
+    fn until_ms(&self, now: Moment, lease: Duration) -> u64 {
+        let passed = now.since(self.heard) + lease;
+        self.clock_ms + passed.as_millis() as u64
+    }
+
+    /// When that is by the home's clock: the target read its clock after it was asked and before it
+    /// was heard, and both the reading and the end are cut to whole milliseconds.
+    fn end(&self, now: Moment, lease: Duration) -> End {
+        let doubt = self.heard.since(self.asked) + CUT;
+        End {
+            earliest: now + lease - doubt,
+            latest: now + lease,
         }
     }
 }
--- a/lib/src/connection/order.rs
+++ b/lib/src/connection/order.rs
@@ -1,5 +1,9 @@
 //! Protocol between a target and the entry that is its home.
 //!
+//! The end of a lease is told by the target's own clock, which its last answer showed, so an order
+//! that is late on its way, or read late by a target that was stopped, grants no more than one that
+//! was prompt.
+//!
 //! A home renews the target's lease with a [`LeaseOrder`] and reads the target's condition from the
 //! [`LeaseAnswer`]. Both travel as JSON over HTTP. Users say how their targets differ; only the
 //! adapter at the edge of the daemon knows these shapes.
@@ -33,8 +37,10 @@
     pub incarnation: Incarnation,
     /// Epoch of the home; the target refuses a lower one than it has seen.
     pub epoch: Epoch,
-    /// Length of the lease from the arrival of the order, in milliseconds.
-    pub lease_ms: u64,
+    /// Number of the order in this epoch; the target refuses one that is not above the last.
+    pub serial: u64,
+    /// End of the lease by the target's own clock, in milliseconds; zero grants nothing.
+    pub until_ms: u64,
     /// All ranges that the target owns; empty for pools.
     pub grants: Vec<Grant>,
     /// Whether the target is to leave.
@@ -64,6 +70,8 @@
     pub accepted: bool,
     /// Highest epoch that the target has seen.
     pub epoch: Epoch,
+    /// The target's own monotonic clock as it answers, in milliseconds.
+    pub clock_ms: u64,
     /// How warm it is.
     pub warmth: Warmth,
     /// Requests that it runs now; late and sometimes misleading.
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -89,6 +89,7 @@
 pub(super) struct HeldTargets {
     me: Node,
     direct: bool,
+    entry_lease: Duration,
     timing: LeaseTiming,
     held: BTreeMap<Target, Held>,
     fleet: Arc<Fleet>,
@@ -102,6 +103,7 @@
         HeldTargets {
             me: settings.node,
             direct: settings.sending == Sending::Direct,
+            entry_lease: timing.entry_lease,
             timing: LeaseTiming {
                 heartbeat: timing.heartbeat,
                 timeout: timing.heartbeat * MISSED_BEATS,
@@ -163,11 +165,16 @@
             held.wanted = wanted;
             return;
         }
+        // A former home that lives may renew the target's lease until its own ends.
+        let inherited = match state.formers.is_empty() {
+            true => now,
+            false => now + self.entry_lease,
+        };
         let lease = HomeLease::new(
             now,
             state.info.incarnation,
             state.epoch,
-            now,
+            inherited,
             self.timing.clone(),
         );
         let held = Held {
@@ -246,7 +253,8 @@
                 order: LeaseOrder {
                     incarnation: held.lease.incarnation(),
                     epoch: held.lease.epoch(),
-                    lease_ms: due.lease.as_millis() as u64,
+                    serial: due.serial,
+                    until_ms: due.until_ms,
                     grants,
                     drain: held.draining,
                 },
@@ -271,12 +279,9 @@
                     held.pending.clear();
                 }
             }
-            Err(ExchangeError::Broken) => {
+            Err(ExchangeError::Broken | ExchangeError::NotSent) => {
                 held.lease.missed(now, renewed.serial);
             }
-            Err(ExchangeError::NotSent) => {
-                held.lease.unsent(now, renewed.serial);
-            }
         }
     }
 
@@ -371,7 +376,10 @@
     fn gone(&self, now: Moment) -> Vec<GoneTarget> {
         self.held
             .iter()
-            .filter(|(target, held)| self.is_home(target) && held.lease.tie(now) == Tie::Gone)
+            .filter(|(target, held)| {
+                let tie = held.lease.tie(now);
+                self.is_home(target) && matches!(tie, Tie::Gone | Tie::Restarted(_))
+            })
             .map(|(target, held)| GoneTarget {
                 target: target.clone(),
                 incarnation: held.lease.incarnation(),
--- a/node/tests/test_processes.rs
+++ b/node/tests/test_processes.rs
@@ -8,12 +8,19 @@
     target::StandIn,
 };
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::{Mutex, MutexGuard},
+    time::{Instant, sleep},
+};
 
 const DEADLINE: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_millis(8);
 
+/// One fleet at a time has the machine, so that timeouts mean what they say.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 struct Fleet {
+    _turn: MutexGuard<'static, ()>,
     hosts: Hosts,
     ledger: Arc<Ledger>,
     targets: Vec<StandIn>,
@@ -21,6 +28,7 @@
 
 /// Three hosts that vote and six targets, at rest.
 async fn fleet(voters: u64) -> Fleet {
+    let turn = TURN.lock().await;
     let hosts = Hosts::start(3, voters);
     hosts.apply(0, &first_note(3)).await;
     let ledger = Arc::new(Ledger::default());
@@ -29,6 +37,7 @@
         hosts.until_owned(place, 6).await;
     }
     Fleet {
+        _turn: turn,
         hosts,
         ledger,
         targets,
--- a/testutils/src/target/life.rs
+++ b/testutils/src/target/life.rs
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 struct Lease {
     epoch: Epoch,
+    serial: u64,
     grants: Vec<Grant>,
     end: Instant,
 }
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 pub(super) struct Life {
     name: Target,
+    origin: Instant,
     incarnation: Incarnation,
     checks: Checks,
     slots: u32,
@@ -49,11 +51,13 @@
     pub(super) fn new(incarnation: Incarnation, settings: &TargetSettings) -> Self {
         let lease = Lease {
             epoch: Epoch::default(),
+            serial: 0,
             grants: Vec::new(),
             end: Instant::now(),
         };
         Life {
             name: settings.name.clone(),
+            origin: Instant::now(),
             incarnation,
             checks: settings.checks,
             slots: settings.slots,
@@ -152,31 +156,35 @@
         median.mul_f64((normal * sigma).exp() * chill * collapse)
     }
 
-    /// Obeys or refuses an order; the length of the new lease if it obeys.
-    pub(super) fn obey(&self, order: &LeaseOrder) -> (LeaseAnswer, Option<Instant>) {
+    /// Obeys or refuses an order; `record` is told the end of the new lease if it obeys, before any
+    /// other order is.
+    pub(super) fn obey(&self, order: &LeaseOrder, record: impl FnOnce(Instant)) -> LeaseAnswer {
         let mut lease = self.lock();
-        let fits = order.incarnation == self.incarnation && order.epoch >= lease.epoch;
+        let later = (order.epoch, order.serial) > (lease.epoch, lease.serial);
+        let fits = order.incarnation == self.incarnation && later;
         let accepted = fits || self.checks == Checks::Trusting;
-        let end = Instant::now() + Duration::from_millis(order.lease_ms);
+        let end = self.origin + Duration::from_millis(order.until_ms);
         if accepted {
             lease.epoch = order.epoch;
+            lease.serial = order.serial;
             lease.grants.clone_from(&order.grants);
             lease.end = end;
+            record(end);
         }
         let epoch = lease.epoch;
         drop(lease);
         if accepted && order.drain {
             self.drain();
         }
-        let answer = LeaseAnswer {
+        LeaseAnswer {
             target: self.name.clone(),
             incarnation: self.incarnation,
             accepted,
             epoch,
+            clock_ms: self.origin.elapsed().as_millis() as u64,
             warmth: self.warmth(),
             running: self.running.load(Relaxed),
-        };
-        (answer, accepted.then_some(end))
+        }
     }
 
     /// Whether it may run work for a key (`None` in a pool) under this epoch and fence.
--- a/testutils/src/target/serve.rs
+++ b/testutils/src/target/serve.rs
@@ -107,13 +107,12 @@
     let Ok(order) = serde_json::from_slice::<LeaseOrder>(&body.to_bytes()) else {
         return Ok(respond(StatusCode::BAD_REQUEST, Bytes::new()));
     };
-    let (answer, end) = life.obey(&order);
-    if let Some(end) = end {
+    let answer = life.obey(&order, |end| {
         let settings = &shared.settings;
         let holder = (&settings.name, life.incarnation());
         let ledger = &shared.ledger;
         ledger.grant(&settings.service, holder, &order.grants, end);
-    }
+    });
     let body = serde_json::to_vec(&answer).expect("names serialize");
     Ok(respond(StatusCode::OK, body.into()))
 }
