--- a/lib/src/version/controller.rs
+++ b/lib/src/version/controller.rs
@@ -7,7 +7,7 @@
     admission::{self, Rejected},
     command::{Announcement, Command},
     draft::Draft,
-    fleet::{Fleet, TargetPhase},
+    fleet::{Fleet, TargetPhase, TargetState},
     homes, moves,
     placement::Placer,
     report::Report,
@@ -16,11 +16,13 @@
     connection::order::Leave,
     moment::Moment,
     name::{Incarnation, Node, Target, Version, Zone},
-    process::settings::{Assigner, Timing},
+    process::settings::{Assigner, Sending, Timing},
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
+/// Usual share of a service's hash space that may move for balance in a minute.
+const CHURN_PER_MINUTE: f64 = 0.6;
 /// How long a proposed command may take before it is proposed again.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Pause between improvements of homes.
@@ -41,16 +43,19 @@
     pub seed: u64,
     /// Share of a service's hash space that may move for balance in a minute.
     pub churn: f64,
+    /// Who sends to a target, and so has to be quiet before a move ends.
+    pub sending: Sending,
 }
 
 impl ControllerConfig {
-    /// Settings with the usual churn budget.
+    /// Settings with the usual churn budget, for targets that their homes send to.
     pub fn new(timing: Timing, assigner: Assigner, seed: u64) -> Self {
         ControllerConfig {
             timing,
             assigner,
             seed,
-            churn: 0.6,
+            churn: CHURN_PER_MINUTE,
+            sending: Sending::Home,
         }
     }
 }
@@ -252,6 +257,7 @@
     /// Raises entries that report. A new life waits until the lease of the one before is over,
     /// since that one may run on elsewhere.
     fn raise_entries(&mut self, now: Moment, draft: &mut Draft<'_>) {
+        let sending = self.config.sending;
         for (node, heard) in &self.heard {
             if !self.is_fresh(now, heard) || self.fallen.get(node) == Some(&Fall::Proposed) {
                 continue;
@@ -263,7 +269,7 @@
             if up || (known.is_some() && now.since(before) <= self.lease_end()) {
                 continue;
             }
-            let freed = moves::freed_by(draft.fleet(), *node, &self.heard);
+            let freed = moves::freed_by(draft.fleet(), *node, &self.heard, sending);
             draft.push(Command::EntryUp {
                 node: *node,
                 zone: heard.report.zone.clone(),
@@ -276,6 +282,7 @@
     }
 
     fn drop_entries(&mut self, now: Moment, draft: &mut Draft<'_>) {
+        let sending = self.config.sending;
         let wait = self.lease_end();
         let silent: Vec<(Node, Incarnation)> = (draft.fleet().entries.iter())
             .filter(|(node, entry)| {
@@ -286,7 +293,7 @@
             .collect();
         for (node, incarnation) in silent {
             self.fallen.entry(node).or_insert(Fall::Proposed);
-            let freed = moves::freed_by(draft.fleet(), node, &self.heard);
+            let freed = moves::freed_by(draft.fleet(), node, &self.heard, sending);
             draft.push(Command::EntryLost { node, incarnation });
             if !freed.is_empty() {
                 draft.push(Command::MoveEnd(freed));
@@ -312,7 +319,7 @@
     }
 
     fn end_moves(&mut self, draft: &mut Draft<'_>) {
-        let ended = moves::ended(draft.fleet(), &self.heard);
+        let ended = moves::ended(draft.fleet(), &self.heard, self.config.sending);
         if !ended.is_empty() {
             draft.push(Command::MoveEnd(ended));
         }
@@ -346,12 +353,7 @@
                     now.since(since) >= LOST_KEPT
                 }
             };
-            let alone = draft
-                .fleet()
-                .serving(state.info.service.as_str())
-                .next()
-                .is_none();
-            if ended && (alone || !draft.fleet().holds_ranges(name)) {
+            if ended && is_free(draft.fleet(), name, state) {
                 over.push((name.clone(), state.info.incarnation));
             }
         }
@@ -385,3 +387,9 @@
         fresh
     }
 }
+
+/// Whether the target owns nothing, or nobody is left to take its ranges over.
+fn is_free(fleet: &Fleet, name: &Target, state: &TargetState) -> bool {
+    let service = state.info.service.as_str();
+    !fleet.holds_ranges(name) || fleet.serving(service).next().is_none()
+}
--- a/lib/src/version/moves.rs
+++ b/lib/src/version/moves.rs
@@ -5,7 +5,10 @@
     controller::Heard,
     fleet::{Assignment, Fleet, TargetState},
 };
-use crate::name::{Node, Service, Target};
+use crate::{
+    name::{Node, Service, Target},
+    process::settings::Sending,
+};
 use std::collections::BTreeMap;
 
 /// Moves under way: the service, the range and where it moves to.
@@ -16,26 +19,56 @@
     })
 }
 
-/// Moves whose old owner is quiet, by the reports of its home and of its former homes.
-pub(super) fn ended(fleet: &Fleet, heard: &BTreeMap<Node, Heard>) -> Vec<Move> {
-    let quiet = |slot: &Assignment, movement: &Move| {
-        let Some(owner) = slot
-            .owner
-            .as_ref()
-            .and_then(|o| fleet.targets.get_key_value(o))
-        else {
-            return true;
-        };
-        let told = owner.1.home.and_then(|home| heard.get(&home));
-        let quiet = told
-            .is_some_and(|h| h.report.applied >= slot.since && h.report.quiet.contains(movement));
-        quiet && formers_quiet(owner.0, owner.1, heard)
+/// Moves whose old owner is quiet, by the reports of all entries that may send to it.
+pub(super) fn ended(fleet: &Fleet, heard: &BTreeMap<Node, Heard>, sending: Sending) -> Vec<Move> {
+    moves_that(fleet, |slot, movement| match sending {
+        Sending::Home => home_quiet(fleet, heard, slot, movement),
+        Sending::Direct => all_quiet(fleet, heard, slot, movement),
+    })
+}
+
+fn home_quiet(
+    fleet: &Fleet,
+    heard: &BTreeMap<Node, Heard>,
+    slot: &Assignment,
+    movement: &Move,
+) -> bool {
+    let owner = slot.owner.as_ref();
+    let Some((name, state)) = owner.and_then(|owner| fleet.targets.get_key_value(owner)) else {
+        return true;
     };
-    moves_that(fleet, quiet)
+    let since = slot.since.max(state.epoch.0);
+    let told = state.home.and_then(|home| heard.get(&home));
+    told.is_some_and(|h| is_quiet(h, since, movement)) && formers_quiet(name, state, heard)
+}
+
+fn all_quiet(
+    fleet: &Fleet,
+    heard: &BTreeMap<Node, Heard>,
+    slot: &Assignment,
+    movement: &Move,
+) -> bool {
+    let mut living = fleet.entries.iter().filter(|(_, entry)| entry.alive);
+    living.all(|(node, _)| {
+        let told = heard.get(node);
+        told.is_some_and(|h| is_quiet(h, slot.since, movement))
+    })
+}
+
+fn is_quiet(heard: &Heard, since: u64, movement: &Move) -> bool {
+    heard.report.applied >= since && heard.report.quiet.contains(movement)
 }
 
 /// Moves whose old owner was commanded by an entry whose lease is over, and by no other.
-pub(super) fn freed_by(fleet: &Fleet, lost: Node, heard: &BTreeMap<Node, Heard>) -> Vec<Move> {
+pub(super) fn freed_by(
+    fleet: &Fleet,
+    lost: Node,
+    heard: &BTreeMap<Node, Heard>,
+    sending: Sending,
+) -> Vec<Move> {
+    if sending == Sending::Direct {
+        return Vec::new();
+    }
     moves_that(fleet, |slot, _| {
         let owner = slot.owner.as_ref();
         owner
--- a/lib/src/version/report.rs
+++ b/lib/src/version/report.rs
@@ -58,8 +58,9 @@
     pub version: Version,
     /// Targets that it commands and whose leases are over.
     pub gone: Vec<GoneTarget>,
-    /// Moves whose old owner it commands, has no request in flight for the range, and has
-    /// acknowledged the revocation or let its lease run out.
+    /// Moves whose old owner it commands, where it has no request in flight for the range and the
+    /// owner has acknowledged the revocation or let its lease run out. Where every entry sends to
+    /// every target, all moves for whose range it has no request in flight.
     pub quiet: Vec<Move>,
     /// Load of the ranges whose owners it commands.
     pub loads: Vec<RangeLoad>,
--- a/lib/tests/model/mod.rs
+++ b/lib/tests/model/mod.rs
@@ -13,7 +13,7 @@
         command::{Announcement, Command, Move},
         controller::{Controller, ControllerConfig},
         fleet::{Applied, Fleet, TargetPhase},
-        report::{GoneTarget, RangeLoad, Report},
+        report::{GoneTarget, Peak, RangeLoad, Report},
     },
 };
 use std::{
@@ -338,7 +338,7 @@
                 range: grant.range,
                 rate: self.rate_of(&grant.range),
                 slow_ms: 10.0,
-                peak: None,
+                peak: self.peak_of(&grant.range),
             })
             .collect()
     }
@@ -348,7 +348,16 @@
         keys.map(|(_, rate)| rate).sum()
     }
 
-    /// Owner and share of each range.
+    fn peak_of(&self, range: &KeyRange) -> Option<Peak> {
+        let keys = self.load.range(range.first()..=range.last());
+        let peaks = keys.map(|(hash, rate)| Peak {
+            hash: *hash,
+            rate: *rate,
+        });
+        peaks.max_by(|a, b| a.rate.total_cmp(&b.rate))
+    }
+
+    /// Owner of each range.
     pub fn owners(&self) -> Vec<(KeyRange, Option<Target>)> {
         let slots = self.fleet.services.values().flat_map(|s| &s.ranges);
         slots.map(|slot| (slot.range, slot.owner.clone())).collect()
@@ -399,7 +408,8 @@
         serving.iter().copied().fold(0.0, f64::max) / mean
     }
 
-    fn load_of(&self, target: &Target) -> f64 {
+    /// Load of a target, as a share of the hash space if the model has no load.
+    pub fn load_of(&self, target: &Target) -> f64 {
         let grants = self.fleet.grants_of(target).into_iter();
         let weight = |range: &KeyRange| match self.load.is_empty() {
             true => range.share(),
@@ -408,6 +418,18 @@
         grants.map(|grant| weight(&grant.range)).sum()
     }
 
+    /// Share of the hash space that a target owns.
+    pub fn target_share(&self, target: &str) -> f64 {
+        let grants = self.fleet.grants_of(&target.into()).into_iter();
+        grants.map(|grant| grant.range.share()).sum()
+    }
+
+    /// Incarnation under which a target was admitted; 0 if it was not.
+    pub fn life_of(&self, target: &str) -> u64 {
+        let state = self.fleet.targets.get(target);
+        state.map_or(0, |state| state.info.incarnation.0)
+    }
+
     /// Share of the hash space that targets in a zone own.
     pub fn zone_share(&self, zone: &str) -> f64 {
         let owned = self.owners().into_iter().filter(|(_, owner)| {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the policy library.
 
 mod model;
+mod test_assigner;
 mod test_controller;
 mod test_fleet;
 mod test_key;
--- /dev/null
+++ b/lib/tests/test_assigner.rs
@@ -0,0 +1,82 @@
+//! Plans of the assigners keep to their limits.
+
+use cornelrail_lib::{
+    key::KeyRange,
+    name::{Target, Zone},
+    process::settings::Assigner,
+    version::assigner::{self, Holder, Placement, RangeView, TargetView, View},
+};
+use quickcheck::{TestResult, quickcheck};
+use std::collections::BTreeSet;
+
+const ALL: [Assigner; 3] = [Assigner::Weighted, Assigner::Modulo, Assigner::Consistent];
+
+/// Targets in two zones, and ranges with random holders and rates.
+fn view(targets: u8, ranges: &[(u8, u8)], moves: u8, churn: u8) -> View {
+    let count = usize::from(targets % 12) + 1;
+    let target = |number: usize| TargetView {
+        name: Target(format!("w-{number:02}")),
+        zone: Zone::from(["a", "b"][number % 2]),
+        slots: 2 + number as u32 % 3,
+        warmth: if number % 5 == 4 { 0.1 } else { 1.0 },
+        slow: number % 7 == 6,
+    };
+    let even = KeyRange::even(ranges.len() as u64);
+    let range = |(range, (holder, rate)): (KeyRange, &(u8, u8))| RangeView {
+        range,
+        holder: match holder % 8 {
+            0 => Holder::Nobody,
+            1 => Holder::Leaving,
+            _ => Holder::Target(usize::from(*holder) % count),
+        },
+        moving: holder % 8 > 5 && holder / 8 % 3 == 0,
+        rate: f64::from(*rate),
+        peak: None,
+    };
+    View {
+        ranges: even.into_iter().zip(ranges).map(range).collect(),
+        targets: (0..count).map(target).collect(),
+        moves: usize::from(moves % 30),
+        churn: f64::from(churn) / 255.0,
+        seed: 7,
+    }
+}
+
+fn named(placements: &[Placement]) -> BTreeSet<KeyRange> {
+    placements.iter().map(|p| p.range).collect()
+}
+
+fn held(view: &View, wanted: impl Fn(&RangeView) -> bool) -> BTreeSet<KeyRange> {
+    let ranges = view.ranges.iter().filter(|r| wanted(r));
+    ranges.map(|r| r.range).collect()
+}
+
+quickcheck! {
+    fn plans_keep_to_their_limits(
+        targets: u8, ranges: Vec<(u8, u8)>, moves: u8, churn: u8
+    ) -> TestResult {
+        if ranges.is_empty() {
+            return TestResult::discard();
+        }
+        let view = view(targets, &ranges, moves, churn);
+        for assigner in ALL {
+            let plan = assigner::plan(assigner, &view);
+            let movable = held(&view, |r| !r.moving && r.holder != Holder::Nobody);
+            let leaving = held(&view, |r| !r.moving && r.holder == Holder::Leaving);
+            let moved = named(&plan.moves);
+            let emptied = moved.intersection(&leaving).count();
+            let rules = [
+                named(&plan.grants) == held(&view, |r| r.holder == Holder::Nobody),
+                plan.moves.len() <= view.moves && moved.len() == plan.moves.len(),
+                moved.is_subset(&movable),
+                plan.churn <= view.churn + 1e-9,
+                assigner != Assigner::Weighted || emptied == leaving.len().min(view.moves),
+                plan == assigner::plan(assigner, &view),
+            ];
+            if let Some(rule) = rules.iter().position(|holds| !holds) {
+                return TestResult::error(format!("{assigner:?} breaks rule {rule}"));
+            }
+        }
+        TestResult::passed()
+    }
+}
--- a/lib/tests/test_controller.rs
+++ b/lib/tests/test_controller.rs
@@ -1,7 +1,9 @@
 //! The controller and the fleet in a closed loop: after any loss every key is served again.
 
 use crate::model::{Model, zone_of};
-use cornelrail_lib::{name::Target, process::settings::Assigner};
+use cornelrail_lib::{
+    key::KeyHash, name::Target, process::settings::Assigner, version::command::Command,
+};
 use quickcheck::{QuickCheck, TestResult};
 use std::time::Duration;
 
@@ -45,7 +47,7 @@
     let returned = model.run_until(Duration::from_secs(60), |m| m.zone_share("a") > 0.25);
     let homes_in = model.run_until(SECONDS, |m| m.homes_in("a") > 0);
 
-    assert!(emptied.is_some(), "zone a was not emptied");
+    assert!(emptied.is_some_and(|t| t <= LIMIT), "emptied {emptied:?}");
     assert!(
         served.is_some() && homes_out.is_some(),
         "{served:?} {homes_out:?}"
@@ -147,3 +149,66 @@
     let recover: fn(Vec<(u8, u8, u8)>) -> TestResult = recover;
     QuickCheck::new().tests(RECOVERIES).quickcheck(recover);
 }
+
+#[test]
+fn a_target_that_returns_cold_gets_little_at_first_and_its_share_in_the_end() {
+    let mut model = Model::with_targets(Assigner::Weighted, 20);
+    let share = model.target_share("w-05");
+    model.start("w-05", zone_of(5).as_str(), 2);
+    let took = model.run_until(SECONDS, |m| m.is_whole() && m.life_of("w-05") == 2);
+    let cold = model.target_share("w-05");
+    model.run(Duration::from_secs(60));
+    let warm = model.target_share("w-05");
+
+    assert!(took.is_some_and(|t| t <= LIMIT), "{took:?}");
+    assert!(cold < 0.3 * share, "{cold} of {share} at once");
+    assert!(warm > 0.8 * share, "{warm} of {share} in the end");
+}
+
+#[test]
+fn a_hot_key_gets_a_range_of_its_own_and_slow_targets_shed_load() {
+    let mut model = Model::with_targets(Assigner::Weighted, 10);
+    let hot = KeyHash::of("family-1");
+    for number in 0..1000 {
+        model
+            .load
+            .insert(KeyHash::of(&format!("family-{number}")), 1.0);
+    }
+    model.load.insert(hot, 90.0);
+    model.run(Duration::from_secs(30));
+    let alone = model
+        .owners()
+        .iter()
+        .any(|(range, _)| range.width() == 1 && range.contains(hot));
+    let before = model.imbalance();
+    let fast = model.load_of(&"w-03".into());
+    model.slow.insert("w-03".into());
+    model.run(Duration::from_secs(30));
+
+    assert!(alone, "the hot key shares its range");
+    assert!(before < 1.25, "imbalance {before}");
+    assert!(model.load_of(&"w-03".into()) < 0.7 * fast);
+}
+
+#[test]
+fn an_entry_that_returns_costs_no_target_its_home_twice() {
+    let mut model = Model::with_targets(Assigner::Weighted, 20);
+    model.crash_entry(4);
+    model.run(SECONDS);
+    let count = model.commands.len();
+    model.raise_entry(4);
+    model.run(4 * SECONDS);
+
+    let mut moved: Vec<&Target> = model.commands[count..]
+        .iter()
+        .flat_map(|command| match command {
+            Command::Rehome(list) => list.iter().map(|r| &r.target).collect(),
+            _ => Vec::new(),
+        })
+        .collect();
+    let all = moved.len();
+    moved.sort();
+    moved.dedup();
+    assert_eq!(moved.len(), all, "a target changed its home twice");
+    assert!(all <= 3, "{all} targets changed their home");
+}
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -4,7 +4,7 @@
 use cornelrail_lib::{
     moment::Moment,
     name::{Incarnation, Node, Service, Target, Version, Zone},
-    process::settings::Assigner,
+    process::settings::{Assigner, Sending},
     version::{
         command::{Command, Move, Rehome},
         controller::{Controller, ControllerConfig},
@@ -137,6 +137,27 @@
     assert!(with_both_quiet);
 }
 
+#[test]
+fn a_move_ends_only_when_all_entries_are_quiet_if_all_send() {
+    let mut bench = Bench::new();
+    let config = ControllerConfig::new(timing(), Assigner::Weighted, 1);
+    let sending = Sending::Direct;
+    bench.controller = Controller::new(ControllerConfig { sending, ..config }, bench.now);
+    let step = bench.movement("w-1");
+    bench.apply(&Command::MoveBegin(vec![step.clone()]));
+    let quiet = |bench: &Bench, node| Report {
+        quiet: vec![step.clone()],
+        ..bench.heartbeat(node, 1)
+    };
+
+    bench.report(&quiet(&bench, 1));
+    let by_home = bench.proposes(ends_move);
+    bench.report(&quiet(&bench, 2));
+    let by_all = bench.proposes(ends_move);
+
+    assert!(!by_home && by_all, "home {by_home}, all {by_all}");
+}
+
 #[test]
 fn an_entry_is_lost_after_its_lease_and_earns_none_until_it_is_raised() {
     let mut bench = Bench::new();
