--- a/lib/examples/dispatch.rs
+++ b/lib/examples/dispatch.rs
@@ -1,5 +1,8 @@
 //! Bench of the dispatch rules in model time, at both users' sizes.
 //!
+//! A fifth of the targets is slowed ten-fold or comes back cold as the measured span begins. The
+//! last column is the processor time of model and dispatch together for each request.
+//!
 //! Compares entries that each send with a share of the slots (direct), with the choice of the less
 //! loaded of two (two-choices), and one home for each target (home). Run it with
 //! `cargo run --release -p cornelrail-lib --example dispatch [SERVICE]`.
@@ -9,13 +12,14 @@
 mod model;
 
 use cornelrail_lib::{
+    connection::order::Warmth,
     moment::Moment,
     name::{Service, Target, Zone},
     process::settings::Sending,
     request::dispatch::{DispatchConfig, Importance, PoolRule},
 };
 use model::{Layout, Links, Model, Stream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const ENTRIES: usize = 10;
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -27,7 +31,6 @@
 
 #[derive(Clone, Copy)]
 struct Site {
-    name: &'static str,
     service: &'static str,
     keyed: bool,
     targets: u32,
@@ -38,7 +41,6 @@
 
 const SITES: [Site; 4] = [
     Site {
-        name: "kindloon",
         service: "payroll-core",
         keyed: true,
         targets: 20,
@@ -47,7 +49,6 @@
         zone_hop: Duration::from_micros(1500),
     },
     Site {
-        name: "kindloon",
         service: "doc-intake",
         keyed: false,
         targets: 6,
@@ -56,7 +57,6 @@
         zone_hop: Duration::from_micros(1500),
     },
     Site {
-        name: "nilebay",
         service: "valuation",
         keyed: true,
         targets: 30,
@@ -65,7 +65,6 @@
         zone_hop: Duration::from_micros(500),
     },
     Site {
-        name: "nilebay",
         service: "media-intake",
         keyed: false,
         targets: 8,
@@ -75,6 +74,23 @@
     },
 ];
 
+#[derive(Clone, Copy)]
+enum Fault {
+    None,
+    Slow,
+    Cold,
+}
+
+impl Fault {
+    fn name(self) -> &'static str {
+        match self {
+            Fault::None => "none",
+            Fault::Slow => "slow",
+            Fault::Cold => "cold",
+        }
+    }
+}
+
 #[derive(Clone, Copy)]
 enum Way {
     Direct,
@@ -117,7 +133,7 @@
 }
 
 /// Runs one case and prints its line.
-fn run(site: &Site, way: Way, slowed: bool, load: f64, seed: u64) {
+fn run(site: &Site, way: Way, fault: Fault, load: f64, seed: u64) {
     let links = Links {
         within: WITHIN_ZONE,
         across: site.zone_hop / 2,
@@ -145,32 +161,60 @@
     model.stream(stream(capacity * 0.5, start));
     model.run_until(start);
     model.figures = model::Figures::default();
-    for i in 0..if slowed { slowed_targets(site) } else { 0 } {
+    strike(&mut model, site, fault);
+    let begun = Instant::now();
+    model.stream(stream(capacity * load, end));
+    model.run_until(end + DEADLINE);
+    let spent = begun.elapsed() / model.figures.arrived.max(1) as u32;
+    let row = Row {
+        site,
+        way,
+        fault,
+        load,
+        seed,
+        capacity,
+        spent,
+    };
+    report(&row, &model);
+}
+
+/// Brings the fault about at a fifth of the targets, rounded.
+fn strike(model: &mut Model, site: &Site, fault: Fault) {
+    let count = (f64::from(site.targets) / 5.0).round() as u32;
+    for i in 0..count {
         let name = Target::from(format!("{}-{:02}", site.service, i * 5).as_str());
-        if let Some(server) = model.servers.get_mut(&name) {
-            server.slowdown = 10.0;
+        match fault {
+            Fault::None => (),
+            Fault::Slow => {
+                if let Some(server) = model.servers.get_mut(&name) {
+                    server.slowdown = 10.0;
+                }
+            }
+            Fault::Cold => model.restart(&name, Warmth::Warm),
         }
     }
-    model.stream(stream(capacity * load, end));
-    model.run_until(end + DEADLINE);
-    report(site, way, slowed, load, seed, &model, capacity);
 }
 
-/// A fifth of the targets, rounded.
-fn slowed_targets(site: &Site) -> u32 {
-    (f64::from(site.targets) / 5.0).round() as u32
+struct Row<'a> {
+    site: &'a Site,
+    way: Way,
+    fault: Fault,
+    load: f64,
+    seed: u64,
+    capacity: f64,
+    spent: Duration,
 }
 
-fn report(site: &Site, way: Way, slowed: bool, load: f64, seed: u64, model: &Model, capacity: f64) {
+fn report(row: &Row<'_>, model: &Model) {
     let figures = &model.figures;
-    let goodput = figures.latencies.len() as f64 / MEASURED.as_secs_f64() / capacity;
+    let goodput = figures.latencies.len() as f64 / MEASURED.as_secs_f64() / row.capacity;
     println!(
-        "{:9} {:13} {:12} {:5} {:4.0} {seed} {:8.1} {:8.1} {:8.1} {:7.3} {:7} {:7} {:7}",
-        site.name,
-        site.service,
-        way.name(),
-        if slowed { "fifth" } else { "none" },
-        load * 100.0,
+        "{:13} {:12} {:5} {:4.0} {} {:8.1} {:8.1} {:8.1} {:7.3} {:7} {:7} {:7} {:5.1}",
+        row.site.service,
+        row.way.name(),
+        row.fault.name(),
+        row.load * 100.0,
+        row.seed,
         figures.quantile(0.5),
         figures.quantile(0.99),
         figures.quantile(0.999),
@@ -178,22 +222,23 @@
         figures.over,
         figures.not_run,
         figures.unknown,
+        row.spent.as_nanos() as f64 / 1000.0,
     );
 }
 
 fn main() {
     println!(
-        "site      service       way          slow  load s   p50 ms   p99 ms p99.9 ms goodput \
-         over-bearable not-run unknown"
+        "service       way          fault load s   p50 ms   p99 ms p99.9 ms goodput over \
+         not-run unknown model-us"
     );
     let only = std::env::args().nth(1);
     let wanted = |s: &&Site| only.as_ref().is_none_or(|o| o == s.service);
     for site in SITES.iter().filter(wanted) {
-        for slowed in [false, true] {
+        for fault in [Fault::None, Fault::Slow, Fault::Cold] {
             for load in [0.7, 1.0, 1.5] {
                 for way in [Way::Direct, Way::TwoChoices, Way::Home] {
                     for seed in SEEDS {
-                        run(site, way, slowed, load, seed);
+                        run(site, way, fault, load, seed);
                     }
                 }
             }
--- a/lib/tests/dispatch_model/mod.rs
+++ b/lib/tests/dispatch_model/mod.rs
@@ -4,14 +4,17 @@
 //! the rest waiting. A cold target bears one request, and one more for each few it has served; more
 //! than it bears is counted and slows it further.
 
+mod figures;
+
+pub use figures::{Figures, Layout, Links, Stream};
+
 use cornelrail_lib::{
     connection::order::Warmth,
     moment::Moment,
     name::{Incarnation, Service, Target, Zone},
     request::{
         dispatch::{
-            Action, Arrival, Choice, Dispatch, DispatchConfig, Ending, Importance, RequestId,
-            TargetView,
+            Action, Arrival, Choice, Dispatch, DispatchConfig, Ending, RequestId, TargetView,
         },
         outcome::Certainty,
     },
@@ -29,24 +32,6 @@
 /// Variance of the logarithm of the service time.
 const LOG_SIGMA: f64 = 0.5;
 
-/// Which entries command a target.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Layout {
-    /// All of them.
-    Everywhere,
-    /// The one in its zone.
-    PerZone,
-    /// The first one commands all targets.
-    Single,
-}
-
-/// One-way delays of the links.
-#[derive(Clone, Copy)]
-pub struct Links {
-    pub within: Duration,
-    pub across: Duration,
-}
-
 pub struct Server {
     pub view: TargetView,
     pub mean: Duration,
@@ -97,47 +82,6 @@
     },
 }
 
-/// Poisson stream of requests to one service.
-pub struct Stream {
-    pub service: Service,
-    pub keyed: bool,
-    pub rate: f64,
-    pub deadline: Duration,
-    pub until: Moment,
-    /// Share of requests that must run at most once, in tenths.
-    pub once_tenths: u32,
-    /// Importance by turns.
-    pub importance: Vec<Importance>,
-}
-
-#[derive(Default)]
-pub struct Figures {
-    pub arrived: u64,
-    pub latencies: Vec<u64>,
-    pub not_run: u64,
-    pub unknown: u64,
-    /// Starts of a request at a target that bore no more.
-    pub over: u64,
-    pub sends: BTreeMap<Target, u64>,
-    pub refused: BTreeMap<&'static str, u64>,
-    pub arrived_of: BTreeMap<String, u64>,
-    pub answered_of: BTreeMap<String, u64>,
-    /// Crashes by the requests that ran then.
-    pub suspects: BTreeMap<Fingerprint, u64>,
-    pub peak: BTreeMap<Target, u32>,
-}
-
-impl Figures {
-    /// Latency in milliseconds below which the share of answers lies.
-    pub fn quantile(&self, share: f64) -> f64 {
-        let mut sorted = self.latencies.clone();
-        sorted.sort_unstable();
-        let last = sorted.len().saturating_sub(1);
-        let index = (last as f64 * share).round() as usize;
-        sorted.get(index).map_or(f64::NAN, |l| *l as f64 / 1000.0)
-    }
-}
-
 pub struct Model {
     pub now: Moment,
     pub entries: Vec<Dispatch>,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod seeded;
 mod test_controller;
 mod test_dispatch;
+mod test_dispatch_scenarios;
 mod test_fleet;
 mod test_health;
 mod test_key;
