once: a test of majorities across a change of the fleet

Cause: claims need a majority by each list of entries in force, which no test exercised. Ruled out as enough: the newer list alone; with only that one counted the new test fails, as a second claim finds three replicas that never heard of the first.

--- a/lib/tests/test_once.rs
+++ b/lib/tests/test_once.rs
@@ -379,6 +379,25 @@
     assert!(!cluster.may_send(1));
 }
 
+#[test]
+fn a_change_of_the_fleet_leaves_no_gap_between_majorities() {
+    let identity = Identity(1);
+    let mut cluster = Cluster::new(5, 8);
+    let all = cluster.members.clone();
+    cluster.members = Membership::new(&[Node(1), Node(2), Node(3)]);
+    cluster.claim(Node(1), identity);
+    cluster.exchange(1, &[1, 2, 1, 2]);
+
+    cluster.members.change(&all.nodes());
+    cluster.claim(Node(4), identity);
+    cluster.exchange(4, &[3, 4, 5, 3, 4, 5]);
+
+    assert!(cluster.may_send(1));
+    assert!(!cluster.may_send(4));
+    cluster.members.settle();
+    assert_eq!(cluster.members, all);
+}
+
 #[test]
 fn a_claim_that_arrives_after_its_release_is_not_granted() {
     let mut cluster = Cluster::new(3, 7);
