dispatch: newcomers to a stalled target are refused at once

Cause: the expected wait came from past latencies alone, so a frozen target's queue looked short and its newcomers waited out their patience before the refusal. Weighed: the age of the oldest request, which a long upload beside prompt ones would raise. Change: time without any progress while all slots are busy counts as wait, once it exceeds what requests usually take. Result: the new test failed before (no refusal on arrival) and passes; scenarios are unchanged.

--- a/lib/src/request/dispatch/admit.rs
+++ b/lib/src/request/dispatch/admit.rs
@@ -49,7 +49,7 @@
 
     /// Lets a request wait, or refuses it at once if it cannot end in time.
     pub(super) fn enqueue(&mut self, now: Moment, id: RequestId) {
-        let Some(outlook) = self.outlook(id) else {
+        let Some(outlook) = self.outlook(now, id) else {
             return self.refuse(now, id, Reason::NoOwner);
         };
         let Some(request) = self.requests.get(&id) else {
@@ -106,7 +106,7 @@
         while let Some(last) = self.queue_mut(newcomer).and_then(|q| q.last())
             && last != newcomer
             && self.rank(last) > self.rank(newcomer)
-            && let Some(outlook) = self.outlook(last)
+            && let Some(outlook) = self.outlook(now, last)
             && let Some(request) = self.requests.get(&last)
             && outlook.wait + outlook.bound > request.arrival.deadline.since(now)
         {
@@ -166,7 +166,7 @@
 
     /// Time until half of the line ahead has gone.
     fn drain_time(&self, now: Moment, id: RequestId) -> Duration {
-        let Some(outlook) = self.outlook(id) else {
+        let Some(outlook) = self.outlook(now, id) else {
             return RETRY_OWNER;
         };
         let left = self
@@ -232,7 +232,7 @@
     }
 
     /// Expected wait and run of a request in its queue.
-    fn outlook(&self, id: RequestId) -> Option<Outlook> {
+    fn outlook(&self, now: Moment, id: RequestId) -> Option<Outlook> {
         let arrival = &self.requests.get(&id)?.arrival;
         let group = self.groups.get(&arrival.service)?;
         let rank = arrival.rank();
@@ -244,7 +244,11 @@
                     false => &group.pace,
                 };
                 let room = slot.limit.current();
-                Some(self.forecast(&slot.queue, rank, pace, room, slot.running))
+                let mut outlook = self.forecast(&slot.queue, rank, pace, room, slot.running);
+                if slot.running >= room && pace.known() {
+                    outlook.wait += slot.stall(now, outlook.bound);
+                }
+                Some(outlook)
             }
             Choice::Pool => {
                 let usable = self.usable(group);
--- a/lib/src/request/dispatch/mod.rs
+++ b/lib/src/request/dispatch/mod.rs
@@ -318,6 +318,7 @@
         }
         slot.running = slot.running.saturating_sub(1);
         slot.alone &= !flight.alone;
+        slot.progress = now;
         let latency = now.since(flight.sent);
         let served = ending == Ending::Answered;
         match ending {
--- a/lib/src/request/dispatch/send.rs
+++ b/lib/src/request/dispatch/send.rs
@@ -95,6 +95,7 @@
         };
         slot.running += 1;
         slot.alone = alone;
+        slot.progress = now;
         self.serial += 1;
         request.attempts += 1;
         let attempt = request.attempts;
--- a/lib/src/request/dispatch/state.rs
+++ b/lib/src/request/dispatch/state.rs
@@ -66,6 +66,7 @@
     pub(super) running: u32,
     pub(super) hold: Moment,
     pub(super) alone: bool,
+    pub(super) progress: Moment,
     pub(super) queue: Queue,
     pub(super) pace: Pace,
 }
@@ -79,6 +80,7 @@
             running: 0,
             hold: Moment::ZERO,
             alone: false,
+            progress: Moment::ZERO,
             queue: Queue::default(),
             pace: Pace::default(),
         }
@@ -96,6 +98,16 @@
         ready && !self.alone && self.running < self.limit.current()
     }
 
+    /// Time for which a target that is busy has neither begun nor ended anything, if that is longer
+    /// than its requests usually take.
+    pub(super) fn stall(&self, now: Moment, bound: Duration) -> Duration {
+        let silence = now.since(self.progress);
+        match self.running > 0 && silence > bound {
+            true => silence,
+            false => Duration::ZERO,
+        }
+    }
+
     pub(super) fn local(&self, zone: &Zone) -> bool {
         self.view.zone == *zone
     }
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -341,6 +341,20 @@
     assert_eq!(refusals(&mut dispatch), [expected]);
 }
 
+#[test]
+fn newcomers_to_a_frozen_target_are_refused_on_arrival() {
+    let (mut dispatch, now) = seasoned();
+    let deadline = now + Duration::from_secs(10);
+    dispatch.arrive(now, keyed(2, deadline));
+
+    let later = now + Duration::from_secs(1);
+    dispatch.tick(later);
+    dispatch.arrive(later, keyed(3, deadline));
+
+    let expected = (RequestId(3), Certainty::NotRun, Reason::Overload);
+    assert_eq!(refusals(&mut dispatch), [expected]);
+}
+
 #[test]
 fn the_loss_of_a_target_ends_its_requests_at_once() {
     let (mut dispatch, now) = seasoned();
