--- a/lib/tests/test_raft_schedules.rs
+++ b/lib/tests/test_raft_schedules.rs
@@ -1,6 +1,10 @@
 //! Random schedules of faults break no invariant, and a healed group commits again.
 
-use crate::raft_cluster::Cluster;
+use crate::raft_cluster::{Cluster, ELECTION_MS};
+use cornelrail_lib::{
+    name::Node,
+    process::raft::{Member, VoterChange},
+};
 use quickcheck::{Arbitrary, Gen, TestResult};
 
 /// One step of a schedule. Node 0 stands for the leader of that moment.
@@ -18,6 +22,7 @@
     Start(u64),
     Wipe(u64),
     Snapshot(u64),
+    Change(u64, u64),
     Loss(u64),
     Delay(u64),
     SlowSync(u64),
@@ -28,9 +33,9 @@
         let node = u64::arbitrary(g) % 6;
         let other = u64::arbitrary(g) % 6;
         let number = u64::arbitrary(g);
-        match number % 21 {
-            0..=4 => Step::Run(number / 21 % 600),
-            5..=7 => Step::Propose(node, number / 21 % 40),
+        match number % 22 {
+            0..=4 => Step::Run(number / 22 % 600),
+            5..=7 => Step::Propose(node, number / 22 % 40),
             8 => Step::CutOff(node),
             9 => Step::CutOneWay(node, other),
             10 => Step::Heal,
@@ -40,18 +45,20 @@
             14 => Step::Start(node),
             15 => Step::Wipe(node),
             16 => Step::Snapshot(node),
-            17 => Step::Loss(number / 21 % 40),
-            18 => Step::Delay(1 + number / 21 % 120),
+            17 => Step::Loss(number / 22 % 40),
+            18 => Step::Delay(1 + number / 22 % 120),
             19 => Step::CutPair(node, other),
-            _ => Step::SlowSync(1 + number / 21 % 100),
+            20 => Step::Change(node, number / 22 % 3),
+            _ => Step::SlowSync(1 + number / 22 % 100),
         }
     }
 }
 
-/// A schedule for a group of three or five.
+/// A schedule for a group that has had `settle` milliseconds to found its fleet.
 #[derive(Debug, Clone)]
 struct Schedule {
     count: u64,
+    settle: u64,
     seed: u64,
     steps: Vec<Step>,
 }
@@ -60,15 +67,19 @@
     fn arbitrary(g: &mut Gen) -> Self {
         Schedule {
             count: *g.choose(&[1, 3, 3, 5]).expect("not empty"),
+            settle: *g.choose(&[0, 5, 150, 200, 700]).expect("not empty"),
             seed: u64::arbitrary(g),
             steps: Vec::arbitrary(g),
         }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let (count, seed) = (self.count, self.seed);
+        let whole = self.clone();
         let shorter = self.steps.shrink();
-        Box::new(shorter.map(move |steps| Schedule { count, seed, steps }))
+        Box::new(shorter.map(move |steps| Schedule {
+            steps,
+            ..whole.clone()
+        }))
     }
 }
 
@@ -105,6 +116,21 @@
             }
         }
         Step::Snapshot(node) => cluster.snapshot(pick(node)),
+        Step::Change(node, kind) => {
+            let node = pick(node);
+            let member = Member {
+                node: Node(node),
+                identity: cluster.machine(node).identity,
+            };
+            let change = match kind {
+                0 => VoterChange::Learn(member),
+                1 => VoterChange::Promote(member),
+                _ => VoterChange::Remove(member),
+            };
+            if kind < 2 || cluster.spares_voter(leader, member) {
+                cluster.change(leader, change);
+            }
+        }
         Step::Loss(percent) => cluster.loss = percent,
         Step::Delay(millis) => cluster.delay = millis,
         Step::SlowSync(millis) => cluster.sync_ms = millis,
@@ -125,7 +151,7 @@
 /// Runs the schedule, heals the group and asks it for one more commit on every machine.
 fn holds(schedule: Schedule) -> TestResult {
     let mut cluster = Cluster::new(schedule.count, schedule.count, schedule.seed);
-    cluster.run(700);
+    cluster.run(schedule.settle);
     for step in &schedule.steps {
         apply(&mut cluster, step);
     }
@@ -151,6 +177,33 @@
     }
 }
 
+/// Model time from a leader's loss to the lease of the next one, in milliseconds.
+fn failover(count: u64, seed: u64) -> u64 {
+    let mut cluster = Cluster::new(count, count, seed);
+    cluster.run(1_000);
+    let leader = cluster.leader().expect("a leader after a quiet second");
+    cluster.crash(leader);
+    let lost = cluster.now;
+    while cluster.leader().is_none() && cluster.now < lost + 10_000 {
+        cluster.run(1);
+    }
+    cluster.now - lost
+}
+
+#[test]
+fn lost_leader_is_replaced_within_four_election_timeouts() {
+    for count in [3, 5] {
+        let mut times: Vec<u64> = (0..200).map(|seed| failover(count, seed)).collect();
+        times.sort_unstable();
+        let (median, worst) = (times[times.len() / 2], times[times.len() - 1]);
+        println!(
+            "{count} voters: median {median} ms, worst {worst} ms of {}",
+            times.len()
+        );
+        assert!(worst <= 4 * ELECTION_MS, "worst is {worst} ms");
+    }
+}
+
 #[test]
 fn schedules_of_faults_break_no_invariant() {
     let tests = std::env::var("RAFT_SCHEDULES").map_or(150, |n| n.parse().expect("a number"));
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -5,17 +5,23 @@
 //! What the layer above has to do comes out as [`VoterEvent`]s; when it is slow, messages to other
 //! voters are dropped, never commits.
 
-use super::store::{Store, StoreError};
+use super::{
+    logging::EventLog,
+    store::{Store, StoreError},
+};
 use cornelrail_lib::{
     moment::Moment,
     name::Node,
-    process::raft::{
-        Action, Batch, ChangeError, Entry, Member, Membership, Message, Payload, Raft, RaftConfig,
-        RoleNews, VoterChange,
+    process::{
+        event::Event,
+        raft::{
+            Action, Batch, ChangeError, Entry, Member, Membership, Message, Payload, Raft,
+            RaftConfig, RoleNews, VoterChange,
+        },
     },
 };
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     path::PathBuf,
     time::{Duration, Instant},
 };
@@ -123,6 +129,8 @@
     pub membership: Membership,
     /// End of the lease that this voter holds as leader.
     pub lease: Option<Instant>,
+    /// Batches synced to disk since the start.
+    pub batches: u64,
 }
 
 enum Request {
@@ -201,7 +209,8 @@
 pub fn start(config: VoterConfig) -> Result<(VoterHandle, mpsc::Receiver<VoterEvent>), StoreError> {
     let opened = Store::open(&config.folder, &config.fleet, config.node)?;
     if opened.torn > 0 {
-        log::warn!("removed {} bytes of a write that was cut off", opened.torn);
+        let folder = config.folder.display();
+        Event::TornTail.log(format_args!("folder={folder} bytes={}", opened.torn));
     }
     let raft_config = RaftConfig {
         node: config.node,
@@ -217,6 +226,7 @@
     let (events, receiver) = mpsc::channel(EVENTS);
     let raft = Raft::new(raft_config, opened.restored, Moment::ZERO);
     let voter = Voter {
+        membership: raft.membership().clone(),
         raft,
         origin: Instant::now(),
         election: config.election,
@@ -226,6 +236,7 @@
         outbox: VecDeque::new(),
         proposals: BTreeMap::new(),
         stopping: None,
+        batches: 0,
     };
     tokio::spawn(voter.run());
     Ok((VoterHandle { requests }, receiver))
@@ -260,6 +271,8 @@
 
 struct Voter {
     raft: Raft,
+    /// Membership that the log of events told of last.
+    membership: Membership,
     origin: Instant,
     election: Duration,
     disk: Disk,
@@ -268,6 +281,7 @@
     outbox: VecDeque<VoterEvent>,
     proposals: BTreeMap<u64, Proposal>,
     stopping: Option<oneshot::Sender<()>>,
+    batches: u64,
 }
 
 impl Voter {
@@ -346,6 +360,7 @@
             last: self.raft.last_index(),
             snapshot: self.raft.snapshot_index(),
             membership: self.raft.membership().clone(),
+            batches: self.batches,
             lease: lease.map(|end| self.origin + end.min(longest).since(Moment::ZERO)),
         }
     }
@@ -354,6 +369,7 @@
         match result {
             Ok(()) => {
                 self.disk = Disk::Idle(store);
+                self.batches += 1;
                 self.raft.persisted(self.now(), number);
             }
             Err(error) => {
@@ -379,6 +395,28 @@
                 Action::Role(news) => self.change_role(news),
             }
         }
+        if *self.raft.membership() != self.membership {
+            self.log_membership();
+        }
+    }
+
+    /// Writes the new membership to the log, and whether a folder of this node's own is replaced.
+    fn log_membership(&mut self) {
+        self.membership = self.raft.membership().clone();
+        let own = self.raft.member();
+        let former = |member: &Member| member.node == own.node && member.identity != own.identity;
+        if self.membership.voters.iter().any(former) && !self.membership.contains(own) {
+            Event::DiskReplaced.log(format_args!("member={own}"));
+        }
+        let names = |members: &BTreeSet<Member>| {
+            let names: Vec<_> = members.iter().map(ToString::to_string).collect();
+            names.join(",")
+        };
+        Event::VotersChanged.log(format_args!(
+            "voters={} learners={}",
+            names(&self.membership.voters),
+            names(&self.membership.learners)
+        ));
     }
 
     fn write(&mut self, batch: Batch) {
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -1,7 +1,11 @@
 //! The targets whose home this entry is: their connections, leases and grants.
 
-use super::{exchange::Permit, home::Open};
-use crate::{connection::target::TargetLink, process::clock::Clock, version::view::View};
+use super::{exchange::Permit, home::Open, tally::Tally};
+use crate::{
+    connection::target::{ExchangeError, TargetLink},
+    process::clock::Clock,
+    version::view::View,
+};
 use cornelrail_lib::{
     connection::{
         lease::{EntryLease, HomeLease, LeaseTiming, Tie},
@@ -15,7 +19,7 @@
     version::{
         command::{Announcement, Move},
         fleet::{Fleet, Route, TargetPhase, TargetState},
-        report::{GoneTarget, RangeLoad, Report},
+        report::{GoneTarget, Report},
     },
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -55,13 +59,14 @@
     serial: u64,
     incarnation: Incarnation,
     grants: Vec<Grant>,
-    answer: Option<LeaseAnswer>,
+    answer: Result<LeaseAnswer, ExchangeError>,
 }
 
 impl Renewed {
     /// Requests that the target says it runs.
     pub(super) fn running(&self) -> Option<u32> {
-        self.answer.as_ref().map(|answer| answer.running)
+        let answer = self.answer.as_ref().ok();
+        answer.map(|answer| answer.running)
     }
 }
 
@@ -79,25 +84,17 @@
     pending: Vec<Grant>,
 }
 
-/// Arrivals in one range since the last report.
-#[derive(Debug, Clone)]
-struct Count {
-    service: Service,
-    range: KeyRange,
-    arrivals: u64,
-}
-
 /// All targets whose home this entry is.
 #[derive(Debug)]
 pub(super) struct HeldTargets {
     me: Node,
     direct: bool,
+    entry_lease: Duration,
     timing: LeaseTiming,
     held: BTreeMap<Target, Held>,
     fleet: Arc<Fleet>,
     moving: bool,
-    counts: Vec<Count>,
-    counted: Moment,
+    tally: Tally,
 }
 
 impl HeldTargets {
@@ -106,6 +103,7 @@
         HeldTargets {
             me: settings.node,
             direct: settings.sending == Sending::Direct,
+            entry_lease: timing.entry_lease,
             timing: LeaseTiming {
                 heartbeat: timing.heartbeat,
                 timeout: timing.heartbeat * MISSED_BEATS,
@@ -115,8 +113,7 @@
             held: BTreeMap::new(),
             fleet: Arc::default(),
             moving: false,
-            counts: Vec::new(),
-            counted: Moment::ZERO,
+            tally: Tally::default(),
         }
     }
 
@@ -168,11 +165,16 @@
             held.wanted = wanted;
             return;
         }
+        // A former home that lives may renew the target's lease until its own ends.
+        let inherited = match state.formers.is_empty() {
+            true => now,
+            false => now + self.entry_lease,
+        };
         let lease = HomeLease::new(
             now,
             state.info.incarnation,
             state.epoch,
-            now,
+            inherited,
             self.timing.clone(),
         );
         let held = Held {
@@ -251,7 +253,8 @@
                 order: LeaseOrder {
                     incarnation: held.lease.incarnation(),
                     epoch: held.lease.epoch(),
-                    lease_ms: due.lease.as_millis() as u64,
+                    serial: due.serial,
+                    until_ms: due.until_ms,
                     grants,
                     drain: held.draining,
                 },
@@ -269,14 +272,14 @@
             return;
         }
         match &renewed.answer {
-            Some(answer) => {
+            Ok(answer) => {
                 held.lease.answered(now, renewed.serial, answer);
                 if answer.accepted {
                     held.granted = renewed.grants.clone();
                     held.pending.clear();
                 }
             }
-            None => {
+            Err(ExchangeError::Broken | ExchangeError::NotSent) => {
                 held.lease.missed(now, renewed.serial);
             }
         }
@@ -341,23 +344,8 @@
         if open.keyed.is_none() {
             return;
         }
-        if self.counts.is_empty() {
-            self.counted = now;
-        }
-        let Some(range) = self.range_of(&open.service, open.hash) else {
-            return;
-        };
-        let found = self
-            .counts
-            .iter_mut()
-            .find(|count| count.range == range && count.service == open.service);
-        match found {
-            Some(count) => count.arrivals += 1,
-            None => self.counts.push(Count {
-                service: open.service.clone(),
-                range,
-                arrivals: 1,
-            }),
+        if let Some(range) = self.range_of(&open.service, open.hash) {
+            self.tally.count(now, &open.service, range, open.hash);
         }
     }
 
@@ -380,7 +368,7 @@
     ) {
         report.gone = self.gone(now);
         report.quiet = self.quiet(now, view, open);
-        report.loads = self.loads(now);
+        report.loads = self.tally.take(now);
         report.busy = self.busy(open);
         report.idle = self.idle(open);
     }
@@ -388,7 +376,10 @@
     fn gone(&self, now: Moment) -> Vec<GoneTarget> {
         self.held
             .iter()
-            .filter(|(target, held)| self.is_home(target) && held.lease.tie(now) == Tie::Gone)
+            .filter(|(target, held)| {
+                let tie = held.lease.tie(now);
+                self.is_home(target) && matches!(tie, Tie::Gone | Tie::Restarted(_))
+            })
             .map(|(target, held)| GoneTarget {
                 target: target.clone(),
                 incarnation: held.lease.incarnation(),
@@ -436,22 +427,6 @@
         !named || matches!(held.lease.tie(now), Tie::Gone | Tie::Restarted(_))
     }
 
-    fn loads(&mut self, now: Moment) -> Vec<RangeLoad> {
-        let span = now.since(self.counted).as_secs_f64();
-        if span < 1.0 {
-            return Vec::new();
-        }
-        self.counts
-            .drain(..)
-            .map(|count| RangeLoad {
-                service: count.service,
-                range: count.range,
-                rate: count.arrivals as f64 / span,
-                slow_ms: 0.0,
-            })
-            .collect()
-    }
-
     /// Targets that requests still run on though this entry commands them no longer.
     fn busy(&self, open: &BTreeMap<RequestId, Open>) -> Vec<Target> {
         let mut busy: Vec<Target> = open
