--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_assigner;
 mod test_controller;
 mod test_dispatch;
+mod test_dispatch_scenarios;
 mod test_fleet;
 mod test_health;
 mod test_key;
