settings: the folder of the log is tried before the start

A log folder that cannot be written came up from the logger, without file and line, after the data folder had been made.

It is now tried together with the data folder, by one check for both. The test of the data folder covers both and replaces the former one; it asks for the same exit code, line and remedy.

--- a/node/src/process/settings_file.rs
+++ b/node/src/process/settings_file.rs
@@ -62,18 +62,20 @@
         /// Why.
         fault: io::Error,
     },
-    /// The data folder cannot be written.
-    #[error("{}:{line}: `data`: cannot write {}: {fault}", settings.display(), path.display())]
+    /// A folder that the settings name cannot be written.
+    #[error("{}:{line}: `{key}`: cannot write {}: {fault}", settings.display(), path.display())]
     #[diagnostic(
-        code(cornelrail::settings::data),
+        code(cornelrail::settings::folder),
         help("make the folder on a disk, and let this user write it")
     )]
-    Data {
+    Folder {
         /// The settings file.
         settings: PathBuf,
         /// Line of the key.
         line: usize,
-        /// The data folder.
+        /// Key of the value.
+        key: &'static str,
+        /// The folder.
         path: PathBuf,
         /// Why.
         fault: io::Error,
@@ -118,13 +120,13 @@
     read_text(path).and_then(|text| parse(&text, path))
 }
 
-/// Reads a settings file and checks that this host can run it: its keys can be read, and a voter's
-/// data folder can be made and written.
+/// Reads a settings file and checks that this host can run it: its keys can be read, and
+/// its data folder and the folder of its log can be made and written.
 pub fn load(path: &Path) -> Result<Settings, LoadError> {
     let text = read_text(path)?;
     let settings = parse(&text, path)?;
     check_keys(&settings, &text, path)?;
-    check_data(&settings, &text, path)?;
+    check_folders(&settings, &text, path)?;
     Ok(settings)
 }
 
@@ -179,16 +181,25 @@
     Ok(())
 }
 
-fn check_data(settings: &Settings, text: &str, path: &Path) -> Result<(), LoadError> {
-    let Some(folder) = &settings.data else {
-        return Ok(());
-    };
-    try_folder(folder).map_err(|fault| LoadError::Data {
-        settings: path.to_owned(),
-        line: line_of(text, "data", "data"),
-        path: folder.clone(),
-        fault,
-    })
+/// Tries the data folder and the folder of the log, where there are such.
+fn check_folders(settings: &Settings, text: &str, path: &Path) -> Result<(), LoadError> {
+    let folders = [
+        ("data", "data", &settings.data),
+        ("log", "folder", &settings.log.folder),
+    ];
+    for (section, key, folder) in folders {
+        let Some(folder) = folder else {
+            continue;
+        };
+        try_folder(folder).map_err(|fault| LoadError::Folder {
+            settings: path.to_owned(),
+            line: line_of(text, section, key),
+            key,
+            path: folder.clone(),
+            fault,
+        })?;
+    }
+    Ok(())
 }
 
 /// Makes a folder if it is not there, and writes a file in it that it removes again.
--- a/node/tests/test_program.rs
+++ b/node/tests/test_program.rs
@@ -100,19 +100,28 @@
 }
 
 #[test]
-fn a_data_folder_that_cannot_be_written_is_named() {
+fn a_folder_that_cannot_be_written_is_named() {
     let host = Host::new();
-    fs::write(host.folder.path().join("data"), "a file").expect("written");
+    fs::write(host.folder.path().join("file"), "a file").expect("written");
+    let data = host.settings().replace("data: data", "data: file");
+    let log = host.settings() + "log: {folder: file}\n";
 
-    let output = host.start(&host.settings());
+    let outputs = [host.start(&data), host.start(&log)];
 
-    let text = errors(&output);
-    assert_eq!(output.status.code(), Some(2), "{text}");
+    let texts = outputs.each_ref().map(errors);
     assert!(
-        text.contains("entry.yaml:4: `data`: cannot write data"),
-        "{text}"
+        outputs.iter().all(|output| output.status.code() == Some(2)),
+        "{texts:?}"
+    );
+    assert!(
+        texts[0].contains("entry.yaml:4: `data`: cannot write file"),
+        "{texts:?}"
+    );
+    assert!(
+        texts[1].contains("entry.yaml:14: `folder`: cannot write file"),
+        "{texts:?}"
     );
-    assert!(text.contains("let this user write it"), "{text}");
+    assert!(texts[0].contains("let this user write it"), "{texts:?}");
 }
 
 #[test]
