daemon: the control plane has threads of its own

Cause: with requests and control on one runtime, a demo on a busy machine lost its leader for a second and up to 26 targets, since heartbeats waited behind requests. Ruled out: a slow disk (a sync took 4 ms) and a slow controller (under 40 ms a tick). Change: control, log, home, register and links between entries run on two threads of their own; requests and their connections stay on the others. The start is cut into parts, and the HTTP servers have a module.

--- a/node/src/connection/incoming.rs
+++ b/node/src/connection/incoming.rs
@@ -22,6 +22,7 @@
 };
 use cornelrail_lib::{name::Node, process::event::Event, request::plan};
 use quinn::{Connection, Incoming, RecvStream, SendStream};
+use tokio::runtime::Handle;
 use tracing::{Instrument, debug_span};
 
 /// Handles that the streams of other entries lead to.
@@ -35,6 +36,8 @@
     pub register: RegisterHandle,
     /// What requests need.
     pub core: Core,
+    /// Runtime of the requests; the streams of the control plane stay on their own.
+    pub requests: Handle,
 }
 
 /// Accepts connections until the endpoint is closed.
@@ -95,7 +98,12 @@
         return;
     };
     let reply = match call {
-        Call::Forward(head) => return serve_forwarded(&doors.core, *head, tx, rx).await,
+        Call::Forward(head) => {
+            let core = doors.core;
+            let serving = async move { serve_forwarded(&core, *head, tx, rx).await };
+            drop(doors.requests.spawn(serving));
+            return;
+        }
         Call::Once(ask) => doors.register.ask(node, ask).await.map(Reply::Once),
         call => doors.control.call(call).await,
     };
--- a/node/src/connection/target.rs
+++ b/node/src/connection/target.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
+    runtime::Handle,
     sync::{mpsc, oneshot},
     task::JoinHandle,
     time::timeout,
@@ -94,10 +95,10 @@
 }
 
 impl TargetLink {
-    /// Starts the task for the target at `address`.
-    pub fn start(address: SocketAddr) -> TargetLink {
+    /// Starts the task for the target at `address` on a runtime.
+    pub fn start(runtime: &Handle, address: SocketAddr) -> TargetLink {
         let (tx, rx) = mpsc::channel(MESSAGES_HELD);
-        tokio::spawn(run(address, rx));
+        runtime.spawn(run(address, rx));
         TargetLink { address, tx }
     }
 
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -6,19 +6,18 @@
     logging::EventLog,
     operator::{self, OperatorHandle},
     register,
+    server::{Listeners, Running},
     store::StoreError,
     transport::{Transport, TransportError},
     voter::{self, VoterConfig, VoterEvent, VoterHandle},
 };
 use crate::{
     connection::{
-        announce,
         incoming::{self, Doors},
         peer::PeerLink,
     },
     request::{
         core::Core,
-        front::Front,
         home::{self, HomeHandle, Outlets},
     },
     version::view::View,
@@ -32,7 +31,6 @@
 };
 use metrics_exporter_prometheus::PrometheusHandle;
 use miette::Diagnostic;
-use salvo::{Server, Service, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
 use std::{
     collections::BTreeMap,
     io,
@@ -42,17 +40,15 @@
 };
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
+    runtime::{Builder, Handle, Runtime},
     sync::{Semaphore, mpsc, oneshot, watch},
     time::timeout,
 };
 
 /// Log entries kept behind a snapshot.
 const ENTRIES_RETAINED: u64 = 2_000;
-/// Connections of targets that are served at once.
-const TARGET_CONNECTIONS_MAX: usize = 8_192;
-/// Time for the head of a target's message to arrive.
-const TARGET_HEAD_TIME: Duration = Duration::from_secs(5);
+/// Threads of the control plane.
+const CONTROL_THREADS: usize = 2;
 /// Time that the leader has to hand the homes of a leaving entry over.
 const HANDOVER_TIME: Duration = Duration::from_secs(3);
 
@@ -73,6 +69,13 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The threads of the control plane cannot be had.
+    #[error("cannot start the control plane's threads: {0}")]
+    #[diagnostic(
+        code(cornelrail::daemon::threads),
+        help("raise the limit of threads of this user")
+    )]
+    Runtime(io::Error),
     /// The endpoint for other entries cannot be made.
     #[error(transparent)]
     #[diagnostic(code(cornelrail::daemon::transport))]
@@ -92,52 +95,10 @@
     control: ControlHandle,
     home: HomeHandle,
     voter: Option<VoterHandle>,
-    servers: Vec<ServerHandle>,
-    front: ServerHandle,
-    front_ended: oneshot::Receiver<()>,
+    targets: Running,
+    front: Running,
     operators: oneshot::Sender<()>,
-}
-
-/// Sockets bound before any task starts, so that a start that fails changes nothing.
-struct Sockets {
-    callers: TcpListener,
-    targets: TcpListener,
-    operators: TcpListener,
-    transport: Transport,
-    addresses: Listen,
-}
-
-impl Sockets {
-    async fn bind(settings: &Settings) -> Result<Sockets, DaemonError> {
-        let listen = &settings.listen;
-        let callers = bind("callers", listen.callers).await?;
-        let targets = bind("targets", listen.targets).await?;
-        let operators = bind("operators", listen.operators).await?;
-        let transport = Transport::bind(settings)?;
-        let bound = |listener: &TcpListener, asked| listener.local_addr().unwrap_or(asked);
-        let addresses = Listen {
-            callers: bound(&callers, listen.callers),
-            targets: bound(&targets, listen.targets),
-            operators: bound(&operators, listen.operators),
-            peers: transport.address().unwrap_or(listen.peers),
-        };
-        Ok(Sockets {
-            callers,
-            targets,
-            operators,
-            transport,
-            addresses,
-        })
-    }
-}
-
-async fn bind(name: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| DaemonError::Listen {
-        name,
-        address,
-        source,
-    })
+    _runtime: ControlRuntime,
 }
 
 /// The voter with its events, on a host with a data folder.
@@ -183,91 +144,164 @@
     Arc::new(links.collect())
 }
 
-/// Starts the daemon on the present runtime.
+/// Runtime of the control plane, so that a flood of requests holds back no heartbeat.
+#[derive(Debug)]
+struct ControlRuntime {
+    runtime: Option<Runtime>,
+}
+
+impl ControlRuntime {
+    fn new() -> Result<ControlRuntime, DaemonError> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(CONTROL_THREADS)
+            .thread_name("control")
+            .enable_all()
+            .build()
+            .map_err(DaemonError::Runtime)?;
+        Ok(ControlRuntime {
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Runs `start` so that what it spawns lands on this runtime.
+    fn run<T>(&self, start: impl FnOnce() -> T) -> T {
+        let _guard = self.runtime.as_ref().map(Runtime::enter);
+        start()
+    }
+}
+
+impl Drop for ControlRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            // A runtime must not wait for its tasks where others run.
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// The tasks of the control plane, by the handles that lead to them.
+struct Plane {
+    transport: Transport,
+    control: ControlHandle,
+    voter: Option<VoterHandle>,
+    operators: OperatorHandle,
+    core: Core,
+}
+
+impl Plane {
+    /// Starts all tasks on the runtime that is entered; requests live on the runtime `requests`.
+    fn start(settings: &Arc<Settings>, requests: Handle) -> Result<Plane, DaemonError> {
+        let transport = Transport::bind(settings)?;
+        let (voter, voter_events) = start_voter(settings)?.unzip();
+        let clock = Clock::start();
+        let life = incarnation();
+        let peers = peer_links(settings, &transport);
+        let (view_tx, view) = watch::channel(View::default());
+        let (crashes_tx, crashes) = mpsc::unbounded_channel();
+        let (nudges_tx, nudges) = mpsc::channel(1);
+        let outlets = Outlets {
+            crashes: crashes_tx,
+            nudges: nudges_tx,
+        };
+        let home = home::start(
+            clock,
+            settings.clone(),
+            view.clone(),
+            outlets,
+            requests.clone(),
+        );
+        let register = register::start(clock, settings.clone(), life, peers.clone(), view.clone());
+        let (operators, operator_calls) = OperatorHandle::new();
+        let (control, control_channel) = control::channel();
+        let setup = Setup {
+            settings: settings.clone(),
+            clock,
+            incarnation: life,
+            view: view_tx,
+            peers: peers.clone(),
+            home: home.clone(),
+            voter: voter.clone(),
+        };
+        let inputs = Inputs {
+            voter: voter_events,
+            operators: operator_calls,
+            crashes,
+            nudges,
+        };
+        control::start(setup, inputs, control_channel);
+        let core = Core {
+            settings: settings.clone(),
+            clock,
+            view,
+            home,
+            peers,
+            incarnation: life,
+            register: register.clone(),
+            ids: Arc::new(AtomicU64::new(first_id(settings.node, life))),
+            room: Arc::new(Semaphore::new(settings.limits.open as usize)),
+        };
+        let doors = Doors {
+            control: control.clone(),
+            voter: voter.clone(),
+            register,
+            core: core.clone(),
+            requests,
+        };
+        tokio::spawn(incoming::run(transport.clone(), doors));
+        Ok(Plane {
+            transport,
+            control,
+            voter,
+            operators,
+            core,
+        })
+    }
+}
+
+/// Starts the daemon; requests run on the present runtime, the control plane on one of its own.
 pub async fn start(settings: Settings, metrics: PrometheusHandle) -> Result<Daemon, DaemonError> {
-    let sockets = Sockets::bind(&settings).await?;
-    let started = start_voter(&settings)?;
-    let (voter, voter_events) = started.unzip();
     let settings = Arc::new(settings);
-    let clock = Clock::start();
-    let life = incarnation();
-    let peers = peer_links(&settings, &sockets.transport);
-    let (view_tx, view) = watch::channel(View::default());
-    let (crashes_tx, crashes) = mpsc::unbounded_channel();
-    let (nudges_tx, nudges) = mpsc::channel(1);
-    let outlets = Outlets {
-        crashes: crashes_tx,
-        nudges: nudges_tx,
-    };
-    let home = home::start(clock, settings.clone(), view.clone(), outlets);
-    let register = register::start(clock, settings.clone(), life, peers.clone(), view.clone());
-    let (operator_handle, operators) = OperatorHandle::new();
-    let (control, control_channel) = control::channel();
-    let setup = Setup {
-        settings: settings.clone(),
-        clock,
-        incarnation: life,
-        view: view_tx,
-        peers: peers.clone(),
-        home: home.clone(),
-        voter: voter.clone(),
-    };
-    let inputs = Inputs {
-        voter: voter_events,
-        operators,
-        crashes,
-        nudges,
-    };
-    control::start(setup, inputs, control_channel);
-    let core = Core {
-        settings: settings.clone(),
-        clock,
-        view,
-        home: home.clone(),
-        peers,
-        incarnation: life,
-        register: register.clone(),
-        ids: Arc::new(AtomicU64::new(first_id(settings.node, life))),
-        room: Arc::new(Semaphore::new(settings.limits.open as usize)),
-    };
-    let doors = Doors {
-        control: control.clone(),
-        voter: voter.clone(),
-        register,
-        core: core.clone(),
-    };
-    tokio::spawn(incoming::run(sockets.transport.clone(), doors));
-    let front = front_server(sockets.callers, &settings.limits)?;
-    let front_handle = front.handle();
-    let (front_tx, front_ended) = oneshot::channel();
-    tokio::spawn(async move {
-        let served = front
-            .try_serve(Service::new(
-                salvo::Router::with_path("{**rest}").goal(Front::new(core)),
-            ))
-            .await;
-        drop(served);
-        let _ = front_tx.send(());
-    });
-    let targets = target_server(sockets.targets)?;
-    let target_handle = targets.handle();
-    let router = announce::router(control.clone());
-    tokio::spawn(async move { targets.try_serve(router).await });
-    let (operators_tx, operators_end) = oneshot::channel::<()>();
-    let listed = settings.operators.clone();
+    let listeners = Listeners::bind(&settings.listen).await?;
+    let runtime = ControlRuntime::new()?;
+    let requests = Handle::current();
+    let plane = runtime.run(|| Plane::start(&settings, requests))?;
+    let peers = plane.transport.address().unwrap_or(settings.listen.peers);
+    let addresses = listeners.addresses(&settings.listen, peers);
+    let servers = listeners.serve(
+        &settings.listen,
+        &settings.limits,
+        plane.core.clone(),
+        plane.control.clone(),
+    )?;
+    let (operators, ended) = oneshot::channel::<()>();
     tokio::spawn(operator::serve(
-        sockets.operators,
-        listed,
-        operator_handle,
+        servers.operators,
+        settings.operators.clone(),
+        plane.operators,
         metrics,
         async move {
             // Both a message and a dropped sender end the server.
-            let _ = operators_end.await;
+            let _ = ended.await;
         },
     ));
-    let addresses = sockets.addresses;
+    log_start(&settings, plane.core.incarnation, &addresses);
+    Ok(Daemon {
+        addresses,
+        limits: settings.limits.clone(),
+        transport: plane.transport,
+        control: plane.control,
+        home: plane.core.home,
+        voter: plane.voter,
+        targets: servers.targets,
+        front: servers.callers,
+        operators,
+        _runtime: runtime,
+    })
+}
+
+fn log_start(settings: &Settings, incarnation: Incarnation, addresses: &Listen) {
     Event::Started.log(format_args!(
-        "entry={} zone={} incarnation={life} callers={} targets={} operators={} peers={}",
+        "entry={} zone={} incarnation={incarnation} callers={} targets={} operators={} peers={}",
         settings.node,
         settings.zone,
         addresses.callers,
@@ -275,63 +309,6 @@
         addresses.operators,
         addresses.peers
     ));
-    Ok(Daemon {
-        addresses,
-        limits: settings.limits.clone(),
-        transport: sockets.transport,
-        control,
-        home,
-        voter,
-        servers: vec![target_handle],
-        front: front_handle,
-        front_ended,
-        operators: operators_tx,
-    })
-}
-
-fn listen_error(name: &'static str, address: SocketAddr, source: io::Error) -> DaemonError {
-    DaemonError::Listen {
-        name,
-        address,
-        source,
-    }
-}
-
-fn front_server(
-    listener: TcpListener,
-    limits: &Limits,
-) -> Result<Server<TcpAcceptor>, DaemonError> {
-    let address = listener.local_addr();
-    let acceptor = TcpAcceptor::try_from(listener).map_err(|source| {
-        listen_error(
-            "callers",
-            address.unwrap_or(([0, 0, 0, 0], 0).into()),
-            source,
-        )
-    })?;
-    let fuse = FuseConfig::default()
-        .with_http1_header_timeout(limits.head_time)
-        .with_connection_idle_timeout(limits.idle_time);
-    let mut server = Server::new(acceptor)
-        .fuse_config(fuse)
-        .max_connections(limits.connections as usize);
-    server.http1_mut().max_buf_size(limits.head_size as usize);
-    Ok(server)
-}
-
-fn target_server(listener: TcpListener) -> Result<Server<TcpAcceptor>, DaemonError> {
-    let address = listener.local_addr();
-    let acceptor = TcpAcceptor::try_from(listener).map_err(|source| {
-        listen_error(
-            "targets",
-            address.unwrap_or(([0, 0, 0, 0], 0).into()),
-            source,
-        )
-    })?;
-    let fuse = FuseConfig::default().with_http1_header_timeout(TARGET_HEAD_TIME);
-    Ok(Server::new(acceptor)
-        .fuse_config(fuse)
-        .max_connections(TARGET_CONNECTIONS_MAX))
 }
 
 impl Daemon {
@@ -344,9 +321,7 @@
     pub fn kill(self) {
         self.transport.close();
         self.front.stop_forceful();
-        for server in &self.servers {
-            server.stop_forceful();
-        }
+        self.targets.stop_forceful();
     }
 
     /// Ends the daemon in good order: no request in flight is cut off, and the targets that it
@@ -357,12 +332,10 @@
         self.front.stop_graceful(limit);
         // Without a leader nobody takes the homes over, and the others wait for the lease to end.
         let _ = timeout(HANDOVER_TIME, self.control.depart()).await;
-        let _ = timeout(limit, self.front_ended).await;
+        let _ = timeout(limit, self.front.ended()).await;
         let _ = timeout(limit, self.home.idle()).await;
         self.control.surrender().await;
-        for server in &self.servers {
-            server.stop_graceful(Duration::ZERO);
-        }
+        self.targets.stop_forceful();
         drop(self.operators);
         if let Some(voter) = &self.voter {
             voter.stop().await;
--- a/node/src/process/mod.rs
+++ b/node/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod operator;
 pub mod protocol;
 pub mod register;
+mod server;
 pub mod settings_file;
 pub mod store;
 pub mod telemetry;
--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -23,6 +23,7 @@
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{
+    runtime::Handle,
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
@@ -182,12 +183,13 @@
     pub nudges: mpsc::Sender<()>,
 }
 
-/// Starts the task.
+/// Starts the task; the connections for requests live on the runtime `requests`.
 pub fn start(
     clock: Clock,
     settings: Arc<Settings>,
     view: watch::Receiver<View>,
     outlets: Outlets,
+    requests: Handle,
 ) -> HomeHandle {
     let (tx, rx) = mpsc::channel(MESSAGES_HELD);
     let handle = HomeHandle { tx };
@@ -197,7 +199,7 @@
         handle: handle.clone(),
         outlets,
         dispatch: Dispatch::new(dispatch_config(&settings)),
-        targets: HeldTargets::new(&settings),
+        targets: HeldTargets::new(&settings, requests),
         settings,
         open: BTreeMap::new(),
         held_back: Vec::new(),
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -23,6 +23,7 @@
     },
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::runtime::Handle;
 
 /// Orders without an answer count as missed after this many heartbeats.
 const MISSED_BEATS: u32 = 2;
@@ -74,7 +75,10 @@
 struct Held {
     info: Announcement,
     draining: bool,
+    /// Connections for requests.
     link: TargetLink,
+    /// Connections for lease orders.
+    orders: TargetLink,
     lease: HomeLease,
     /// Grants by the fleet's state.
     wanted: Vec<Grant>,
@@ -87,6 +91,7 @@
 /// All targets whose home this entry is.
 #[derive(Debug)]
 pub(super) struct HeldTargets {
+    requests: Handle,
     me: Node,
     direct: bool,
     entry_lease: Duration,
@@ -98,9 +103,11 @@
 }
 
 impl HeldTargets {
-    pub(super) fn new(settings: &Settings) -> Self {
+    /// No targets yet; the connections for requests live on the runtime `requests`.
+    pub(super) fn new(settings: &Settings, requests: Handle) -> Self {
         let timing = &settings.timing;
         HeldTargets {
+            requests,
             me: settings.node,
             direct: settings.sending == Sending::Direct,
             entry_lease: timing.entry_lease,
@@ -180,7 +187,8 @@
         let held = Held {
             info: state.info.clone(),
             draining,
-            link: TargetLink::start(state.info.address),
+            link: TargetLink::start(&self.requests, state.info.address),
+            orders: TargetLink::start(&Handle::current(), state.info.address),
             lease,
             wanted,
             granted: Vec::new(),
@@ -248,7 +256,7 @@
                 target: target.clone(),
                 serial: due.serial,
                 incarnation: held.lease.incarnation(),
-                link: held.link.clone(),
+                link: held.orders.clone(),
                 limit: due.timeout.since(now),
                 order: LeaseOrder {
                     incarnation: held.lease.incarnation(),
