store: the folder's lock is released, not only closed

folder_gives_back_what_was_synced failed once in a run of the whole package.

A process that is being started holds a copy of the lock's descriptor until it runs its own program, so closing the file did not release the lock. A fault of the disk and of the random histories was ruled out by that.

--- a/node/src/process/store/folder.rs
+++ b/node/src/process/store/folder.rs
@@ -17,7 +17,16 @@
 #[derive(Debug)]
 pub struct Folder {
     path: PathBuf,
-    _lock: File,
+    lock: File,
+}
+
+impl Drop for Folder {
+    /// Releases the lock itself. Closing the file is not enough while a process that is being
+    /// started from this one still holds a copy of its descriptor.
+    fn drop(&mut self) {
+        // There is nobody to tell; the lock goes with the process at the latest.
+        let _ = self.lock.unlock();
+    }
 }
 
 impl Folder {
@@ -38,7 +47,7 @@
         }
         Ok(Folder {
             path: path.to_owned(),
-            _lock: lock,
+            lock,
         })
     }
 
