log: a voter says that it leads only when it knows all that was committed

A new leader's commits of earlier terms come out as events after its first own entry is committed, but its role was told at the election. The layer above could then act on a state that misses acknowledged commands, with a lease asked for a moment later.

A second event for this was weighed; the flag in the role is less to get wrong. Role events now carry 'ours' only from that commit on, in order behind all earlier commits.

--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -32,8 +32,7 @@
         let Role::Leader(leading) = &self.role else {
             return Err(ChangeError::NotLeader(self.leader));
         };
-        let settled = self.log.term(self.commit) == Some(self.hard.term);
-        if !settled || self.log.membership_index() > self.commit {
+        if !self.is_ready() || self.log.membership_index() > self.commit {
             return Err(ChangeError::InFlight);
         }
         if let VoterChange::Promote(member) = change {
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -64,7 +64,8 @@
     pub leader: Option<Node>,
     /// Term of this voter.
     pub term: u64,
-    /// Whether this voter is the leader.
+    /// Whether this voter is the leader and an entry of its own term is committed. All that was
+    /// committed before it has been handed out by then.
     pub ours: bool,
 }
 
@@ -238,6 +239,11 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Whether this voter leads and knows all that was committed before.
+    pub fn is_ready(&self) -> bool {
+        self.is_leader() && self.log.term(self.commit) == Some(self.hard.term)
+    }
+
     /// Present term.
     pub fn term(&self) -> u64 {
         self.hard.term
@@ -277,7 +283,7 @@
         RoleNews {
             leader: self.leader,
             term: self.hard.term,
-            ours: self.is_leader(),
+            ours: self.is_ready(),
         }
     }
 
--- a/lib/src/process/raft/replication.rs
+++ b/lib/src/process/raft/replication.rs
@@ -64,7 +64,7 @@
     /// End of the lease; `None` without one. A sole voter's lease is always a whole one from the
     /// time of asking and ends never.
     pub fn lease_end(&self) -> Option<Moment> {
-        if !self.is_leader() || self.log.term(self.commit) != Some(self.hard.term) {
+        if !self.is_ready() {
             return None;
         }
         let end = Moment::from_micros(u64::MAX);
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -88,7 +88,8 @@
         leader: Option<Node>,
         /// Term of this voter.
         term: u64,
-        /// Whether this voter is the leader.
+        /// Whether this voter is the leader and everything committed before its term came out as
+        /// an event before this one. Act on it only within [`VoterHandle::lease`].
         ours: bool,
     },
     /// The data folder failed; the voter has stopped and the process should too.
@@ -344,7 +345,7 @@
             role: RoleNews {
                 leader: self.raft.leader(),
                 term: self.raft.term(),
-                ours: self.raft.is_leader(),
+                ours: self.raft.is_ready(),
             },
             commit: self.raft.commit(),
             last: self.raft.last_index(),
