ownership: entries and homes that lag behind cannot act on an old state

The lease now needs the raising command to be applied, a new life waits until its home says that the old one is gone, and a loss waits for the former homes. Weighed: refusing leases to every entry that lags; it would stop entries for a slow disk and leaves a window all the same.

--- a/lib/src/version/admission.rs
+++ b/lib/src/version/admission.rs
@@ -64,10 +64,20 @@
     Ok(())
 }
 
+/// Whether an older life of the target is in the fleet and not known to be gone.
+///
+/// Its home may still send to it until the home itself reports it as gone, and what it sends would
+/// reach the new life if that has the same address.
+pub(super) fn has_old_life(fleet: &Fleet, info: &Announcement) -> bool {
+    fleet.targets.get(&info.target).is_some_and(|old| {
+        old.phase != TargetPhase::Lost && old.info.incarnation < info.incarnation
+    })
+}
+
 /// Checks the life against what is known of the target.
 ///
 /// A new life at the address of the old one shows that the old one has ended, since both cannot
-/// listen there. At another address the old one may run on, so its lease has to end first.
+/// listen there. At another address the old one may run on, so it is turned away.
 fn check_life(fleet: &Fleet, info: &Announcement) -> Result<(), Rejected> {
     let target = info.target.clone();
     if fleet.withdrawn.contains(&target) {
--- a/lib/src/version/apply.rs
+++ b/lib/src/version/apply.rs
@@ -187,6 +187,7 @@
             zone: zone.clone(),
             incarnation,
             alive: true,
+            since: self.index,
         };
         self.entries.insert(node, state);
         true
--- a/lib/src/version/controller.rs
+++ b/lib/src/version/controller.rs
@@ -29,6 +29,9 @@
 const HOME_PAUSE: Duration = Duration::from_secs(1);
 /// Units whose home is improved at once.
 const HOMES_AT_ONCE: usize = 4;
+/// How long a new life of a target waits for the end of the old one before it has to announce
+/// itself again.
+const WAITING_KEPT: Duration = Duration::from_secs(10);
 /// How long a lost target is remembered.
 const LOST_KEPT: Duration = Duration::from_secs(600);
 
@@ -90,6 +93,20 @@
     Committed,
 }
 
+/// Life of an entry that may earn leases, and the log index from which on it may.
+#[derive(Debug)]
+struct Raised {
+    incarnation: Incarnation,
+    index: u64,
+}
+
+/// New life of a target that waits for the end of the old one.
+#[derive(Debug)]
+struct Waiting {
+    info: Announcement,
+    at: Moment,
+}
+
 #[derive(Debug)]
 struct Proposal {
     command: Command,
@@ -104,7 +121,8 @@
     started: Moment,
     heard: BTreeMap<Node, Heard>,
     fallen: BTreeMap<Node, Fall>,
-    admitted: BTreeMap<Node, Incarnation>,
+    raised: BTreeMap<Node, Raised>,
+    waiting: BTreeMap<Target, Waiting>,
     placer: Placer,
     lost: BTreeMap<Target, Moment>,
     proposals: Vec<Proposal>,
@@ -119,7 +137,8 @@
             started: now,
             heard: BTreeMap::new(),
             fallen: BTreeMap::new(),
-            admitted: BTreeMap::new(),
+            raised: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             placer: Placer::default(),
             lost: BTreeMap::new(),
             proposals: Vec::new(),
@@ -151,6 +170,9 @@
     }
 
     /// Command that admits the target, `None` if it is in already or about to be.
+    ///
+    /// A new life waits until the home of the old one reports that one as gone; a later tick then
+    /// admits it.
     pub fn on_announce(
         &mut self,
         now: Moment,
@@ -158,6 +180,12 @@
         info: &Announcement,
     ) -> Result<Option<Command>, Rejected> {
         let command = admission::admit(fleet, info)?;
+        if command.is_some() && admission::has_old_life(fleet, info) {
+            let info = info.clone();
+            let name = info.target.clone();
+            self.waiting.insert(name, Waiting { info, at: now });
+            return Ok(None);
+        }
         let list = command.into_iter().collect();
         Ok(self.propose(now, fleet, list).pop())
     }
@@ -173,10 +201,15 @@
     }
 
     /// Lease that a heartbeat of the entry earns, from the time at which the entry sent it.
+    ///
+    /// An entry that came back earns none until it has applied the command that raised it, since
+    /// in its older state it may still be the home of targets that others command now.
     pub fn lease_for(&self, node: Node) -> Option<Duration> {
-        let heard = self.heard.get(&node)?;
-        let admitted = self.admitted.get(&node) == Some(&heard.report.incarnation);
-        (admitted && !self.fallen.contains_key(&node)).then_some(self.config.timing.entry_lease)
+        let report = &self.heard.get(&node)?.report;
+        let raised = self.raised.get(&node)?;
+        let current = raised.incarnation == report.incarnation && report.applied >= raised.index;
+        let held = current && !self.fallen.contains_key(&node);
+        held.then_some(self.config.timing.entry_lease)
     }
 
     /// How far each entry of the fleet is, by its own reports.
@@ -203,6 +236,7 @@
         self.raise_entries(now, &mut draft);
         self.drop_entries(now, &mut draft);
         self.drop_targets(&mut draft);
+        self.admit_waiting(now, &mut draft);
         self.end_moves(&mut draft);
         self.placer.call_off(now, &mut draft);
         let calm = !self.awaits(fleet);
@@ -230,7 +264,7 @@
 
     fn observe_entries(&mut self, now: Moment, fleet: &Fleet) {
         let span = self.config.timing.entry_lease;
-        self.admitted.clear();
+        self.raised.clear();
         for (node, entry) in &fleet.entries {
             match (self.fallen.get(node), entry.alive) {
                 (Some(Fall::Proposed), false) => {
@@ -242,7 +276,11 @@
                 _ => {}
             }
             if entry.alive {
-                self.admitted.insert(*node, entry.incarnation);
+                let raised = Raised {
+                    incarnation: entry.incarnation,
+                    index: entry.since,
+                };
+                self.raised.insert(*node, raised);
             } else if self.heard.get(node).is_some_and(|h| now.since(h.at) > span) {
                 self.heard.remove(node);
             }
@@ -306,7 +344,9 @@
             for gone in &heard.report.gone {
                 let state = draft.fleet().targets.get(&gone.target);
                 let told = state.is_some_and(|state| {
-                    state.home == Some(*node) && heard.report.applied >= state.epoch.0
+                    state.home == Some(*node)
+                        && heard.report.applied >= state.epoch.0
+                        && moves::formers_stopped(state, &self.heard)
                 });
                 if told {
                     draft.push(Command::Lost {
@@ -318,6 +358,23 @@
         }
     }
 
+    fn admit_waiting(&mut self, now: Moment, draft: &mut Draft<'_>) {
+        self.waiting
+            .retain(|_, waiting| now.since(waiting.at) < WAITING_KEPT);
+        let mut admitted = Vec::new();
+        for (name, waiting) in &self.waiting {
+            if admission::has_old_life(draft.fleet(), &waiting.info) {
+                continue;
+            }
+            if let Ok(Some(command)) = admission::admit(draft.fleet(), &waiting.info) {
+                draft.push(command);
+            } else {
+                admitted.push(name.clone());
+            }
+        }
+        self.waiting.retain(|name, _| !admitted.contains(name));
+    }
+
     fn end_moves(&mut self, draft: &mut Draft<'_>) {
         let ended = moves::ended(draft.fleet(), &self.heard, self.config.sending);
         if !ended.is_empty() {
--- a/lib/src/version/fleet.rs
+++ b/lib/src/version/fleet.rs
@@ -133,6 +133,8 @@
     pub incarnation: Incarnation,
     /// Whether it holds a lease, as far as committed.
     pub alive: bool,
+    /// Log index at which it was last raised; it may not act on an older state.
+    pub since: u64,
 }
 
 /// Whether a zone takes new work.
--- a/lib/src/version/placement.rs
+++ b/lib/src/version/placement.rs
@@ -191,7 +191,7 @@
                 name: target.clone(),
                 zone: state.info.zone.clone(),
                 slots: state.info.slots,
-                warmth: self.warmth(now, target),
+                warmth: self.warmth(now, target, state.info.incarnation),
                 slow: is_slow(heard, target, state.home),
             })
             .collect();
@@ -214,8 +214,10 @@
         !untouched || first.is_some_and(|at| now.since(*at) >= SETTLE)
     }
 
-    fn warmth(&self, now: Moment, target: &Target) -> f64 {
-        match self.lives.get(target) {
+    /// Part of its slots that a life is counted on for; one not observed yet has just begun.
+    fn warmth(&self, now: Moment, target: &Target, incarnation: Incarnation) -> f64 {
+        let life = self.lives.get(target);
+        match life.filter(|life| life.incarnation == incarnation) {
             Some(life) if life.cold => {
                 let part = now.since(life.since).as_secs_f64() / RAMP.as_secs_f64();
                 (COLD_PART + (1.0 - COLD_PART) * part).min(1.0)
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -9,7 +9,7 @@
         command::{Command, Move, Rehome},
         controller::{Controller, ControllerConfig},
         fleet::Fleet,
-        report::Report,
+        report::{GoneTarget, Report},
     },
 };
 
@@ -203,6 +203,73 @@
     assert!(later);
 }
 
+#[test]
+fn an_entry_that_came_back_earns_no_lease_on_its_older_state() {
+    let mut bench = Bench::new();
+    let old = bench.heartbeat(1, 1);
+    bench.apply(&Command::EntryLost {
+        node: Node(1),
+        incarnation: Incarnation(1),
+    });
+    bench.apply(&Command::EntryUp {
+        node: Node(1),
+        zone: Zone::from("a"),
+        incarnation: Incarnation(1),
+    });
+
+    bench.report(&old);
+    bench.proposes(|_| false);
+    let behind = bench.controller.lease_for(Node(1));
+    bench.report(&bench.heartbeat(1, 1));
+    let current = bench.controller.lease_for(Node(1));
+
+    assert_eq!((behind, current), (None, Some(timing().entry_lease)));
+}
+
+#[test]
+fn a_new_life_of_a_target_waits_until_its_home_says_that_the_old_one_is_gone() {
+    let mut bench = Bench::new();
+    let info = announcement("w-0", "a", 2);
+    let admits = |command: &Command| matches!(command, Command::Admit(new) if *new == info);
+    let answer = bench.controller.on_announce(bench.now, &bench.fleet, &info);
+    let at_once = bench.proposes(admits);
+    let gone = Report {
+        gone: vec![GoneTarget {
+            target: "w-0".into(),
+            incarnation: Incarnation(1),
+        }],
+        ..bench.heartbeat(1, 1)
+    };
+    bench.report(&gone);
+    let later = bench.proposes(admits);
+
+    assert_eq!(answer, Ok(None));
+    assert!(!at_once && later, "at once {at_once}, later {later}");
+}
+
+#[test]
+fn a_target_is_lost_only_when_its_former_home_has_stopped() {
+    let mut bench = Bench::new();
+    let behind = bench.heartbeat(1, 1);
+    bench.rehome("w-0", 2);
+    let gone = Report {
+        gone: vec![GoneTarget {
+            target: "w-0".into(),
+            incarnation: Incarnation(1),
+        }],
+        ..bench.heartbeat(2, 1)
+    };
+    let loses = |command: &Command| matches!(command, Command::Lost { .. });
+
+    bench.report(&behind);
+    bench.report(&gone);
+    let early = bench.proposes(loses);
+    bench.report(&bench.heartbeat(1, 1));
+    let late = bench.proposes(loses);
+
+    assert!(!early && late, "early {early}, late {late}");
+}
+
 #[test]
 fn a_new_leader_waits_a_whole_lease_before_it_declares_an_entry_lost() {
     let mut bench = Bench::new();
