--- a/lib/src/version/apply.rs
+++ b/lib/src/version/apply.rs
@@ -190,6 +190,7 @@
             incarnation,
             first,
             alive: true,
+            since: self.index,
         };
         self.entries.insert(node, state);
         true
