--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -221,7 +221,7 @@
         }
         let batch = self.disk.next_batch(self.hard, &self.log);
         self.actions.extend(batch.map(Action::Persist));
-        let news = self.role_news();
+        let news = self.role();
         if news != self.news {
             self.news = news;
             self.actions.push(Action::Role(news));
@@ -279,7 +279,8 @@
         self.config.member()
     }
 
-    fn role_news(&self) -> RoleNews {
+    /// Who leads, as far as this voter knows.
+    pub fn role(&self) -> RoleNews {
         RoleNews {
             leader: self.leader,
             term: self.hard.term,
--- a/lib/src/process/raft/replication.rs
+++ b/lib/src/process/raft/replication.rs
@@ -33,6 +33,52 @@
     pub(super) fn acked(&self) -> Option<Moment> {
         self.acked
     }
+
+    /// Takes an answer in; gives the stamp that it echoes.
+    fn take(&mut self, body: &Body, last: u64) -> u64 {
+        match *body {
+            Body::AppendReply {
+                stamp,
+                outcome: AppendOutcome::Matched(index),
+            } => {
+                self.settle(index.min(last));
+                stamp
+            }
+            Body::AppendReply {
+                stamp,
+                outcome: AppendOutcome::Differs(hint),
+            } => {
+                self.next = (hint + 1).min(self.next.saturating_sub(1)).min(last);
+                self.next = self.next.max(self.matched + 1);
+                self.waiting = None;
+                stamp
+            }
+            Body::InstallReply {
+                stamp,
+                index,
+                offset,
+                done,
+            } => {
+                self.offset = offset;
+                self.waiting = None;
+                if done {
+                    self.offset = 0;
+                    self.settle(index.min(last));
+                }
+                stamp
+            }
+            Body::Hello { .. } | Body::Vote { .. } | Body::VoteReply { .. } => 0,
+            Body::Append { .. } | Body::Install { .. } => 0,
+        }
+    }
+
+    fn settle(&mut self, index: u64) {
+        if index >= self.next {
+            self.waiting = None;
+        }
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+    }
 }
 
 /// State of a leader.
@@ -271,51 +317,3 @@
         }
     }
 }
-
-impl Progress {
-    /// Takes an answer in; gives the stamp that it echoes.
-    fn take(&mut self, body: &Body, last: u64) -> u64 {
-        match *body {
-            Body::AppendReply {
-                stamp,
-                outcome: AppendOutcome::Matched(index),
-            } => {
-                self.settle(index.min(last));
-                stamp
-            }
-            Body::AppendReply {
-                stamp,
-                outcome: AppendOutcome::Differs(hint),
-            } => {
-                self.next = (hint + 1).min(self.next.saturating_sub(1)).min(last);
-                self.next = self.next.max(self.matched + 1);
-                self.waiting = None;
-                stamp
-            }
-            Body::InstallReply {
-                stamp,
-                index,
-                offset,
-                done,
-            } => {
-                self.offset = offset;
-                self.waiting = None;
-                if done {
-                    self.offset = 0;
-                    self.settle(index.min(last));
-                }
-                stamp
-            }
-            Body::Hello { .. } | Body::Vote { .. } | Body::VoteReply { .. } => 0,
-            Body::Append { .. } | Body::Install { .. } => 0,
-        }
-    }
-
-    fn settle(&mut self, index: u64) {
-        if index >= self.next {
-            self.waiting = None;
-        }
-        self.matched = self.matched.max(index);
-        self.next = self.next.max(self.matched + 1);
-    }
-}
--- a/lib/tests/raft_cluster/invariants.rs
+++ b/lib/tests/raft_cluster/invariants.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    pub fn ready(&mut self, node: u64, applied: u64) {
+        if applied < self.committed.len() as u64 {
+            self.fail(format!("node {node} leads without all that is committed"));
+        }
+    }
+
     /// Notes votes as they leave; a candidate votes for itself.
     pub fn sent(&mut self, from: Member, to: Node, message: &Message) {
         let choice = match message.body {
--- a/lib/tests/raft_cluster/mod.rs
+++ b/lib/tests/raft_cluster/mod.rs
@@ -327,6 +327,10 @@
                     self.machine(node).applied = snapshot.index;
                     self.invariants.installed(node, &snapshot);
                 }
+                Action::Role(news) if news.ours => {
+                    let applied = self.machine(node).applied;
+                    self.invariants.ready(node, applied);
+                }
                 Action::Role(_) => {}
             }
         }
--- a/lib/tests/test_raft_rules.rs
+++ b/lib/tests/test_raft_rules.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 const ELECTION: Duration = Duration::from_millis(100);
+const DRIFT: Duration = Duration::from_millis(5);
 
 fn member(node: u64) -> Member {
     Member {
@@ -44,7 +45,7 @@
         listed: [1, 2, 3].map(Node).to_vec(),
         election: ELECTION,
         heartbeat: Duration::from_millis(20),
-        drift: Duration::from_millis(5),
+        drift: DRIFT,
         retain: 10,
         seed: 1,
     };
@@ -86,14 +87,31 @@
     }
 }
 
-#[test]
-fn entry_of_an_earlier_term_commits_only_with_one_of_the_own_term() {
+fn leader(now: Moment) -> Raft {
     let mut raft = restored();
-    let now = Moment::ZERO + ELECTION * 2;
     raft.tick(now);
     for (ballot, granted) in [(Ballot::Pre, true), (Ballot::Real, true)] {
         receive(&mut raft, now, 2, 5, Body::VoteReply { ballot, granted });
     }
+    raft
+}
+
+#[test]
+fn lease_counts_from_the_sending_of_what_a_majority_answered() {
+    let sent = Moment::ZERO + ELECTION * 2;
+    let mut raft = leader(sent);
+    let late = sent + Duration::from_millis(60);
+    let before = raft.lease_end();
+    receive(&mut raft, late, 2, 5, matched(3, sent));
+    let end = sent + ELECTION - DRIFT;
+    assert_eq!((before, raft.lease_end()), (None, Some(end)));
+    assert!(raft.has_lease(late) && !raft.has_lease(end));
+}
+
+#[test]
+fn entry_of_an_earlier_term_commits_only_with_one_of_the_own_term() {
+    let now = Moment::ZERO + ELECTION * 2;
+    let mut raft = leader(now);
     assert!(raft.is_leader());
     receive(&mut raft, now, 2, 5, matched(2, now));
     let before = raft.commit();
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -342,11 +342,7 @@
         let longest = now + self.election;
         VoterStatus {
             member: self.raft.member(),
-            role: RoleNews {
-                leader: self.raft.leader(),
-                term: self.raft.term(),
-                ours: self.raft.is_ready(),
-            },
+            role: self.raft.role(),
             commit: self.raft.commit(),
             last: self.raft.last_index(),
             snapshot: self.raft.snapshot_index(),
