--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -41,7 +41,10 @@
 impl Leading {
     pub(super) fn new(settings: &Settings, term: u64, now: Moment) -> Self {
         let timing = settings.timing.clone();
-        let config = ControllerConfig::new(timing, settings.assigner, RING_SALT);
+        let config = ControllerConfig {
+            sending: settings.sending,
+            ..ControllerConfig::new(timing, settings.assigner, RING_SALT)
+        };
         Leading {
             term,
             ready: false,
