--- a/node/tests/test_store.rs
+++ b/node/tests/test_store.rs
@@ -10,7 +10,7 @@
     },
 };
 use cornelrail_node::process::store::{Opened, Store, StoreError};
-use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
+use quickcheck::{Arbitrary, Gen, TestResult};
 use std::{
     fs,
     path::{Path, PathBuf},
@@ -129,7 +129,7 @@
     fs::write(path, bytes).unwrap();
 }
 
-quickcheck! {
+crate::properties! {
     fn folder_gives_back_what_was_synced(history: Vec<Write>) -> bool {
         let (root, state) = written(&history);
         let first = open(root.path()).unwrap();
