ownership: at most one owner, run by entries that lag, freeze or are cut

Each entry of the new test acts on its own copy of the fleet, holds its own lease and sends requests that take time; the rule is checked on the requests that run at the targets, after every step. Broken on purpose in turn: a new life admitted at once, a move that does not ask the home, and an entry lost after half a lease are red; a lease on an older state and a move that does not ask former homes ran into the 45 s limit, that is, did not pass and were most likely shrinking a failure. Not seen by this test, but by test_lease: a loss beside a former home that still sends, and a lease after the loss was proposed.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,4 +7,5 @@
 mod test_key;
 mod test_lease;
 mod test_note;
+mod test_owner;
 mod test_unit;
