--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_note;
 mod test_once;
 mod test_operator_api;
+mod test_owner;
 mod test_owner_lease;
 mod test_quarantine;
 mod test_raft_rules;
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,7 +1,6 @@
 //! Tests of the package.
 
 mod hosts;
-#[path = "../../lib/tests/seeded.rs"]
 mod seeded;
 mod test_docs;
 mod test_logging;
