--- a/cli/src/demo/figures.rs
+++ b/cli/src/demo/figures.rs
@@ -33,6 +33,9 @@
     /// The same for the worst key.
     #[serde(rename = "worst_unavailable_ms")]
     pub worst_ms: f64,
+    /// Requests that came to a cold target beyond what it bears; in the table only.
+    #[serde(skip)]
+    pub over: u64,
 }
 
 impl DemoFigures {
@@ -50,14 +53,14 @@
     /// Table for a screen of 48 columns.
     pub fn table(&self, options: &DemoOptions) -> String {
         let title = format!(
-            "{}, fault {}, {}, seed {}",
+            "{}, fault {}, {}",
             options.workload.name(),
             options.fault.name(),
             options.policy.name(),
-            options.seed,
         );
         let verdict = if self.passed() { "passed" } else { "FAILED" };
         let rows = [
+            ("seed", options.seed.to_string()),
             ("sent", self.sent.to_string()),
             ("answered", self.answered.to_string()),
             ("refused, not run", self.not_run.to_string()),
@@ -71,11 +74,12 @@
             ("keys moved", format!("{:.1} %", self.churn * 100.0)),
             ("keys unavailable", format!("{:.0} ms", self.unavailable_ms)),
             ("worst key", format!("{:.0} ms", self.worst_ms)),
+            ("cold targets overloaded", self.over.to_string()),
             ("verdict", verdict.to_owned()),
         ];
         let mut table = format!("{title}\n");
         for (name, value) in rows {
-            table.push_str(&format!("  {name:<24}{value:>16}\n"));
+            table.push_str(&format!("  {name:<24}{value:>20}\n"));
         }
         table
     }
--- a/cli/src/demo/scene.rs
+++ b/cli/src/demo/scene.rs
@@ -8,6 +8,7 @@
     probe::{Outage, Probes},
     traffic::{self, Stretch},
 };
+use cornelrail_lib::name::Target;
 use cornelrail_testutils::{
     caller::Tally,
     ledger::Ledger,
@@ -114,16 +115,17 @@
         self.warm_up(rate).await;
         let start = Instant::now();
         let before = self.ledger.counts();
+        let over = self.ledger.over_bearable();
         let (tally, outage) = self.run(rate, &probes, operator).await?;
         let service = &self.workload.keyed.service;
         let unharmed = self.unharmed();
-        Ok(figures(
-            &tally,
-            outage,
-            self.ledger.run_twice(),
-            self.ledger.imbalance(&unharmed, &before),
-            self.ledger.churn(service, start, CHURN_SAMPLES),
-        ))
+        Ok(DemoFigures {
+            run_twice: self.ledger.run_twice(),
+            imbalance: rounded(self.ledger.imbalance(&unharmed, &before)),
+            churn: rounded(self.ledger.churn(service, start, CHURN_SAMPLES)),
+            over: self.ledger.over_bearable() - over,
+            ..figures(&tally, outage)
+        })
     }
 
     /// Waits until every sampled key is answered.
@@ -225,7 +227,7 @@
     }
 
     /// Targets of the keyed service that the fault does not strike.
-    fn unharmed(&self) -> Vec<cornelrail_lib::name::Target> {
+    fn unharmed(&self) -> Vec<Target> {
         let victims = match self.options.fault {
             Fault::None => Vec::new(),
             fault => fault::victims(fault, &self.targets, &self.workload),
@@ -236,13 +238,8 @@
     }
 }
 
-fn figures(
-    tally: &Tally,
-    outage: Outage,
-    run_twice: u64,
-    imbalance: f64,
-    churn: f64,
-) -> DemoFigures {
+/// What callers and probes saw; the ledger's part is left out.
+fn figures(tally: &Tally, outage: Outage) -> DemoFigures {
     let millis = |share| tally.latency.value_at_quantile(share) as f64 / 1_000.0;
     DemoFigures {
         sent: tally.sent,
@@ -250,17 +247,23 @@
         not_run: tally.not_run,
         unknown: tally.unknown,
         wrong: tally.wrong + outage.wrong,
-        run_twice,
+        run_twice: 0,
         p50_ms: millis(0.5),
         p99_ms: millis(0.99),
         p999_ms: millis(0.999),
-        imbalance: (imbalance * 1_000.0).round() / 1_000.0,
-        churn: (churn * 10_000.0).round() / 10_000.0,
+        imbalance: 1.0,
+        churn: 0.0,
         unavailable_ms: outage.total.as_millis() as f64,
         worst_ms: outage.worst.as_millis() as f64,
+        over: 0,
     }
 }
 
+/// A share to four digits after the point.
+fn rounded(share: f64) -> f64 {
+    (share * 10_000.0).round() / 10_000.0
+}
+
 /// Keeps one line on a terminal up to date.
 async fn show_progress(sent: watch::Receiver<u64>, total: u64, over: &watch::Receiver<bool>) {
     if !io::stderr().is_terminal() {
