--- a/lib/tests/test_owner.rs
+++ b/lib/tests/test_owner.rs
@@ -17,7 +17,7 @@
         report::{GoneTarget, Report},
     },
 };
-use quickcheck::{QuickCheck, TestResult};
+use quickcheck::TestResult;
 use std::{collections::BTreeMap, time::Duration};
 
 const STEP: Duration = Duration::from_millis(20);
@@ -298,7 +298,7 @@
 #[test]
 fn no_key_is_run_by_two_targets_at_once() {
     let schedule: fn(Vec<(u8, u8, u8)>) -> TestResult = run_schedule;
-    QuickCheck::new().tests(SCHEDULES).quickcheck(schedule);
+    crate::seeded::check().tests(SCHEDULES).quickcheck(schedule);
 }
 
 #[test]
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the package.
 
 mod hosts;
+#[path = "../../lib/tests/seeded.rs"]
 mod seeded;
 mod test_docs;
 mod test_logging;
