capacity: slopes of the pure state machines, measured by one command

docs/CAPACITY.md has to rest on slopes measured here.

A counting allocator was ruled out: the workspace forbids unsafe code.

--- /dev/null
+++ b/lib/examples/slopes/control.rs
@@ -0,0 +1,180 @@
+//! Reports, lease orders, ticks of the controller, plans of the assigner and commits.
+
+use crate::{scene, table::Table, voters::Voters};
+use cornelrail_lib::{
+    connection::order::{Grant, LeaseOrder},
+    key::KeyRange,
+    moment::Moment,
+    name::{Epoch, Fence, Incarnation},
+    process::{
+        raft::Identity,
+        settings::{Assigner, Timing},
+    },
+    version::{
+        assigner::{self, Holder, RangeView, TargetView, View},
+        command::Command,
+        controller::{Controller, ControllerConfig},
+        fleet::Fleet,
+        report::Report,
+    },
+};
+use std::{hint::black_box, time::Duration};
+
+const COMMITS: u32 = 3_000;
+
+/// Measures all slopes of this module once.
+pub fn measure(table: &mut Table, run: u32) {
+    reports(table, run);
+    orders(table, run);
+    ticks(table, run);
+    plans(table, run);
+    commits(table, run);
+}
+
+fn reports(table: &mut Table, run: u32) {
+    for targets in [1, 4, 16, 64, 256] {
+        let fleet = scene::fleet(targets * scene::RANGES_PER_TARGET, targets, 1);
+        let report = scene::report(&fleet, 0, true);
+        let bytes = postcard::to_stdvec(&report).unwrap_or_default();
+        table.add("report_bytes", targets, run, bytes.len() as f64, "B");
+        table.time("report_us", targets, run, 1_000, || {
+            let bytes = postcard::to_stdvec(black_box(&report)).unwrap_or_default();
+            let read: Result<Report, _> = postcard::from_bytes(black_box(&bytes));
+            let _ = black_box(read);
+        });
+    }
+    let fleet = scene::fleet(16, 1, 1);
+    let beat = postcard::to_stdvec(&scene::report(&fleet, 0, false)).unwrap_or_default();
+    table.add("heartbeat_bytes", 0, run, beat.len() as f64, "B");
+    table.add("heartbeat_bytes", 256, run, beat.len() as f64, "B");
+}
+
+fn orders(table: &mut Table, run: u32) {
+    for grants in [1, 4, 16, 64, 256] {
+        let order = order(grants);
+        let text = serde_json::to_vec(&order).unwrap_or_default();
+        table.add("order_bytes", grants, run, text.len() as f64, "B");
+        table.time("order_us", grants, run, 2_000, || {
+            let text = serde_json::to_vec(black_box(&order)).unwrap_or_default();
+            let read: Result<LeaseOrder, _> = serde_json::from_slice(black_box(&text));
+            let _ = black_box(read);
+        });
+    }
+}
+
+fn order(grants: usize) -> LeaseOrder {
+    let ranges = KeyRange::even(grants as u64).into_iter();
+    LeaseOrder {
+        incarnation: Incarnation(1_764_800_000_000),
+        epoch: Epoch(1_000_000),
+        serial: 1_000_000,
+        until_ms: 100_000_000,
+        grants: ranges
+            .map(|range| Grant {
+                range,
+                fence: Fence(1_000_000),
+            })
+            .collect(),
+        drain: false,
+    }
+}
+
+/// Timing of the daemon's defaults.
+fn timing() -> Timing {
+    Timing {
+        heartbeat: Duration::from_millis(100),
+        entry_lease: Duration::from_millis(900),
+        target_lease: Duration::from_millis(400),
+        election: Duration::from_millis(250),
+        drift: Duration::from_millis(20),
+    }
+}
+
+/// A calm fleet: every entry has reported, and nothing is to be done.
+fn ticks(table: &mut Table, run: u32) {
+    for (targets, count) in [(25, 200), (100, 50), (400, 20), (1_600, 10), (3_200, 10)] {
+        let entries = (targets / 3).max(1);
+        let fleet = scene::fleet(targets * scene::RANGES_PER_TARGET, targets, entries);
+        let mut controller = Controller::new(
+            ControllerConfig::new(timing(), Assigner::Weighted, 0),
+            Moment::ZERO,
+        );
+        let now = Moment::from_millis(1);
+        for node in 0..entries {
+            controller.on_report(now, &scene::report(&fleet, node, true));
+        }
+        controller.tick(now, &fleet);
+        table.time("tick_us", targets, run, count, || {
+            tick(&mut controller, now, &fleet)
+        });
+    }
+}
+
+fn tick(controller: &mut Controller, now: Moment, fleet: &Fleet) {
+    black_box(controller.tick(now, fleet));
+}
+
+fn plans(table: &mut Table, run: u32) {
+    for (targets, count) in [(25, 500), (100, 100), (400, 30), (1_600, 10), (3_200, 10)] {
+        let view = view(targets);
+        table.time("plan_us", targets, run, count, || {
+            black_box(assigner::plan(Assigner::Weighted, black_box(&view)));
+        });
+    }
+}
+
+/// Service with one target lost: its ranges have to be granted.
+fn view(targets: usize) -> View {
+    let ranges = targets * scene::RANGES_PER_TARGET;
+    let range = |(number, range): (usize, KeyRange)| RangeView {
+        range,
+        holder: match scene::owner_of(number, targets) {
+            0 => Holder::Nobody,
+            owner => Holder::Target(owner),
+        },
+        moving: false,
+        rate: 188.0,
+        peak: None,
+    };
+    View {
+        ranges: KeyRange::even(ranges as u64)
+            .into_iter()
+            .enumerate()
+            .map(range)
+            .collect(),
+        targets: (0..targets)
+            .map(|number| TargetView {
+                name: scene::target(number),
+                zone: scene::zone(number),
+                slots: 4,
+                warmth: 1.0,
+                slow: false,
+            })
+            .collect(),
+        moves: 24,
+        churn: 0.1,
+        seed: 0,
+    }
+}
+
+fn commits(table: &mut Table, run: u32) {
+    let command = Command::MoveEnd(vec![scene::step(16, 0, 1)]);
+    let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+    for count in [1, 3, 5, 7] {
+        let mut voters = in_memory(count);
+        table.time("commit_voters_us", count as usize, run, COMMITS, || {
+            voters.commit(1, &bytes)
+        });
+    }
+    for batch in [1, 10, 100, 1_000] {
+        let mut voters = in_memory(3);
+        table.time("commit_batch_us", batch, run, 50, || {
+            voters.commit(batch, &bytes);
+            voters.compact();
+        });
+    }
+}
+
+fn in_memory(count: u64) -> Voters<u64> {
+    Voters::new((1..=count).collect(), |number| Identity(*number), |_, _| {})
+}
--- /dev/null
+++ b/lib/examples/slopes/main.rs
@@ -0,0 +1,36 @@
+//! Measures the slopes of docs/CAPACITY.md that need no socket and no disk.
+//!
+//! Usage: `cargo run --release -p cornelrail-lib --example slopes -- docs/capacity`. It writes
+//! `lib.csv` and a plot for each slope into the folder, and prints the fits.
+
+mod control;
+mod fit;
+mod memory;
+mod plot;
+mod request;
+mod scene;
+mod state;
+mod table;
+mod voters;
+
+use fit::Fit;
+use std::{env, error::Error, path::PathBuf};
+use table::{RUNS, Table};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let folder = PathBuf::from(env::args().nth(1).unwrap_or("docs/capacity".to_owned()));
+    let mut table = Table::default();
+    memory::measure(&mut table);
+    for run in 1..=RUNS {
+        control::measure(&mut table, run);
+        state::measure(&mut table, run);
+        request::measure(&mut table, run);
+    }
+    table.write(&folder.join("lib.csv"))?;
+    plot::write(&table, &folder)?;
+    for slope in table.slopes() {
+        let points: Vec<_> = table.of(slope).collect();
+        println!("{slope}: {}", Fit::of(&points));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lib/examples/slopes/scene.rs
@@ -0,0 +1,154 @@
+//! Fleets of any size, with names as long as those in use.
+
+use cornelrail_lib::{
+    key::{KeyHash, KeyRange},
+    name::{Epoch, Fence, Incarnation, Node, Service, Target, Zone},
+    version::{
+        command::{Announcement, Move},
+        fleet::{
+            Assignment, Cause, EntryState, Fleet, ServiceKind, ServiceSettings, ServiceState,
+            TargetPhase, TargetState, ZoneState,
+        },
+        report::{Peak, RangeLoad, Report},
+    },
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Ranges of each target: the assigner joins ranges beyond that.
+pub const RANGES_PER_TARGET: usize = 16;
+/// Zones of the fleet.
+pub const ZONES: usize = 13;
+/// The one keyed service.
+pub const SERVICE: &str = "payroll-core";
+
+/// Number of the ranges' owner.
+pub fn owner_of(range: usize, targets: usize) -> usize {
+    range % targets
+}
+
+/// Name of a target.
+pub fn target(number: usize) -> Target {
+    Target(format!("payroll-core-{number:05}"))
+}
+
+/// Name of a zone.
+pub fn zone(number: usize) -> Zone {
+    Zone(format!("zone-{:02}", number % ZONES))
+}
+
+/// Fleet with all ranges owned and all targets at home.
+pub fn fleet(ranges: usize, targets: usize, entries: usize) -> Fleet {
+    let mut fleet = Fleet {
+        index: 1,
+        last_fence: Fence(ranges as u64 + 1),
+        ..Fleet::default()
+    };
+    for number in 0..ZONES {
+        fleet.zones.insert(zone(number), ZoneState::In);
+    }
+    for number in 0..entries {
+        fleet.entries.insert(Node(number as u64), entry(number));
+    }
+    for number in 0..targets {
+        let state = target_state(number, entries);
+        fleet.targets.insert(target(number), state);
+    }
+    let table = KeyRange::even(ranges as u64);
+    let assignments = table.into_iter().enumerate();
+    let state = ServiceState {
+        settings: ServiceSettings {
+            kind: ServiceKind::Keyed,
+            once: vec!["POST /pay".to_owned()],
+            low: Vec::new(),
+            deadline: Duration::from_secs(2),
+            repeat_window: Duration::ZERO,
+        },
+        ranges: assignments
+            .map(|(number, range)| assignment(number, range, targets))
+            .collect(),
+        home: None,
+    };
+    fleet.services.insert(Service::from(SERVICE), state);
+    fleet
+}
+
+fn entry(number: usize) -> EntryState {
+    EntryState {
+        zone: zone(number),
+        incarnation: Incarnation(1_764_800_000_000),
+        first: Incarnation(1_764_800_000_000),
+        alive: true,
+    }
+}
+
+fn target_state(number: usize, entries: usize) -> TargetState {
+    TargetState {
+        info: announcement(number),
+        phase: TargetPhase::Serving,
+        home: Some(Node((number % entries) as u64)),
+        epoch: Epoch(1),
+        formers: Vec::new(),
+    }
+}
+
+/// What a target says of itself.
+pub fn announcement(number: usize) -> Announcement {
+    Announcement {
+        target: target(number),
+        service: Service::from(SERVICE),
+        zone: zone(number),
+        address: SocketAddr::from(([10, 0, 0, 1], 8080)),
+        slots: 4,
+        incarnation: Incarnation(1_764_800_000_000),
+    }
+}
+
+fn assignment(number: usize, range: KeyRange, targets: usize) -> Assignment {
+    Assignment {
+        range,
+        owner: Some(target(owner_of(number, targets))),
+        fence: Fence(number as u64 + 1),
+        next: None,
+        since: 1,
+        cause: Cause::Granted,
+    }
+}
+
+/// Move of the range of this number in an even table of `ranges`.
+pub fn step(ranges: usize, number: usize, to: usize) -> Move {
+    Move {
+        service: Service::from(SERVICE),
+        range: KeyRange::even(ranges as u64)[number],
+        to: target(to),
+    }
+}
+
+/// Report of entry `node` of a fleet, with the loads of all its ranges.
+pub fn report(fleet: &Fleet, node: usize, loads: bool) -> Report {
+    let node = Node(node as u64);
+    let state = &fleet.entries[&node];
+    let mut report = Report::heartbeat(node, state.zone.clone(), state.incarnation, fleet.index);
+    if loads {
+        let service = Service::from(SERVICE);
+        let ranges = fleet.services[&service].ranges.iter();
+        let own = ranges.filter(|a| {
+            let owner = a.owner.as_ref().and_then(|name| fleet.targets.get(name));
+            owner.and_then(|state| state.home) == Some(node)
+        });
+        report.loads = own.map(|a| load(&service, a.range)).collect();
+    }
+    report
+}
+
+fn load(service: &Service, range: KeyRange) -> RangeLoad {
+    RangeLoad {
+        service: service.clone(),
+        range,
+        rate: 188.0,
+        slow_ms: 12.0,
+        peak: Some(Peak {
+            hash: KeyHash(range.first().0 + 1),
+            rate: 3.0,
+        }),
+    }
+}
--- /dev/null
+++ b/lib/examples/slopes/voters.rs
@@ -0,0 +1,108 @@
+//! Voters in one process: messages are handed over at once, the disk is the caller's.
+
+use cornelrail_lib::{
+    moment::Moment,
+    name::Node,
+    process::raft::{Action, Batch, Identity, Raft, RaftConfig, Restored},
+};
+use std::time::Duration;
+
+const HEARTBEAT: Duration = Duration::from_millis(50);
+
+/// Voters with numbers from 1.
+pub struct Voters<D> {
+    rafts: Vec<Raft>,
+    disks: Vec<D>,
+    now: Moment,
+    write: fn(&mut D, &Batch),
+    /// Commands committed at the leader.
+    pub commits: usize,
+}
+
+impl<D> Voters<D> {
+    /// Voters with a disk each, one of which leads when this returns.
+    pub fn new(
+        disks: Vec<D>,
+        identity: impl Fn(&D) -> Identity,
+        write: fn(&mut D, &Batch),
+    ) -> Self {
+        let listed: Vec<Node> = (1..=disks.len() as u64).map(Node).collect();
+        let raft = |(place, disk): (usize, &D)| {
+            let config = RaftConfig {
+                node: listed[place],
+                identity: identity(disk),
+                listed: listed.clone(),
+                election: Duration::from_millis(250),
+                heartbeat: HEARTBEAT,
+                drift: Duration::from_millis(20),
+                retain: 1_000,
+                seed: place as u64,
+            };
+            Raft::new(config, Restored::default(), Moment::ZERO)
+        };
+        let mut voters = Voters {
+            rafts: disks.iter().enumerate().map(raft).collect(),
+            disks,
+            now: Moment::ZERO,
+            write,
+            commits: 0,
+        };
+        while voters.leader().is_none() {
+            voters.now = voters.now + HEARTBEAT / 10;
+            for raft in &mut voters.rafts {
+                raft.tick(voters.now);
+            }
+            voters.settle();
+        }
+        voters
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.rafts.iter().position(Raft::is_leader)
+    }
+
+    /// Proposes a batch of equal commands and waits until the leader has committed them.
+    pub fn commit(&mut self, batch: usize, command: &[u8]) {
+        self.now = self.now + Duration::from_micros(10);
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        for _ in 0..batch {
+            // The leader alone is asked, and nothing can depose it meanwhile.
+            let _ = self.rafts[leader].propose(self.now, command.to_vec());
+        }
+        self.settle();
+    }
+
+    /// Folds the log of all voters up to what is applied, as snapshots do.
+    pub fn compact(&mut self) {
+        for raft in &mut self.rafts {
+            raft.compact(raft.applied(), Vec::new());
+        }
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        while (0..self.rafts.len()).any(|place| self.act(place)) {}
+    }
+
+    fn act(&mut self, place: usize) -> bool {
+        let actions = self.rafts[place].take_actions();
+        let some = !actions.is_empty();
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    let from = Node(place as u64 + 1);
+                    self.rafts[to.0 as usize - 1].step(self.now, from, message);
+                }
+                Action::Persist(batch) => {
+                    (self.write)(&mut self.disks[place], &batch);
+                    self.rafts[place].persisted(self.now, batch.number);
+                }
+                Action::Commit(_) => self.commits += usize::from(self.rafts[place].is_leader()),
+                Action::Install(_) | Action::Role(_) => {}
+            }
+        }
+        some
+    }
+}
