capacity: the page for the target of two years, checked against its CSV

The page gives the limits with missed ones first, the givens, the slopes and every figure as a formula over them. A test computes fits, figures, verdicts and factors anew from docs/capacity/*.csv; CAPACITY_UPDATE=always writes them after new runs.

Figures in prose were ruled out where a table can hold them, since only tables are checked. Slopes with disks and sockets come from a second example, as the library has neither. Orders to the stand-in cost 14 us a grant, far above the encoding; that was not looked into.

Red: with tick_us changed in the CSV and with a digit of leader_net changed in the page the test failed at those lines; both were put back. Ten of eighteen limits are missed, the leader's traffic by 710 times.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the package.
 
 mod hosts;
+mod test_capacity;
 mod test_docs;
 mod test_logging;
 mod test_operator;
