capacity: values between medians where the cost bends, givens read from the code

The plot of tick_us showed the line a third below the medians at the size that matters: caches are left, and relative weights favour small sizes. The page took 18 ms for a look where the medians around 2,545 targets say 26 ms.

Weights by size were ruled out, as they lose the small fleets. Formulas now take values between the two neighbouring medians for the bent slopes, and until() for break points. A test reads the constants that the page cites.

--- a/lib/examples/slopes/fit.rs
+++ b/lib/examples/slopes/fit.rs
@@ -53,8 +53,8 @@
     }
 }
 
-/// Variable, median and width of the runs at each size.
-fn medians(points: &[&Point]) -> Vec<(f64, f64, f64)> {
+/// Variable, median and width of the runs at each size, in the order of sizes.
+pub fn medians(points: &[&Point]) -> Vec<(f64, f64, f64)> {
     let mut sizes: Vec<f64> = points.iter().map(|p| p.x).collect();
     sizes.sort_unstable_by(f64::total_cmp);
     sizes.dedup();
--- a/node/tests/test_capacity.rs
+++ b/node/tests/test_capacity.rs
@@ -10,8 +10,15 @@
 #[path = "../../lib/examples/slopes/table.rs"]
 mod table;
 
+use cornelrail_lib::{process::settings::Timing, request::once::RegisterConfig};
 use fit::Fit;
-use std::{collections::BTreeMap, env, fs, iter::Peekable, path::PathBuf, str::Chars};
+use std::{
+    collections::BTreeMap,
+    env, fs,
+    iter::Peekable,
+    path::{Path, PathBuf},
+    str::Chars,
+};
 use table::{RUNS, Table};
 
 const GIVENS: &str = "| given | value | unit | from |";
@@ -33,6 +40,23 @@
     table
 }
 
+/// Value between the medians at the two measured sizes around `at`; with `inverse`, the variable
+/// between those around a value.
+fn between(table: &Table, slope: &str, at: f64, inverse: bool) -> f64 {
+    let points: Vec<_> = table.of(slope).collect();
+    assert!(!points.is_empty(), "no points of {slope}");
+    let medians = fit::medians(&points).into_iter();
+    let pairs: Vec<(f64, f64)> = match inverse {
+        true => medians.map(|(x, y, _)| (y, x)).collect(),
+        false => medians.map(|(x, y, _)| (x, y)).collect(),
+    };
+    let around = pairs.windows(2).find(|w| w[0].0 <= at && at <= w[1].0);
+    let Some([(x1, y1), (x2, y2)]) = around else {
+        panic!("{at} lies outside what was measured of {slope}");
+    };
+    y1 + (y2 - y1) * (at - x1) / (x2 - x1)
+}
+
 fn fit_of(table: &Table, slope: &str) -> Fit {
     let points: Vec<_> = table.of(slope).collect();
     assert!(!points.is_empty(), "no points of {slope}");
@@ -108,7 +132,7 @@
             word.push(c);
         }
         match word.as_str() {
-            "fit" | "base" | "step" => self.call(&word, rest),
+            "fit" | "base" | "step" | "between" | "until" => self.call(&word, rest),
             _ => word.parse().unwrap_or_else(|_| self.named(&word)),
         }
     }
@@ -118,7 +142,8 @@
         *value.unwrap_or_else(|| panic!("no value {name:?} stands above its use"))
     }
 
-    /// `fit(slope, x)` is the value on the line; `base(slope)` and `step(slope)` are its parts.
+    /// `fit(slope, x)` is the value on the line, `base(slope)` and `step(slope)` are its parts;
+    /// `between(slope, x)` lies between the medians around `x`, `until(slope, y)` is its inverse.
     fn call(&self, function: &str, rest: &mut Peekable<Chars<'_>>) -> f64 {
         assert_eq!(rest.next(), Some('('), "arguments of {function}");
         let mut slope = String::new();
@@ -131,7 +156,7 @@
             "step" => line.step,
             _ => {
                 assert_eq!(rest.next(), Some(','), "a size for {slope}");
-                line.at(fit::variable(&slope, self.sum(rest)))
+                self.at(function, &slope, self.sum(rest))
             }
         };
         assert_eq!(peek(rest), Some(')'), "the end of {function}");
@@ -140,6 +165,17 @@
     }
 }
 
+impl Formulas<'_> {
+    fn at(&self, function: &str, slope: &str, size: f64) -> f64 {
+        let variable = fit::variable(slope, size);
+        match function {
+            "between" => between(self.table, slope, variable, false),
+            "until" => between(self.table, slope, size, true),
+            _ => fit_of(self.table, slope).at(variable),
+        }
+    }
+}
+
 fn peek(rest: &mut Peekable<Chars<'_>>) -> Option<char> {
     while rest.next_if_eq(&' ').is_some() {}
     rest.peek().copied()
@@ -270,3 +306,58 @@
         "a met limit stands before a missed one"
     );
 }
+
+/// First number of the constant's value, times the others if it is a product.
+fn constant(name: &str, file: &str) -> f64 {
+    let root = docs().join("..");
+    let folders = ["lib/src", "node/src"].map(|folder| root.join(folder));
+    let text = folders.iter().find_map(|folder| find(folder, file));
+    let text = text.unwrap_or_else(|| panic!("no file {file}"));
+    let line = text.lines().find(|l| l.contains(&format!("const {name}:")));
+    let value = line.and_then(|l| l.split_once(" = "));
+    let (_, value) = value.unwrap_or_else(|| panic!("no constant {name} in {file}"));
+    let digits = value.replace('_', "");
+    let numbers = digits.split(|c: char| !c.is_ascii_digit());
+    numbers.filter_map(|n| n.parse::<f64>().ok()).product()
+}
+
+/// Content of the file whose path ends so.
+fn find(folder: &Path, end: &str) -> Option<String> {
+    let mut entries = fs::read_dir(folder).ok()?.flatten();
+    entries.find_map(|entry| match entry.path() {
+        path if path.is_dir() => find(&path, end),
+        path => path.ends_with(end).then(|| fs::read_to_string(path).ok())?,
+    })
+}
+
+#[test]
+fn givens_from_the_code_agree_with_it() {
+    let page = fs::read_to_string(docs().join("CAPACITY.md")).expect("the page");
+    let timing = Timing::default();
+    let register = RegisterConfig::default();
+    let defaults = BTreeMap::from([
+        ("heartbeat_ms", timing.heartbeat.as_millis() as f64),
+        ("target_lease_ms", timing.target_lease.as_millis() as f64),
+        ("entry_lease_ms", timing.entry_lease.as_millis() as f64),
+        ("election_ms", timing.election.as_millis() as f64),
+        ("drift_ms", timing.drift.as_millis() as f64),
+        ("retention", register.retention.as_secs_f64()),
+        ("register_bound", register.capacity as f64),
+    ]);
+
+    let mut checked = 0;
+    rows(&page, |head, row| {
+        let mut quoted = row.last().expect("a cell").split('`').skip(1).step_by(2);
+        let from_code = quoted.next().zip(quoted.next());
+        let due = match defaults.get(row[0].as_str()) {
+            Some(value) => Some(*value),
+            None => from_code.map(|(name, file)| constant(name, file)),
+        };
+        if let Some(due) = due.filter(|_| head == GIVENS) {
+            assert_eq!(row[1].parse(), Ok(due), "{}", row[0]);
+            checked += 1;
+        }
+    });
+
+    assert!(checked > 15, "only {checked} givens were found in the code");
+}
