--- a/node/tests/test_capacity.rs
+++ b/node/tests/test_capacity.rs
@@ -10,7 +10,7 @@
 #[path = "../../lib/examples/slopes/table.rs"]
 mod table;
 
-use cornelrail_lib::{process::settings::Timing, request::once::RegisterConfig};
+use cornelrail_lib::process::settings::{Once, Timing};
 use fit::Fit;
 use std::{
     collections::BTreeMap,
@@ -334,15 +334,15 @@
 fn givens_from_the_code_agree_with_it() {
     let page = fs::read_to_string(docs().join("CAPACITY.md")).expect("the page");
     let timing = Timing::default();
-    let register = RegisterConfig::default();
+    let once = Once::default();
     let defaults = BTreeMap::from([
         ("heartbeat_ms", timing.heartbeat.as_millis() as f64),
         ("target_lease_ms", timing.target_lease.as_millis() as f64),
         ("entry_lease_ms", timing.entry_lease.as_millis() as f64),
         ("election_ms", timing.election.as_millis() as f64),
         ("drift_ms", timing.drift.as_millis() as f64),
-        ("retention", register.retention.as_secs_f64()),
-        ("register_bound", register.capacity as f64),
+        ("retention", once.retention.as_secs_f64()),
+        ("register_bound", f64::from(once.records)),
     ]);
 
     let mut checked = 0;
