--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -3,6 +3,7 @@
 mod hosts;
 #[path = "../../lib/tests/seeded.rs"]
 mod seeded;
+mod test_capacity;
 mod test_docs;
 mod test_logging;
 mod test_operator;
