slopes: fitted to the daemon's present interfaces

Cause: the slopes were written before connections took a runtime and entries a life. Change: both are given. Result: clippy passes; the capacity tests pass against the committed figures, which were not measured anew.

--- a/lib/examples/slopes/scene.rs
+++ b/lib/examples/slopes/scene.rs
@@ -76,6 +76,7 @@
     EntryState {
         zone: zone(number),
         incarnation: Incarnation(1_764_800_000_000),
+        since: 0,
         first: Incarnation(1_764_800_000_000),
         alive: true,
     }
--- a/node/examples/node_slopes/sockets.rs
+++ b/node/examples/node_slopes/sockets.rs
@@ -34,6 +34,7 @@
     time::{Duration, Instant},
 };
 use tempfile::TempDir;
+use tokio::runtime::Handle;
 
 const FREE_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const LIMIT: Duration = Duration::from_secs(5);
@@ -48,7 +49,7 @@
     for grants in [1, 16, 64, 256] {
         let settings = TargetSettings::new("payroll-core-00001", "payroll-core", "zone-01");
         let target = StandIn::start(settings, Arc::new(Ledger::default())).await?;
-        let link = TargetLink::start(target.address());
+        let link = TargetLink::start(&Handle::current(), target.address());
         let mut order = LeaseOrder {
             incarnation: target.incarnation(),
             epoch: Epoch(1_000_000),
