assigner: slow targets are relieved by how slow they are

Cause: a keyed target ten times slower counted for half of its slots, and its ranges moved under the common churn budget of 10 % where a fifth of the keys had to go. Ruled out: late detection (the reports name the targets within a second). Change: the reports tell the factor, a target counts for its speed, and relief has a budget of its own, a quarter of the hash space.

--- a/lib/examples/slopes/control.rs
+++ b/lib/examples/slopes/control.rs
@@ -148,11 +148,12 @@
                 zone: scene::zone(number),
                 slots: 4,
                 warmth: 1.0,
-                slow: false,
+                speed: 1.0,
             })
             .collect(),
         moves: 24,
         churn: 0.1,
+        relief: 0.0,
         seed: 0,
     }
 }
--- a/lib/src/version/assigner/mod.rs
+++ b/lib/src/version/assigner/mod.rs
@@ -48,8 +48,8 @@
     pub slots: u32,
     /// Share of its slots that it may be counted on for, above 0 and up to 1.
     pub warmth: f64,
-    /// Whether its home finds it slow.
-    pub slow: bool,
+    /// Its speed beside that of its peers, above 0 and up to 1.
+    pub speed: f64,
 }
 
 /// One keyed service as the assigner sees it.
@@ -63,6 +63,8 @@
     pub moves: usize,
     /// Share of the hash space that may move now for balance alone.
     pub churn: f64,
+    /// Share of the hash space that may move now off slow targets.
+    pub relief: f64,
     /// Salt of the hash ring.
     pub seed: u64,
 }
@@ -89,6 +91,8 @@
     pub merges: Vec<KeyHash>,
     /// Share of the hash space that moves for balance alone.
     pub churn: f64,
+    /// Share of the hash space that moves off slow targets.
+    pub relief: f64,
 }
 
 /// Plans the ranges of one service by the chosen assigner.
--- a/lib/src/version/assigner/weighted.rs
+++ b/lib/src/version/assigner/weighted.rs
@@ -11,8 +11,8 @@
 
 /// Part of a range's weight that follows its measured load, where there is any.
 const MEASURED_PART: f64 = 0.7;
-/// Part of its slots that a slow target is counted on for.
-const SLOW_PART: f64 = 0.5;
+/// Speed beside that of its peers below which a target is relieved.
+const SLOW: f64 = 0.7;
 /// Part of the zone's utilization in the choice of a target.
 const ZONE_PART: f64 = 0.1;
 /// Utilization, over a mean of 1, above which a target gives ranges away.
@@ -74,8 +74,7 @@
 }
 
 fn capacity(target: &TargetView) -> f64 {
-    let speed = if target.slow { SLOW_PART } else { 1.0 };
-    f64::from(target.slots.max(1)) * target.warmth * speed
+    f64::from(target.slots.max(1)) * target.warmth * target.speed
 }
 
 fn by_weight(weights: &[f64], mut places: Vec<usize>) -> Vec<usize> {
@@ -171,18 +170,29 @@
     fn balance(&mut self, plan: &mut Plan) {
         let free = self.view.moves.saturating_sub(plan.moves.len());
         for _ in 0..free.min(BALANCE_MOVES) {
-            let left = self.view.churn - plan.churn;
-            let Some((place, to)) = self.best_move(left) else {
+            let Some((place, to)) = self.best_move(plan) else {
                 return;
             };
-            plan.churn += self.view.ranges[place].range.share();
+            let share = self.view.ranges[place].range.share();
+            match self.is_relief(place) {
+                true => plan.relief += share,
+                false => plan.churn += share,
+            }
             plan.moves.push(self.give(place, to));
         }
     }
 
+    /// Whether moving the range takes load off a slow target.
+    fn is_relief(&self, place: usize) -> bool {
+        match self.view.ranges[place].holder {
+            Holder::Target(at) => self.view.targets[at].speed < SLOW,
+            Holder::Nobody | Holder::Leaving => false,
+        }
+    }
+
     /// The move that removes most imbalance for the keys moved, from one of the targets that are
     /// furthest above their goals to the one that is furthest below.
-    fn best_move(&self, churn: f64) -> Option<(usize, usize)> {
+    fn best_move(&self, plan: &Plan) -> Option<(usize, usize)> {
         let order = |a: &usize, b: &usize| self.utilization(*a).total_cmp(&self.utilization(*b));
         let mut targets: Vec<usize> = (0..self.goals.len()).collect();
         targets.sort_by(order);
@@ -194,16 +204,20 @@
         }
         let donors = targets.iter().rev().take(DONORS_TRIED);
         let mut donors = donors.filter(|from| self.utilization(**from) > 1.0 && **from != to);
-        donors.find_map(|from| Some((self.best_range(*from, to, churn)?, to)))
+        donors.find_map(|from| Some((self.best_range(*from, to, plan)?, to)))
     }
 
-    fn best_range(&self, from: usize, to: usize, churn: f64) -> Option<usize> {
+    fn best_range(&self, from: usize, to: usize, plan: &Plan) -> Option<usize> {
+        let left = match self.view.targets[from].speed < SLOW {
+            true => self.view.relief - plan.relief,
+            false => self.view.churn - plan.churn,
+        };
         let movable = |place: &usize| {
             let range = &self.view.ranges[*place];
             self.holders[*place] == Holder::Target(from)
                 && range.holder == Holder::Target(from)
                 && !range.moving
-                && range.range.share() <= churn
+                && range.range.share() <= left
         };
         let value = |place: usize| {
             let gain = self.gain(from, to, self.weights[place]);
--- a/lib/src/version/placement.rs
+++ b/lib/src/version/placement.rs
@@ -30,6 +30,10 @@
 const MOVES_AT_ONCE: usize = 24;
 /// Share of the hash space that a service may save up for balance.
 const CHURN_BURST: f64 = 0.1;
+/// Share of the hash space that a service may save up for the relief of slow targets.
+const RELIEF_BURST: f64 = 0.25;
+/// Speed below which no target is counted, so that it keeps enough work to be judged by.
+const LEAST_SPEED: f64 = 0.05;
 /// How long a range waits for its old owner before the move is called off, and how long it then
 /// stays where it is.
 const MOVE_PATIENCE: Duration = Duration::from_secs(5);
@@ -47,9 +51,17 @@
 #[derive(Debug)]
 struct Budget {
     churn: f64,
+    relief: f64,
     at: Moment,
 }
 
+/// What a plan may spend.
+#[derive(Debug, Clone, Copy)]
+struct Allowance {
+    churn: f64,
+    relief: f64,
+}
+
 /// A move under way.
 #[derive(Debug)]
 struct Begun {
@@ -159,18 +171,20 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in names {
-            let churn = self.refill(now, config, draft.fleet(), &name);
+            let allowance = self.refill(now, config, draft.fleet(), &name);
             let Some(mut view) = self.view(now, draft.fleet(), &name, heard) else {
                 continue;
             };
             view.seed = config.seed;
-            view.churn = churn;
+            view.churn = allowance.churn;
+            view.relief = allowance.relief;
             if !calm {
                 view.moves = 0;
             }
             let plan = assigner::plan(config.assigner, &view);
             if let Some(budget) = self.budgets.get_mut(&name) {
                 budget.churn -= plan.churn;
+                budget.relief -= plan.relief;
             }
             carry_out(&name, &view, plan, calm, draft);
         }
@@ -192,7 +206,7 @@
                 zone: state.info.zone.clone(),
                 slots: state.info.slots,
                 warmth: self.warmth(now, target, state.info.incarnation),
-                slow: is_slow(heard, target, state.home),
+                speed: speed(heard, target, state.home),
             })
             .collect();
         if targets.is_empty() || !self.is_settled(now, name, state) {
@@ -204,6 +218,7 @@
             targets,
             moves: MOVES_AT_ONCE.saturating_sub(under_way),
             churn: 0.0,
+            relief: 0.0,
             seed: 0,
         })
     }
@@ -233,21 +248,26 @@
         config: &ControllerConfig,
         fleet: &Fleet,
         name: &Service,
-    ) -> f64 {
+    ) -> Allowance {
         let ranges = fleet.services.get(name).map(|state| &state.ranges);
         let unowned = ranges.is_some_and(|r| r.iter().all(|a| a.owner.is_none()));
         let arrival = self.arrivals.get(name);
         let arriving = arrival.is_none_or(|at| now.since(*at) < ARRIVAL);
         let budget = self.budgets.entry(name.clone()).or_insert(Budget {
             churn: if unowned { 1.0 } else { CHURN_BURST },
+            relief: RELIEF_BURST,
             at: now,
         });
         let earned = now.since(budget.at).as_secs_f64() * config.churn / SECONDS_PER_MINUTE;
         if budget.churn < CHURN_BURST || !arriving {
             budget.churn = (budget.churn + earned).min(CHURN_BURST);
         }
+        budget.relief = (budget.relief + earned).min(RELIEF_BURST);
         budget.at = now;
-        budget.churn
+        Allowance {
+            churn: budget.churn,
+            relief: budget.relief,
+        }
     }
 
     fn range_views(
@@ -287,9 +307,12 @@
     slots.filter_map(|slot| slot.owner.as_ref()).collect()
 }
 
-fn is_slow(heard: &BTreeMap<Node, Heard>, target: &Target, home: Option<Node>) -> bool {
+/// Speed of a target beside that of its peers, as its home finds it.
+fn speed(heard: &BTreeMap<Node, Heard>, target: &Target, home: Option<Node>) -> f64 {
     let told = home.and_then(|home| heard.get(&home));
-    told.is_some_and(|h| h.report.slow.contains(target))
+    let mut slow = told.into_iter().flat_map(|heard| &heard.report.slow);
+    let found = slow.find(|slow| slow.target == *target);
+    found.map_or(1.0, |slow| slow.factor.max(1.0).recip().max(LEAST_SPEED))
 }
 
 /// Adds the measured loads to the ranges; a range cut since the report gets its part by width.
--- a/lib/src/version/report.rs
+++ b/lib/src/version/report.rs
@@ -16,6 +16,15 @@
     pub incarnation: Incarnation,
 }
 
+/// A target that does not keep up with its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SlowTarget {
+    /// The target.
+    pub target: Target,
+    /// How many times slower than its peers it is; above 1.
+    pub factor: f64,
+}
+
 /// The busiest key of a range.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Peak {
@@ -66,7 +75,7 @@
     /// Load of the ranges whose owners it commands.
     pub loads: Vec<RangeLoad>,
     /// Targets that it commands and finds slow.
-    pub slow: Vec<Target>,
+    pub slow: Vec<SlowTarget>,
     /// Targets that it commands no longer but still has requests in flight for.
     pub busy: Vec<Target>,
     /// Draining targets that it commands and has no requests in flight for.
--- a/lib/tests/model/mod.rs
+++ b/lib/tests/model/mod.rs
@@ -13,7 +13,7 @@
         command::{Announcement, Command, Move},
         controller::{Controller, ControllerConfig},
         fleet::{Applied, Fleet, TargetPhase},
-        report::{GoneTarget, Peak, RangeLoad, Report},
+        report::{GoneTarget, Peak, RangeLoad, Report, SlowTarget},
     },
 };
 use std::{
@@ -300,7 +300,10 @@
                 });
             }
             if self.slow.contains(name) {
-                report.slow.push(name.clone());
+                report.slow.push(SlowTarget {
+                    target: name.clone(),
+                    factor: 10.0,
+                });
             }
             if state.phase == TargetPhase::Draining {
                 report.idle.push(name.clone());
--- a/lib/tests/test_assigner.rs
+++ b/lib/tests/test_assigner.rs
@@ -19,7 +19,7 @@
         zone: Zone::from(["a", "b"][number % 2]),
         slots: 2 + number as u32 % 3,
         warmth: if number % 5 == 4 { 0.1 } else { 1.0 },
-        slow: number % 7 == 6,
+        speed: if number % 7 == 6 { 0.5 } else { 1.0 },
     };
     let even = KeyRange::even(ranges.len() as u64);
     let range = |(range, (holder, rate)): (KeyRange, &(u8, u8))| RangeView {
@@ -38,6 +38,7 @@
         targets: (0..count).map(target).collect(),
         moves: usize::from(moves % 30),
         churn: f64::from(churn) / 255.0,
+        relief: 0.1,
         seed: 7,
     }
 }
@@ -69,7 +70,7 @@
                 named(&plan.grants) == held(&view, |r| r.holder == Holder::Nobody),
                 plan.moves.len() <= view.moves && moved.len() == plan.moves.len(),
                 moved.is_subset(&movable),
-                plan.churn <= view.churn + 1e-9,
+                plan.churn <= view.churn + 1e-9 && plan.relief <= view.relief + 1e-9,
                 assigner != Assigner::Weighted || emptied == leaving.len().min(view.moves),
                 plan == assigner::plan(assigner, &view),
             ];
--- a/lib/tests/test_controller.rs
+++ b/lib/tests/test_controller.rs
@@ -190,6 +190,19 @@
     assert!(model.load_of(&"w-03".into()) < 0.7 * fast);
 }
 
+#[test]
+fn a_fifth_of_the_targets_ten_times_slower_is_relieved_within_seconds() {
+    let mut model = Model::with_targets(Assigner::Weighted, 20);
+    model.run(60 * SECONDS);
+    let names = ["w-01", "w-06", "w-11", "w-16"].map(Target::from);
+    let before: f64 = names.iter().map(|name| model.load_of(name)).sum();
+    model.slow.extend(names.clone());
+    model.run(5 * SECONDS);
+    let after: f64 = names.iter().map(|name| model.load_of(name)).sum();
+
+    assert!(after < 0.3 * before, "load {before} became {after}");
+}
+
 #[test]
 fn an_entry_that_returns_costs_no_target_its_home_twice() {
     let mut model = Model::with_targets(Assigner::Weighted, 20);
--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -19,7 +19,7 @@
         outcome::Refusal,
         quarantine::Crash,
     },
-    version::report::Report,
+    version::report::{Report, SlowTarget},
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{
@@ -505,7 +505,12 @@
         let slow = loads
             .into_iter()
             .filter(|load| load.condition != Condition::Steady);
-        report.slow = slow.map(|load| load.target).collect();
+        report.slow = slow
+            .map(|load| SlowTarget {
+                target: load.target,
+                factor: load.slowness,
+            })
+            .collect();
         report
     }
 }
