control: a voter that leads is ready at once

Since the voter tells that it leads only behind the commit of its own first entry, the control task waited for a commit that had already come, and a fresh fleet took no note, report or announcement: all fixtures of test_processes ended after 30 s with 'no leader answered' (six of six runs, also without other load).

A later Noop by the control task was weighed; the voter's news already stands in order behind all earlier commits, so the flag 'ready' goes. The existing tests of processes were the red ones. The fixtures print all hosts' logs on a time-out.

--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -29,11 +29,10 @@
 /// Salt of the hash ring; the same whoever leads, so that a new leader moves nothing.
 const RING_SALT: u64 = 0;
 
-/// State of a leader for one term.
+/// State of a leader for one term. It begins once all commands of earlier terms are applied.
 #[derive(Debug)]
 pub(super) struct Leading {
     term: u64,
-    ready: bool,
     controller: Controller,
     quarantine: Quarantine,
 }
@@ -47,7 +46,6 @@
         };
         Leading {
             term,
-            ready: false,
             controller: Controller::new(config, now),
             quarantine: Quarantine::new(QuarantineConfig::default()),
         }
@@ -57,16 +55,6 @@
         self.term
     }
 
-    /// Whether all commands of earlier terms are applied.
-    pub(super) fn is_ready(&self) -> bool {
-        self.ready
-    }
-
-    /// Takes in the commit of a command of `term`.
-    pub(super) fn committed(&mut self, term: u64) {
-        self.ready |= term == self.term;
-    }
-
     /// How far each entry is, by its own reports.
     pub(super) fn lag(&self, now: Moment, fleet: &Fleet) -> Vec<EntryLag> {
         self.controller.lag(now, fleet)
@@ -175,9 +163,6 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        if !leading.ready {
-            return;
-        }
         let commands = leading.controller.tick(now, &fleet);
         for command in &commands {
             self.propose(command, None);
--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -257,7 +257,7 @@
 
     /// Answers a call, or passes it on to the leader.
     fn call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
-        if self.leading.as_ref().is_some_and(Leading::is_ready) {
+        if self.leading.is_some() {
             self.leader_call(call, reply);
             return;
         }
@@ -287,11 +287,7 @@
                     link.notify(Control::Raft(message));
                 }
             }
-            VoterEvent::Committed {
-                index,
-                term,
-                command,
-            } => self.committed(index, term, &command),
+            VoterEvent::Committed { index, command, .. } => self.committed(index, &command),
             VoterEvent::Install { snapshot, .. } => self.install(&snapshot),
             VoterEvent::Role { leader, term, ours } => self.role(leader, term, ours),
             VoterEvent::Failed(error) => {
@@ -304,7 +300,7 @@
         }
     }
 
-    fn committed(&mut self, index: u64, term: u64, bytes: &[u8]) {
+    fn committed(&mut self, index: u64, bytes: &[u8]) {
         let command = match bytes {
             [] => Command::Noop,
             bytes => match postcard::from_bytes(bytes) {
@@ -316,11 +312,8 @@
             },
         };
         let applied = self.apply(index, &command);
-        if let Some(leading) = &mut self.leading {
-            leading.committed(term);
-            if applied {
-                self.push(index, command);
-            }
+        if applied && self.leading.is_some() {
+            self.push(index, command);
         }
         self.publish();
         self.take_snapshot();
--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -146,6 +146,13 @@
         fs::read_to_string(&self.hosts[place].log).unwrap_or_default()
     }
 
+    /// What all hosts have logged.
+    fn logs(&self) -> String {
+        let places = 0..self.hosts.len();
+        let logs: Vec<String> = places.map(|place| self.log(place)).collect();
+        logs.join("\n")
+    }
+
     /// Asks the operators' address of a host.
     pub async fn ask(&self, place: usize, method: Method, path: &str, body: &str) -> Option<Bytes> {
         let address = self.hosts[place].addresses.operators;
@@ -179,7 +186,8 @@
             {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "not accepted: {text:?}");
+            let logs = self.logs();
+            assert!(start.elapsed() < PATIENCE, "not accepted: {text:?}\n{logs}");
             sleep(PAUSE).await;
         }
     }
@@ -196,8 +204,8 @@
             if let Some(status) = status.as_ref().filter(|status| wanted(status)) {
                 return status.clone();
             }
-            let log = self.log(place);
-            assert!(start.elapsed() < PATIENCE, "never: {status:?}\n{log}");
+            let logs = self.logs();
+            assert!(start.elapsed() < PATIENCE, "never: {status:?}\n{logs}");
             sleep(PAUSE).await;
         }
     }
