home: a request that ends at its deadline gives its slot back

When the deadline passed at the home at the moment at which the caller or the forwarding entry gave up, the order to abort went to a task that read no more of them, while the home had already taken the attempt off its list.

Ruled out: moves that never end, and claims of once-only requests.

An attempt now stays listed until its ending is known, so the close of a request covers it.

--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -469,11 +469,13 @@
         }
     }
 
+    /// Gives an attempt up. It stays among the running ones until its ending is known, because a
+    /// request that ends at the same moment reads no more verdicts.
     fn abort(&mut self, now: Moment, id: RequestId, attempt: u32) {
-        let told = self.open.get_mut(&id).is_some_and(|open| {
-            open.running.remove(&attempt);
-            open.verdicts.send(Verdict::Abort(attempt)).is_ok()
-        });
+        let told = self
+            .open
+            .get(&id)
+            .is_some_and(|open| open.verdicts.send(Verdict::Abort(attempt)).is_ok());
         if !told {
             self.dispatch.finish(now, id, attempt, Ending::Cancelled);
         }
--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -4,13 +4,14 @@
 use cornelrail_lib::{
     name::Node,
     process::{
-        operator_api::{NOTE_PATH, STATUS_PATH, StatusAnswer},
+        operator_api::{EXPLAIN_PATH, ExplainAnswer, NOTE_PATH, STATUS_PATH, StatusAnswer},
         settings::Tls,
     },
+    request::header,
 };
 use cornelrail_testutils::{
-    caller::{Call, Caller, CallerSettings},
-    http::Client,
+    caller::{self, Call, Caller, CallerSettings},
+    http::{self as client, Client, SendError},
     ledger::Ledger,
     target::{StandIn, TargetSettings},
     tls,
@@ -27,12 +28,18 @@
     time::Duration,
 };
 use tempfile::TempDir;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::{Mutex, MutexGuard},
+    time::{Instant, sleep},
+};
 
 const TOKEN: &str = "a token of the tests";
 const PATIENCE: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// One fleet at a time has the machine, so that timeouts mean what they say.
+pub static TURN: Mutex<()> = Mutex::const_new(());
+
 /// Addresses of one host.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -126,6 +133,12 @@
         child.wait().expect("the process ends");
     }
 
+    /// Number of a host's running process.
+    pub fn process(&self, place: usize) -> u32 {
+        let child = self.hosts[place].child.as_ref();
+        child.expect("a running host").id()
+    }
+
     /// Sends a signal by its name to a host's process.
     pub fn signal(&self, place: usize, name: &str) {
         let child = self.hosts[place].child.as_ref().expect("a running host");
@@ -147,7 +160,7 @@
     }
 
     /// What all hosts have logged.
-    fn logs(&self) -> String {
+    pub fn logs(&self) -> String {
         let places = 0..self.hosts.len();
         let logs: Vec<String> = places.map(|place| self.log(place)).collect();
         logs.join("\n")
@@ -363,3 +376,78 @@
         ..view(number)
     }
 }
+
+/// Three hosts that vote and six targets, at rest.
+#[derive(Debug)]
+pub struct Fleet {
+    _turn: MutexGuard<'static, ()>,
+    pub hosts: Hosts,
+    pub ledger: Arc<Ledger>,
+    pub targets: Vec<StandIn>,
+}
+
+/// Starts a fleet whose targets are shaped as wanted.
+pub async fn fleet(shape: impl Fn(&mut TargetSettings)) -> Fleet {
+    let turn = TURN.lock().await;
+    let hosts = Hosts::start(3, 3);
+    let note = first_note(3) + "      repeat_window: 10s\n";
+    hosts.apply(0, &note).await;
+    let ledger = Arc::new(Ledger::default());
+    let targets = hosts.targets(6, &ledger, shape).await;
+    for place in 0..3 {
+        hosts.until_owned(place, 6).await;
+    }
+    Fleet {
+        _turn: turn,
+        hosts,
+        ledger,
+        targets,
+    }
+}
+
+impl Fleet {
+    /// Place of the host that sends for a key.
+    pub async fn home_of(&self, key: &str) -> usize {
+        let path = format!("{EXPLAIN_PATH}?service=payroll-core&key={key}");
+        let body = self.hosts.ask(0, Method::GET, &path, "").await;
+        let answer: ExplainAnswer =
+            serde_json::from_slice(&body.expect("an answer")).expect("an explanation");
+        answer.home.expect("a home").0 as usize - 1
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub outcome: String,
+    pub reason: String,
+    pub retry: Option<u64>,
+    pub after: Option<u64>,
+    pub body: Bytes,
+}
+
+/// Sends one request over a connection of its own.
+pub async fn ask(address: SocketAddr, call: &Call, limit: Duration) -> Result<Reply, SendError> {
+    let request = caller::request_of(call, address, limit);
+    let answer = Client::default().send(address, request).await?;
+    Ok(reply(&answer))
+}
+
+fn reply(answer: &client::Answer) -> Reply {
+    let text = |name: &str| {
+        let value = answer
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    Reply {
+        status: answer.status().as_u16(),
+        outcome: text(header::OUTCOME),
+        reason: text(header::REASON),
+        retry: text(header::RETRY_MS).parse().ok(),
+        after: text("retry-after").parse().ok(),
+        body: answer.body().clone(),
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,6 +4,7 @@
 #[path = "../../lib/tests/seeded.rs"]
 mod seeded;
 mod test_docs;
+mod test_front;
 mod test_logging;
 mod test_operator;
 mod test_processes;
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -192,8 +192,8 @@
     }
 }
 
-/// The HTTP request of a call.
-fn request_of(call: &Call, entry: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
+/// The HTTP request of a call that has `left` until its deadline.
+pub fn request_of(call: &Call, entry: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
     let target = format!("{}?nonce={}&length={}", call.path, call.nonce, call.length);
     let mut request = Request::builder()
         .method(call.method.clone())
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -26,6 +26,8 @@
     pub nonce: u64,
     /// Fence that the request came with.
     pub fence: Option<Fence>,
+    /// Time left for it by its sender.
+    pub left: Option<Duration>,
     /// Start of the run.
     pub start: Instant,
     /// End of the run; `None` while it lasts.
--- a/testutils/src/target/serve.rs
+++ b/testutils/src/target/serve.rs
@@ -280,6 +280,7 @@
         identity: text(request, header::IDENTITY).map(str::to_owned),
         nonce,
         fence: number(request, header::FENCE).map(Fence),
+        left: number(request, header::DEADLINE_MS).map(Duration::from_millis),
         start: Instant::now(),
         end: None,
     })
