front: a body that comes slowly ends at the deadline

A body short enough to be held whole was read without a limit of time, and the time left counted from its end. Reading now ends at the deadline with 'deadline', 503, and its time counts. An answer of 400 closes its connection, since what follows may be part of the broken message.

--- a/node/src/request/front.rs
+++ b/node/src/request/front.rs
@@ -22,12 +22,13 @@
 };
 use http::{
     HeaderMap, HeaderName, HeaderValue, StatusCode,
-    header::{CONTENT_TYPE, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
 };
 use salvo::{
     Depot, FlowCtrl, Request, Response, async_trait, handler::Handler, http::body::ResBody,
 };
 use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
 use tracing::{Instrument, debug_span};
 
 /// Longest deadline that a caller may ask for.
@@ -57,9 +58,18 @@
 
     async fn pass(&self, request: &mut Request, head: RequestHead) -> Result<Answer, Refusal> {
         let _open = self.core.admit()?;
+        let deadline = Instant::now() + Duration::from_millis(head.left_ms);
         let limit = self.core.settings.limits.body_size;
-        let body = Body::from_http(request.take_body(), limit).await;
-        let body = body.map_err(|_| refusal(Reason::BadRequest))?;
+        let reading = Body::from_http(request.take_body(), limit);
+        let body = timeout_at(deadline, reading)
+            .await
+            .map_err(|_| refusal(Reason::Deadline))?
+            .map_err(|_| refusal(Reason::BadRequest))?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let head = RequestHead {
+            left_ms: left.as_millis() as u64,
+            ..head
+        };
         route::route(&self.core, head, body).await
     }
 
@@ -187,6 +197,10 @@
         &millis.div_ceil(1_000).to_string(),
     );
     set_field(response, CONTENT_TYPE.as_str(), "text/plain; charset=utf-8");
+    if refusal.reason == Reason::BadRequest {
+        // What follows a message that is not understood may be part of it.
+        set_field(response, CONNECTION.as_str(), "close");
+    }
     response.body(ResBody::Once(format!("{refusal}\n").into()));
 }
 
--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -308,7 +308,7 @@
     let own = &all[place];
     let node = Node(place as u64 + 1);
     let mut text = format!(
-        "fleet: tests\nnode: {node}\nzone: {}\nlisten:\n  callers: {}\n  targets: {}\n  \
+        "limits: {{body_size: 16MiB}}\nfleet: tests\nnode: {node}\nzone: {}\nlisten:\n  callers: {}\n  targets: {}\n  \
          operators: {}\n  peers: {}\npeers:\n",
         zone(node),
         own.callers,
@@ -408,11 +408,14 @@
 impl Fleet {
     /// Place of the host that sends for a key.
     pub async fn home_of(&self, key: &str) -> usize {
+        let answer = self.explain(key).await;
+        answer.home.expect("a home").0 as usize - 1
+    }
+
+    async fn explain(&self, key: &str) -> ExplainAnswer {
         let path = format!("{EXPLAIN_PATH}?service=payroll-core&key={key}");
         let body = self.hosts.ask(0, Method::GET, &path, "").await;
-        let answer: ExplainAnswer =
-            serde_json::from_slice(&body.expect("an answer")).expect("an explanation");
-        answer.home.expect("a home").0 as usize - 1
+        serde_json::from_slice(&body.expect("an answer")).expect("an explanation")
     }
 }
 
