connection: a body that its caller breaks off is nobody's crash

A streamed body that broke off at its source made the connection to the target fail, and that counted as a crash of the target while it ran the request. Two such uploads at two lives of the owner put the request under quarantine: the new test was answered 422 'quarantined' for a whole upload. A caller on a bad network, or a hostile one, could so have the uploads of a customer refused for ten minutes, and lower the target's limit.

A flag beside the body was weighed; the HTTP library hands the body's own error back as the source, so the link tells the two apart. The attempt now ends as cancelled, which still says that it may have run.

--- a/node/src/connection/target.rs
+++ b/node/src/connection/target.rs
@@ -3,7 +3,7 @@
 //! A task owns the idle connections. A request borrows one, and dropping a borrowed connection
 //! closes it, which is how a target learns that its caller has left.
 
-use crate::request::body::OutBody;
+use crate::request::body::{Broken, OutBody};
 use bytes::Bytes;
 use cornelrail_lib::connection::order::{LEASE_PATH, LeaseAnswer, LeaseOrder};
 use http::{Method, Request, Response, header};
@@ -13,7 +13,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error as _, net::SocketAddr, time::Duration};
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -36,6 +36,9 @@
     /// The connection broke after bytes may have reached the target.
     #[error("the connection broke while the target may have run the request")]
     Broken,
+    /// The request's own body broke off; the target is not to blame.
+    #[error("the request's body broke off while the target may have run the request")]
+    Source,
 }
 
 /// One connection to a target; dropping it closes it.
@@ -76,12 +79,18 @@
             Ok(answer) => Ok(answer),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(ExchangeError::NotSent),
+                None if is_source(error.error()) => Err(ExchangeError::Source),
                 None => Err(ExchangeError::Broken),
             },
         }
     }
 }
 
+/// Whether the body that was being sent is what failed.
+fn is_source(error: &hyper::Error) -> bool {
+    error.source().is_some_and(|source| source.is::<Broken>())
+}
+
 enum LinkMessage {
     Borrow(oneshot::Sender<Option<Connection>>),
     Return(Connection),
--- a/node/src/request/exchange.rs
+++ b/node/src/request/exchange.rs
@@ -79,6 +79,7 @@
     match connection.exchange(request).await {
         Err(ExchangeError::NotSent) => Exchanged::Ended(Ending::NotSent),
         Err(ExchangeError::Broken) => Exchanged::Ended(Ending::Crashed),
+        Err(ExchangeError::Source) => Exchanged::Ended(Ending::Cancelled),
         Ok(answer) if is_shed(&answer) => Exchanged::Ended(Ending::Shed),
         Ok(answer) => receive(&permit.link, connection, answer, deadline).await,
     }
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -287,7 +287,7 @@
                     held.pending.clear();
                 }
             }
-            Err(ExchangeError::Broken | ExchangeError::NotSent) => {
+            Err(_unanswered) => {
                 held.lease.missed(now, renewed.serial);
             }
         }
--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -412,6 +412,14 @@
         answer.home.expect("a home").0 as usize - 1
     }
 
+    /// Target that holds a key.
+    pub async fn owner_of(&self, key: &str) -> &StandIn {
+        let answer = self.explain(key).await;
+        let mut targets = self.targets.iter();
+        let owner = targets.find(|target| Some(target.name()) == answer.owner.as_ref());
+        owner.expect("an owner")
+    }
+
     async fn explain(&self, key: &str) -> ExplainAnswer {
         let path = format!("{EXPLAIN_PATH}?service=payroll-core&key={key}");
         let body = self.hosts.ask(0, Method::GET, &path, "").await;
--- a/node/tests/test_hostile.rs
+++ b/node/tests/test_hostile.rs
@@ -1,6 +1,9 @@
 //! Broken and hostile callers at the callers' address, in raw TCP, while others are served.
 
 use crate::hosts::{Fleet, ask, fleet, view};
+use bytes::Bytes;
+use cornelrail_testutils::caller::Call;
+use http::Method;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -206,3 +209,48 @@
     assert!(start.elapsed() < BOUND);
     assert_served(&fleet).await;
 }
+
+/// A body that is too long to be held whole.
+fn upload(number: u64) -> Call {
+    Call {
+        method: Method::POST,
+        key: "family-1".to_owned(),
+        upload: Bytes::from(vec![b'u'; 100_000]),
+        ..view(number)
+    }
+}
+
+/// Sends a request until it is answered.
+async fn answered(fleet: &Fleet, call: &Call) {
+    let address = fleet.hosts.callers()[0];
+    let start = Instant::now();
+    loop {
+        let reply = ask(address, call, DEADLINE).await.expect("an answer");
+        if reply.outcome == "answered" {
+            return;
+        }
+        assert!(start.elapsed() < DEADLINE * 2, "{reply:?}");
+        assert_ne!(reply.status, 422, "{reply:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_their_callers_break_off_count_as_nobodys_crash() {
+    let fleet = fleet(|_| {}).await;
+    let address = fleet.hosts.callers()[0];
+    let head = HEAD.replace("nonce=1", "nonce=7&length=200");
+    let text = format!("{head}transfer-encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n");
+    for number in 0..2 {
+        let code = exchange(address, text.as_bytes()).await;
+        assert!(code.is_none_or(|code| code == 504), "{code:?}");
+        fleet
+            .owner_of("family-1")
+            .await
+            .restart()
+            .await
+            .expect("restarted");
+        answered(&fleet, &upload(number)).await;
+    }
+    answered(&fleet, &upload(7)).await;
+}
