voters: a replaced disk and a damaged log have their events

Cause: an emptied voter is in its first membership as a learner already, and the event asked that it be in neither list, so CR0055 never came. A damaged folder ended the start with CR0005 alone, though EVENTS.md has CR0050 for it. Red first, in separate processes: 'never logged' CR0055 after 30 s; CR0050 counted 0 times, wanted 1. Ruled out: the rejoin itself, whose log showed the learner promoted within 1 s.

--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -208,7 +208,7 @@
 /// Opens the data folder and starts the voter's task on the present runtime. The task ends when
 /// it is told to stop, when all handles are dropped, or when the data folder fails.
 pub fn start(config: VoterConfig) -> Result<(VoterHandle, mpsc::Receiver<VoterEvent>), StoreError> {
-    let opened = Store::open(&config.folder, &config.fleet, config.node)?;
+    let opened = Store::open(&config.folder, &config.fleet, config.node).inspect_err(log_damage)?;
     if opened.torn > 0 {
         let folder = config.folder.display();
         Event::TornTail.log(format_args!("folder={folder} bytes={}", opened.torn));
@@ -243,6 +243,16 @@
     Ok((VoterHandle { requests }, receiver))
 }
 
+/// Writes to the log that a data folder lost what may have been acknowledged.
+fn log_damage(error: &StoreError) {
+    if matches!(
+        error,
+        StoreError::Damaged { .. } | StoreError::Missing { .. }
+    ) {
+        Event::StoreDamaged.log(format_args!("why={error}"));
+    }
+}
+
 enum Disk {
     Idle(Store),
     Writing(JoinHandle<(Store, u64, Result<(), StoreError>)>),
@@ -402,7 +412,7 @@
         self.membership = self.raft.membership().clone();
         let own = self.raft.member();
         let former = |member: &Member| member.node == own.node && member.identity != own.identity;
-        if self.membership.voters.iter().any(former) && !self.membership.contains(own) {
+        if self.membership.voters.iter().any(former) && !self.membership.voters.contains(&own) {
             Event::DiskReplaced.log(format_args!("member={own}"));
         }
         let names = |members: &BTreeSet<Member>| {
--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -4,7 +4,7 @@
 use cornelrail_lib::{
     name::Node,
     process::{
-        operator_api::{NOTE_PATH, STATUS_PATH, StatusAnswer},
+        operator_api::{InForceAnswer, NOTE_PATH, NoteAnswer, STATUS_PATH, StatusAnswer},
         settings::Tls,
     },
 };
@@ -21,18 +21,24 @@
     fmt::Write,
     fs::{self, File},
     net::{SocketAddr, TcpListener, UdpSocket},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
     time::Duration,
 };
 use tempfile::TempDir;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep},
+};
 
 const TOKEN: &str = "a token of the tests";
 const PATIENCE: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// One fleet at a time has the machine, so that timeouts mean what they say.
+pub static TURN: Mutex<()> = Mutex::const_new(());
+
 /// Addresses of one host.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -54,7 +60,7 @@
 /// All hosts of a fleet; they end with it.
 #[derive(Debug)]
 pub struct Hosts {
-    _folder: TempDir,
+    folder: TempDir,
     pub hosts: Vec<Host>,
     client: Client,
 }
@@ -97,7 +103,7 @@
             });
         }
         let mut fleet = Hosts {
-            _folder: folder,
+            folder,
             hosts,
             client: Client::default(),
         };
@@ -146,6 +152,13 @@
         fs::read_to_string(&self.hosts[place].log).unwrap_or_default()
     }
 
+    /// What all hosts have logged.
+    fn logs(&self) -> String {
+        let places = 0..self.hosts.len();
+        let logs: Vec<String> = places.map(|place| self.log(place)).collect();
+        logs.join("----\n")
+    }
+
     /// Asks the operators' address of a host.
     pub async fn ask(&self, place: usize, method: Method, path: &str, body: &str) -> Option<Bytes> {
         let address = self.hosts[place].addresses.operators;
@@ -167,6 +180,85 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Sends a note to a host once; `None` if no answer came.
+    pub async fn note(&self, place: usize, note: &str) -> Option<NoteAnswer> {
+        let body = self.ask(place, Method::POST, NOTE_PATH, note).await?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Sends a note to a host until its outcome is known.
+    pub async fn decide(&self, place: usize, note: &str) -> NoteAnswer {
+        let start = Instant::now();
+        loop {
+            let answer = self.note(place, note).await;
+            match answer {
+                Some(answer) if !matches!(answer, NoteAnswer::Unknown { .. }) => return answer,
+                _ => {
+                    let late = start.elapsed() >= PATIENCE;
+                    assert!(!late, "not decided: {answer:?}\n{}", self.logs());
+                }
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Where a version is in force, as a host tells it.
+    pub async fn in_force(&self, place: usize, version: u64) -> Option<InForceAnswer> {
+        let path = format!("{NOTE_PATH}?version={version}");
+        let body = self.ask(place, Method::GET, &path, "").await?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Waits until a host tells of a version what is wanted.
+    pub async fn until_in_force(
+        &self,
+        place: usize,
+        version: u64,
+        wanted: impl Fn(&InForceAnswer) -> bool,
+    ) -> InForceAnswer {
+        let start = Instant::now();
+        loop {
+            let answer = self.in_force(place, version).await;
+            if let Some(answer) = answer.as_ref().filter(|answer| wanted(answer)) {
+                return answer.clone();
+            }
+            let log = self.log(place);
+            assert!(start.elapsed() < PATIENCE, "never: {answer:?}\n{log}");
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Waits until a host's log holds a line as wanted, and gives the last one.
+    pub async fn until_logged(&self, place: usize, wanted: impl Fn(&str) -> bool) -> String {
+        let start = Instant::now();
+        loop {
+            let log = self.log(place);
+            if let Some(line) = log.lines().rfind(|line| wanted(line)) {
+                return line.to_owned();
+            }
+            assert!(start.elapsed() < PATIENCE, "never logged:\n{log}");
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Data folder of a host.
+    pub fn data(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{}", place + 1))
+    }
+
+    /// Replaces a part of a host's settings.
+    pub fn rewrite(&self, place: usize, from: &str, to: &str) {
+        let path = &self.hosts[place].settings;
+        let text = fs::read_to_string(path).expect("settings");
+        assert!(text.contains(from), "{from} is not in the settings");
+        fs::write(path, text.replace(from, to)).expect("settings");
+    }
+
+    /// Folder of the fleet's settings and keys.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Sends a note to a host until it is accepted.
     pub async fn apply(&self, place: usize, note: &str) {
         let start = Instant::now();
@@ -179,7 +271,8 @@
             {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "not accepted: {text:?}");
+            let late = start.elapsed() >= PATIENCE;
+            assert!(!late, "not accepted: {text:?}\n{}", self.logs());
             sleep(PAUSE).await;
         }
     }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,9 +4,11 @@
 #[path = "../../lib/tests/seeded.rs"]
 mod seeded;
 mod test_docs;
+mod test_intent;
 mod test_logging;
 mod test_operator;
 mod test_processes;
 mod test_program;
 mod test_store;
 mod test_voter;
+mod test_voters;
--- a/node/tests/test_processes.rs
+++ b/node/tests/test_processes.rs
@@ -1,6 +1,6 @@
 //! The whole path in separate processes, under kills, freezes and shutdowns.
 
-use crate::hosts::{Hosts, first_note, payment, view};
+use crate::hosts::{Hosts, TURN, first_note, payment, view};
 use cornelrail_lib::{name::Service, process::operator_api::StatusAnswer};
 use cornelrail_testutils::{
     caller::{Caller, Tally},
@@ -9,16 +9,13 @@
 };
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::{
-    sync::{Mutex, MutexGuard},
+    sync::MutexGuard,
     time::{Instant, sleep},
 };
 
 const DEADLINE: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_millis(8);
 
-/// One fleet at a time has the machine, so that timeouts mean what they say.
-static TURN: Mutex<()> = Mutex::const_new(());
-
 struct Fleet {
     _turn: MutexGuard<'static, ()>,
     hosts: Hosts,
