lease: a target that was gone stays gone for that home

Cause: with two voters of three frozen, the third entry's lease lapses and so do those of its targets. Back in touch it reports them as gone, and before the loss is applied it grants them the old ranges anew, while the leader gives these to others: two owners of one key. Ruled out: a deposed leader (the leases were renewed in the new term) and the ledger (the spans overlap by 0.1 s to 0.4 s under different fences). Result: the verdict is kept. Two tests of the lease alone, red first: 10 orders instead of none; Leased instead of Gone.

--- a/lib/src/connection/lease.rs
+++ b/lib/src/connection/lease.rs
@@ -297,12 +297,17 @@
         }
     }
 
+    /// Gives up a late order, and for good a target that is gone: once that is reported, its keys
+    /// may be another's.
     fn expire(&mut self, now: Moment) {
         let limit = self.timing.timeout;
         let late = |o: &mut Outstanding| now >= o.sent + limit;
         if self.outstanding.take_if(late).is_some() {
             self.misses += 1;
         }
+        if self.tie(now) == Tie::Gone {
+            self.verdict = Some(Tie::Gone);
+        }
     }
 }
 
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -109,3 +109,33 @@
     pair.answered(LIMIT);
     assert_eq!(pair.lease.tie(pair.now), Tie::Leased);
 }
+
+#[test]
+fn a_target_that_is_gone_is_sent_nothing_more_once_its_home_has_a_lease_again() {
+    let mut pair = pair();
+    pair.answered(LIMIT);
+    pair.entry.surrender();
+    pair.answered(LIMIT);
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+    pair.entry.renewed(pair.now, Duration::from_secs(60));
+    let mut orders = 0;
+    pair.run(LIMIT, |lease, now, serial| {
+        orders += 1;
+        lease.answered(now, serial, &accepted(now));
+    });
+    assert_eq!(orders, 0, "what was reported as gone may have a successor");
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+}
+
+#[test]
+fn an_answer_that_comes_when_the_target_is_gone_does_not_bring_it_back() {
+    let mut pair = pair();
+    pair.answered(LIMIT);
+    let mut last = None;
+    pair.run(LIMIT, |_, _, serial| last = Some(serial));
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+    let serial = last.expect("an order");
+    pair.lease.answered(pair.now, serial, &accepted(pair.now));
+    pair.answered(LIMIT);
+    assert_eq!(pair.lease.tie(pair.now), Tie::Gone);
+}
