control: a call waits no longer for a leader that was replaced

Cause: an entry that passed a note on waited for the lost leader's connection to end by its idle time, though the next leader had long been elected. Weighed: a shorter idle time, which would cut connections on a busy machine; giving up when the known leader changes was taken. The asker hears 'unknown, send it again' at once, and the digest makes that safe.

--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -270,9 +270,14 @@
             .leader
             .and_then(|leader| self.setup.peers.get(&leader).cloned());
         let leader = self.leader;
+        let mut view = self.setup.view.subscribe();
         tokio::spawn(async move {
             let answer = match link {
-                Some(link) => link.call(&call, LEADER_CALL_TIMEOUT).await,
+                // A lost leader's connection lasts longer than the election of the next one.
+                Some(link) => tokio::select! {
+                    answer = link.call(&call, LEADER_CALL_TIMEOUT) => answer,
+                    _ = view.wait_for(|view| view.leader != leader) => None,
+                },
                 None => None,
             };
             // The asker may have given up meanwhile.
--- a/node/tests/test_intent.rs
+++ b/node/tests/test_intent.rs
@@ -403,3 +403,49 @@
     assert_eq!(ledger.overlapping_grants(), 0);
     assert_eq!(ledger.overlapping_runs(&Service::from("payroll-core")), 0);
 }
+
+/// Prints what MEASURES.md holds under `Operators' intent and the leader`.
+#[tokio::test(flavor = "multi_thread")]
+async fn notes_and_leader_loss_are_measured() {
+    let mut fleet = fleet(3).await;
+    let hosts = &mut fleet.hosts;
+    let mut version = 1;
+    for run in 1..=3 {
+        let start = Instant::now();
+        hosts.apply(0, &window(version, version + 200)).await;
+        let accepted = start.elapsed();
+        version += 1;
+        while !hosts
+            .in_force(0, version)
+            .await
+            .is_some_and(|a| everywhere(&a))
+        {
+            assert!(start.elapsed() < IN_FORCE, "not in force everywhere");
+            sleep(Duration::from_millis(2)).await;
+        }
+        let everywhere = start.elapsed();
+        println!(
+            "run {run}: accepted after {accepted:?}, in force everywhere after {everywhere:?}"
+        );
+    }
+    for run in 1..=3 {
+        let known = hosts.until(0, |status| status.leader.is_some()).await;
+        let leader = known.leader.expect("a leader").0 as usize - 1;
+        let other = (leader + 1) % 3;
+        let note = window(version, version + 200);
+        hosts.kill(leader);
+        let start = Instant::now();
+        hosts.apply(other, &note).await;
+        println!(
+            "run {run}: next change {:?} after the leader's loss",
+            start.elapsed()
+        );
+        version += 1;
+        hosts.spawn(leader);
+        for place in 0..3 {
+            hosts
+                .until(place, |status| status.fresh && status.version.0 == version)
+                .await;
+        }
+    }
+}
