home: a request runs on when its target gets another home

When a live target was given another home, the former one dropped it from its dispatch policy, which aborts what runs there: the caller got 504 'unknown', and a payment could not be sent again.

Sending such requests again was weighed and is no way for once-only ones.

The policy now keeps the target, closed for new work, until nothing of this home runs there or the fleet says that it is lost.

--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -5,7 +5,7 @@
 
 use super::{
     exchange::Permit,
-    home_targets::{HeldTargets, Renewed},
+    home_targets::{self, HeldTargets, Renewed},
 };
 use crate::{process::clock::Clock, version::view::View};
 use cornelrail_lib::{
@@ -162,6 +162,8 @@
     targets: HeldTargets,
     open: BTreeMap<RequestId, Open>,
     held_back: Vec<HeldBack>,
+    /// Targets with another home by now that requests of this one still run on.
+    leaving: Vec<Target>,
     told: usize,
     due: Moment,
     idle: Vec<oneshot::Sender<()>>,
@@ -203,6 +205,7 @@
         settings,
         open: BTreeMap::new(),
         held_back: Vec::new(),
+        leaving: Vec::new(),
         told: 0,
         due: Moment::ZERO,
         idle: Vec::new(),
@@ -377,10 +380,33 @@
         let view = self.view.borrow_and_update().clone();
         let gone = self.targets.reconcile(now, &view, &self.settings);
         for target in gone {
-            self.dispatch.remove_target(now, &target);
+            match home_targets::parting_view(&view, &target) {
+                Some(parting) => {
+                    self.dispatch.set_target(now, parting);
+                    self.leaving.push(target);
+                }
+                None => self.dispatch.remove_target(now, &target),
+            }
         }
         self.publish_targets(now);
         self.send_elsewhere(now, &view);
+        self.part(now, &view);
+    }
+
+    /// Forgets targets that have another home once nothing of this one runs there, or they are lost.
+    fn part(&mut self, now: Moment, view: &View) {
+        for target in std::mem::take(&mut self.leaving) {
+            if self.targets.holds(&target) {
+                continue;
+            }
+            let mut running = self.open.values().flat_map(|open| open.running.values());
+            let runs = running.any(|other| *other == target);
+            if runs && home_targets::parting_view(view, &target).is_some() {
+                self.leaving.push(target);
+            } else {
+                self.dispatch.remove_target(now, &target);
+            }
+        }
     }
 
     /// Tells the dispatch policy which targets may be sent to.
@@ -414,6 +440,10 @@
             self.renew_leases(now);
             self.due = now + BUSY_PAUSE;
         }
+        if !self.leaving.is_empty() {
+            let view = self.view.borrow().clone();
+            self.part(now, &view);
+        }
         for action in self.dispatch.take_actions() {
             self.carry_out(now, action);
         }
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -9,7 +9,7 @@
 use cornelrail_lib::{
     connection::{
         lease::{EntryLease, HomeLease, LeaseTiming, Tie},
-        order::{Grant, LeaseAnswer, LeaseOrder},
+        order::{Grant, LeaseAnswer, LeaseOrder, Warmth},
     },
     key::{KeyHash, KeyRange},
     moment::Moment,
@@ -197,6 +197,11 @@
         self.held.insert(target.clone(), held);
     }
 
+    /// Whether this entry commands the target.
+    pub(super) fn holds(&self, target: &Target) -> bool {
+        self.held.contains_key(target)
+    }
+
     /// Views of the held targets for the dispatch policy.
     pub(super) fn views(&self, now: Moment) -> Vec<TargetView> {
         self.held
@@ -462,6 +467,21 @@
     }
 }
 
+/// View of a target that lives on under another home and is sent nothing more by this one.
+pub(super) fn parting_view(view: &View, target: &Target) -> Option<TargetView> {
+    let state = view.fleet.targets.get(target)?;
+    let lives = state.phase != TargetPhase::Lost;
+    lives.then(|| TargetView {
+        target: target.clone(),
+        service: state.info.service.clone(),
+        zone: state.info.zone.clone(),
+        slots: state.info.slots,
+        incarnation: state.info.incarnation,
+        warmth: Warmth::Draining,
+        enabled: false,
+    })
+}
+
 fn runs_in(open: &BTreeMap<RequestId, Open>, service: &Service, range: KeyRange) -> bool {
     open.values().any(|open| {
         !open.running.is_empty() && open.service == *service && range.contains(open.hash)
--- a/node/tests/test_front.rs
+++ b/node/tests/test_front.rs
@@ -228,3 +228,24 @@
         assert_eq!(reply.outcome, "answered", "{reply:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_runs_while_its_target_gets_another_home_is_answered() {
+    let mut fleet = fleet(|_| {}).await;
+    let call = payment(8);
+    let home = fleet.home_of(&call.key).await;
+    let address = fleet.hosts.callers()[(home + 1) % 3];
+    for target in &fleet.targets {
+        target.delay_next(1, Duration::from_millis(1_500));
+    }
+    let sent = call.clone();
+    let sending = tokio::spawn(async move { ask(address, &sent, DEADLINE).await });
+    while fleet.ledger.runs_of(8) == 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    fleet.hosts.signal(home, "TERM");
+    let reply = sending.await.expect("it ends").expect("an answer");
+    assert_eq!(reply.outcome, "answered", "{reply:?}");
+    assert_eq!(fleet.ledger.runs_of(8), 1);
+    assert!(tokio::task::block_in_place(|| fleet.hosts.wait(home)));
+}
