tests: each listener of a fleet gets a port of its own

The fixtures asked the system for a free port and gave it back before the next was asked for, so one port came twice at times, here for the callers of one host and the targets of another.

Ports are now counted up from a random start below the system's own range, so none comes twice in a process and outgoing connections take none. Holding the sockets until the start was weighed; it leaves the race with connections.

--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -21,10 +21,13 @@
 use std::{
     fmt::Write,
     fs::{self, File},
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc, LazyLock,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
     time::Duration,
 };
 use tempfile::TempDir;
@@ -36,6 +39,8 @@
 const TOKEN: &str = "a token of the tests";
 const PATIENCE: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(50);
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 22_000;
 
 /// One fleet at a time has the machine, so that timeouts mean what they say.
 pub static TURN: Mutex<()> = Mutex::const_new(());
@@ -66,14 +71,16 @@
     client: Client,
 }
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("its address")
+/// A free port below those that the system gives to connections, and never the same one twice.
+fn free_address() -> SocketAddr {
+    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
+    loop {
+        let step = NEXT.fetch_add(1, Relaxed) % PORTS;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + step as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Zone of a node: `a` for the first, `b` for the second, and so on.
@@ -297,10 +304,10 @@
 
 fn free_addresses() -> Addresses {
     Addresses {
-        callers: free_tcp(),
-        targets: free_tcp(),
-        operators: free_tcp(),
-        peers: free_udp(),
+        callers: free_address(),
+        targets: free_address(),
+        operators: free_address(),
+        peers: free_address(),
     }
 }
 
