tests: each fleet has a loopback address of its own

Cause: the fixture freed each port before it asked for the next, so one fleet got a port twice: entry-1 ended with CR0006, as its port for targets was entry-3's for operators. Weighed: a fixed range of ports, which clashes between runs. Taken: all sockets are held until all are found, on a random address in 127/8, so that outgoing ports of others at 127.0.0.1 do not clash either.

--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -20,7 +20,7 @@
 use std::{
     fmt::Write,
     fs::{self, File},
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -65,16 +65,6 @@
     client: Client,
 }
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("its address")
-}
-
 /// Zone of a node: `a` for the first, `b` for the second, and so on.
 pub fn zone(node: Node) -> String {
     char::from(b'a' + (node.0 as u8 - 1)).to_string()
@@ -86,7 +76,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let nodes: Vec<Node> = (1..=count).map(Node).collect();
         let keys = tls::make(folder.path(), &nodes).expect("keys");
-        let addresses: Vec<Addresses> = nodes.iter().map(|_| free_addresses()).collect();
+        let addresses = free_addresses(nodes.len());
         let mut hosts = Vec::new();
         for (place, node) in nodes.iter().enumerate() {
             let settings = folder.path().join(format!("entry-{node}.yaml"));
@@ -367,13 +357,34 @@
     }
 }
 
-fn free_addresses() -> Addresses {
-    Addresses {
-        callers: free_tcp(),
-        targets: free_tcp(),
-        operators: free_tcp(),
-        peers: free_udp(),
-    }
+/// Free addresses for all hosts, on a loopback address of the fleet's own. The sockets are held
+/// until all are found, so that no port comes twice.
+fn free_addresses(count: usize) -> Vec<Addresses> {
+    let [a, b, c] = [(); 3].map(|()| rand::random_range(1..=254));
+    let address = (Ipv4Addr::new(127, a, b, c), 0);
+    let mut listeners = Vec::new();
+    let mut sockets = Vec::new();
+    let mut tcp = || {
+        let listener = TcpListener::bind(address).expect("a free port");
+        let local = listener.local_addr().expect("its address");
+        listeners.push(listener);
+        local
+    };
+    let mut udp = || {
+        let socket = UdpSocket::bind(address).expect("a free port");
+        let local = socket.local_addr().expect("its address");
+        sockets.push(socket);
+        local
+    };
+    let hosts = 0..count;
+    hosts
+        .map(|_| Addresses {
+            callers: tcp(),
+            targets: tcp(),
+            operators: tcp(),
+            peers: udp(),
+        })
+        .collect()
 }
 
 fn settings_text(place: usize, voters: u64, all: &[Addresses], tls: &Tls) -> String {
