daemon: a shutdown waits until forwarded answers have arrived

Cause: the home task knows that a request ended, not that its answer has reached the entry that forwarded it; the connection was closed in between, and a payment that had run was answered 504 'unknown'. A test of a home that shuts down failed so in one of two runs of the whole runner, and in none of six alone. Change: forwarded requests are counted until their answers are acknowledged, and so are records of once-only outcomes on their way; the shutdown waits for the count.

--- a/node/src/connection/incoming.rs
+++ b/node/src/connection/incoming.rs
@@ -22,9 +22,13 @@
 };
 use cornelrail_lib::{name::Node, process::event::Event, request::plan};
 use quinn::{Connection, Incoming, RecvStream, SendStream};
-use tokio::runtime::Handle;
+use std::time::Duration;
+use tokio::{runtime::Handle, time::timeout};
 use tracing::{Instrument, debug_span};
 
+/// Time that a finished answer has to arrive at the entry that forwarded the request.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Handles that the streams of other entries lead to.
 #[derive(Debug, Clone)]
 pub struct Doors {
@@ -115,6 +119,7 @@
 }
 
 async fn serve_forwarded(core: &Core, mut head: RequestHead, mut tx: SendStream, rx: RecvStream) {
+    let _flight = core.flights.begin();
     let span = debug_span!("home", request = head.id);
     if let Some(trace) = &head.trace {
         telemetry::adopt_text(&span, trace);
@@ -127,8 +132,9 @@
         // The entry that forwarded it has given it up.
         _ = left => return,
     };
-    if forward::write_outcome(&mut tx, outcome).await.is_ok() {
-        let _ = tx.finish();
+    if forward::write_outcome(&mut tx, outcome).await.is_ok() && tx.finish().is_ok() {
+        // A shutdown must not close the connection before the answer has arrived.
+        let _ = timeout(ARRIVAL_TIMEOUT, tx.stopped()).await;
     }
 }
 
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -18,6 +18,7 @@
     },
     request::{
         core::Core,
+        flights::Flights,
         home::{self, HomeHandle, Outlets},
     },
     version::view::View,
@@ -94,6 +95,7 @@
     transport: Transport,
     control: ControlHandle,
     home: HomeHandle,
+    flights: Flights,
     voter: Option<VoterHandle>,
     targets: Running,
     front: Running,
@@ -238,6 +240,7 @@
             incarnation: life,
             register: register.clone(),
             ids: Arc::new(AtomicU64::new(first_id(settings.node, life))),
+            flights: Flights::default(),
             room: Arc::new(Semaphore::new(settings.limits.open as usize)),
         };
         let doors = Doors {
@@ -291,6 +294,7 @@
         transport: plane.transport,
         control: plane.control,
         home: plane.core.home,
+        flights: plane.core.flights,
         voter: plane.voter,
         targets: servers.targets,
         front: servers.callers,
@@ -334,6 +338,7 @@
         let _ = timeout(HANDOVER_TIME, self.control.depart()).await;
         let _ = timeout(limit, self.front.ended()).await;
         let _ = timeout(limit, self.home.idle()).await;
+        let _ = timeout(limit, self.flights.ended()).await;
         self.control.surrender().await;
         self.targets.stop_forceful();
         drop(self.operators);
--- a/node/src/request/claim.rs
+++ b/node/src/request/claim.rs
@@ -75,7 +75,9 @@
 /// Records what became of a claimed request, in the background.
 pub fn record(core: &Core, mut claim: Claim, progress: Progress) {
     let core = core.clone();
+    let flight = core.flights.begin();
     tokio::spawn(async move {
+        let _flight = flight;
         let first = claim.record(progress);
         drive(&core, &mut claim, first, |_| false).await;
     });
@@ -84,7 +86,9 @@
 /// Gives a claim up whose request certainly did not run, in the background.
 pub fn release(core: &Core, mut claim: Claim) {
     let core = core.clone();
+    let flight = core.flights.begin();
     tokio::spawn(async move {
+        let _flight = flight;
         let first = claim.release();
         drive(&core, &mut claim, first, |_| false).await;
     });
--- a/node/src/request/core.rs
+++ b/node/src/request/core.rs
@@ -1,6 +1,6 @@
 //! What the tasks of all requests share: handles to the tasks that own the state.
 
-use super::home::HomeHandle;
+use super::{flights::Flights, home::HomeHandle};
 use crate::{
     connection::peer::PeerLink,
     process::{clock::Clock, register::RegisterHandle},
@@ -44,6 +44,8 @@
     pub register: RegisterHandle,
     /// Number of the next request.
     pub ids: Arc<AtomicU64>,
+    /// Requests of other entries that this one still answers.
+    pub flights: Flights,
     /// Room for open requests.
     pub room: Arc<Semaphore>,
 }
--- a/node/src/request/mod.rs
+++ b/node/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod claim;
 pub mod core;
 pub mod exchange;
+pub mod flights;
 pub mod forward;
 pub mod front;
 pub mod home;
