node: handles of the home and the voter in modules of their own

Ruled out: cutting the home task itself, whose steps share its state. Change: messages and handles stand apart; no behaviour changes.

--- a/node/src/process/control/beat.rs
+++ b/node/src/process/control/beat.rs
@@ -1,16 +1,17 @@
 //! Heartbeats of this entry to the leader, and the lease that they renew.
 
-use super::{
-    ControlHandle, ControlMessage, ControlTask,
-    leading::{OWN_CALL_TIMEOUT, is_self},
-};
+use super::{ControlHandle, ControlMessage, ControlTask};
 use crate::{
     connection::peer::PeerLink,
     process::protocol::{Call, LeaseGrant, Reply},
 };
 use cornelrail_lib::{moment::Moment, name::Node, version::report::Report};
+use std::time::Duration;
 use tokio::time::timeout;
 
+/// Time that a leader's report to itself may take.
+const OWN_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Where a heartbeat goes.
 enum Way {
     Own(ControlHandle),
@@ -53,7 +54,7 @@
     /// The leader, or the next voter in turn while none is known.
     fn way(&mut self) -> Option<(Node, Way)> {
         let me = self.setup.settings.node;
-        if is_self(self.leader, me) {
+        if self.leader == Some(me) {
             let handle = ControlHandle {
                 tx: self.tx.clone(),
             };
--- a/node/src/process/control/leading.rs
+++ b/node/src/process/control/leading.rs
@@ -8,7 +8,7 @@
 use cornelrail_lib::{
     connection::order::Leave,
     moment::Moment,
-    name::Node,
+    name::Version,
     process::{
         event::Event,
         operator_api::{EntryInForce, InForceAnswer, Winner},
@@ -23,7 +23,7 @@
         report::Report,
     },
 };
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// Salt of the hash ring; the same whoever leads, so that a new leader moves nothing.
@@ -178,7 +178,7 @@
     }
 
     /// Where a version is in force, by the entries' own reports.
-    pub(super) fn in_force(&self, version: cornelrail_lib::name::Version) -> InForceAnswer {
+    pub(super) fn in_force(&self, version: Version) -> InForceAnswer {
         let fleet = self.replica.fleet();
         let now = self.now();
         let lags = match &self.leading {
@@ -285,7 +285,7 @@
 }
 
 /// The note that made a version.
-pub(super) fn winner(fleet: &Fleet, version: cornelrail_lib::name::Version) -> Option<Winner> {
+pub(super) fn winner(fleet: &Fleet, version: Version) -> Option<Winner> {
     let mut notes = fleet.notes.iter().rev();
     let record = notes.find(|record| record.version == version)?;
     Some(Winner {
@@ -294,11 +294,3 @@
         digest: record.digest.clone(),
     })
 }
-
-/// Leases are counted from the sending of a report, so a node's own report needs no more than this.
-pub(super) const OWN_CALL_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Whether `node` is the one that leads, as far as `leader` says.
-pub(super) fn is_self(leader: Option<Node>, node: Node) -> bool {
-    leader == Some(node)
-}
--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -16,7 +16,7 @@
         protocol::{Call, Control, NoteCall, Reply},
         voter::{VoterEvent, VoterHandle},
     },
-    request::home::HomeHandle,
+    request::home_handle::HomeHandle,
     version::view::View,
 };
 use cornelrail_lib::{
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -19,7 +19,8 @@
     request::{
         core::Core,
         flights::Flights,
-        home::{self, HomeHandle, Outlets},
+        home::{self, Outlets},
+        home_handle::HomeHandle,
     },
     version::view::View,
 };
@@ -29,6 +30,7 @@
         event::Event,
         settings::{Limits, Listen, Settings},
     },
+    request::quarantine::Crash,
 };
 use metrics_exporter_prometheus::PrometheusHandle;
 use miette::Diagnostic;
@@ -181,6 +183,22 @@
     }
 }
 
+/// The ends at which the control task reads the home task's news.
+struct HomeNews {
+    crashes: mpsc::UnboundedReceiver<Crash>,
+    nudges: mpsc::Receiver<()>,
+}
+
+fn home_channels() -> (Outlets, HomeNews) {
+    let (crashes_tx, crashes) = mpsc::unbounded_channel();
+    let (nudges_tx, nudges) = mpsc::channel(1);
+    let outlets = Outlets {
+        crashes: crashes_tx,
+        nudges: nudges_tx,
+    };
+    (outlets, HomeNews { crashes, nudges })
+}
+
 /// The tasks of the control plane, by the handles that lead to them.
 struct Plane {
     transport: Transport,
@@ -199,12 +217,7 @@
         let life = incarnation();
         let peers = peer_links(settings, &transport);
         let (view_tx, view) = watch::channel(View::default());
-        let (crashes_tx, crashes) = mpsc::unbounded_channel();
-        let (nudges_tx, nudges) = mpsc::channel(1);
-        let outlets = Outlets {
-            crashes: crashes_tx,
-            nudges: nudges_tx,
-        };
+        let (outlets, news) = home_channels();
         let home = home::start(
             clock,
             settings.clone(),
@@ -227,8 +240,8 @@
         let inputs = Inputs {
             voter: voter_events,
             operators: operator_calls,
-            crashes,
-            nudges,
+            crashes: news.crashes,
+            nudges: news.nudges,
         };
         control::start(setup, inputs, control_channel);
         let core = Core {
--- a/node/src/process/mod.rs
+++ b/node/src/process/mod.rs
@@ -13,3 +13,4 @@
 pub mod telemetry;
 pub mod transport;
 pub mod voter;
+mod voter_handle;
--- a/node/src/request/core.rs
+++ b/node/src/request/core.rs
@@ -1,6 +1,6 @@
 //! What the tasks of all requests share: handles to the tasks that own the state.
 
-use super::{flights::Flights, home::HomeHandle};
+use super::{flights::Flights, home_handle::HomeHandle};
 use crate::{
     connection::peer::PeerLink,
     process::{clock::Clock, register::RegisterHandle},
--- a/node/src/request/home.rs
+++ b/node/src/request/home.rs
@@ -4,8 +4,8 @@
 //! it by messages and do their own I/O once they hold a permit.
 
 use super::{
-    exchange::Permit,
-    home_targets::{self, HeldTargets, Renewed},
+    home_handle::{HomeHandle, HomeMessage, Verdict},
+    home_targets::{self, HeldTargets},
 };
 use crate::{process::clock::Clock, version::view::View};
 use cornelrail_lib::{
@@ -16,7 +16,6 @@
     process::settings::{Sending, Settings},
     request::{
         dispatch::{Action, Arrival, Choice, Dispatch, DispatchConfig, Ending, RequestId},
-        outcome::Refusal,
         quarantine::Crash,
     },
     version::report::{Report, SlowTarget},
@@ -34,114 +33,6 @@
 /// Longest sleep between two looks at the clock.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 
-/// What the home decides about one request.
-#[derive(Debug)]
-pub enum Verdict {
-    /// Send an attempt.
-    Send(Permit),
-    /// Give the attempt up.
-    Abort(u32),
-    /// The request is given up.
-    Refuse(Refusal),
-    /// The key has moved; nothing was sent.
-    Elsewhere,
-}
-
-enum HomeMessage {
-    Arrive {
-        arrival: Arrival,
-        hash: KeyHash,
-        verdicts: mpsc::UnboundedSender<Verdict>,
-    },
-    Finish {
-        id: RequestId,
-        attempt: u32,
-        ending: Ending,
-    },
-    Cancel(RequestId),
-    Renewed(Renewed),
-    Collect {
-        report: Report,
-        reply: oneshot::Sender<Report>,
-    },
-    Idle(oneshot::Sender<()>),
-}
-
-/// Handle of the home task.
-#[derive(Debug, Clone)]
-pub struct HomeHandle {
-    tx: mpsc::Sender<HomeMessage>,
-}
-
-impl std::fmt::Debug for HomeMessage {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("HomeMessage")
-    }
-}
-
-impl HomeHandle {
-    /// Hands a request over; the verdicts on it come through the receiver.
-    pub async fn arrive(
-        &self,
-        arrival: Arrival,
-        hash: KeyHash,
-    ) -> mpsc::UnboundedReceiver<Verdict> {
-        let (verdicts, rx) = mpsc::unbounded_channel();
-        // A stopped task drops the sender, which the receiver sees.
-        let _ = self
-            .tx
-            .send(HomeMessage::Arrive {
-                arrival,
-                hash,
-                verdicts,
-            })
-            .await;
-        rx
-    }
-
-    /// Tells how an attempt ended.
-    pub async fn finish(&self, id: RequestId, attempt: u32, ending: Ending) {
-        let _ = self
-            .tx
-            .send(HomeMessage::Finish {
-                id,
-                attempt,
-                ending,
-            })
-            .await;
-    }
-
-    /// Tells that the caller left; usable where nothing can be awaited.
-    pub fn cancel(&self, id: RequestId) {
-        let tx = self.tx.clone();
-        tokio::spawn(async move {
-            let _ = tx.send(HomeMessage::Cancel(id)).await;
-        });
-    }
-
-    /// Completes the report to the leader with what this task knows.
-    pub async fn collect(&self, report: Report) -> Option<Report> {
-        let (reply, rx) = oneshot::channel();
-        self.tx
-            .send(HomeMessage::Collect { report, reply })
-            .await
-            .ok()?;
-        rx.await.ok()
-    }
-
-    /// Waits until no request is open.
-    pub async fn idle(&self) {
-        let (tx, rx) = oneshot::channel();
-        if self.tx.send(HomeMessage::Idle(tx)).await.is_ok() {
-            let _ = rx.await;
-        }
-    }
-
-    pub(super) async fn renewed(&self, renewed: Renewed) {
-        let _ = self.tx.send(HomeMessage::Renewed(renewed)).await;
-    }
-}
-
 /// A request that has no final outcome yet.
 #[derive(Debug)]
 pub(super) struct Open {
--- a/node/src/request/mod.rs
+++ b/node/src/request/mod.rs
@@ -8,6 +8,7 @@
 pub mod forward;
 pub mod front;
 pub mod home;
+pub mod home_handle;
 mod home_targets;
 pub mod message;
 pub mod route;
--- a/node/src/request/serve.rs
+++ b/node/src/request/serve.rs
@@ -6,7 +6,7 @@
     claim::{self, Claimed},
     core::Core,
     exchange::{self, Exchanged, Permit},
-    home::Verdict,
+    home_handle::Verdict,
     message::{Answer, Failure, RequestHead},
 };
 use bytes::Bytes;
