--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -381,7 +381,9 @@
     ) {
         report.gone = self.gone(now);
         report.quiet = self.quiet(now, view, open);
-        report.loads = self.tally.take(now);
+        let (fleet, me) = (self.fleet.clone(), self.me);
+        let own = |service: &Service, range| fleet.home_of(service, &range) == Some(me);
+        report.loads = self.tally.take(now, own);
         report.busy = self.busy(open);
         report.idle = self.idle(open);
     }
