--- a/lib/src/version/fleet.rs
+++ b/lib/src/version/fleet.rs
@@ -285,14 +285,6 @@
         !self.may_serve(owner) && self.serving(service).next().is_none()
     }
 
-    /// Entry that commands the owner of exactly this range; `None` if there is no such assignment,
-    /// owner or home.
-    pub fn home_of(&self, service: &Service, range: &KeyRange) -> Option<Node> {
-        let state = self.services.get(service)?;
-        let slot = range_table::exact(&state.ranges, range)?;
-        self.targets.get(slot.owner.as_ref()?)?.home
-    }
-
     /// Targets that the entry commands, draining ones included.
     pub fn targets_of_home(&self, node: Node) -> impl Iterator<Item = (&Target, &TargetState)> {
         self.targets
--- a/node/src/request/home_targets.rs
+++ b/node/src/request/home_targets.rs
@@ -381,9 +381,7 @@
     ) {
         report.gone = self.gone(now);
         report.quiet = self.quiet(now, view, open);
-        let (fleet, me) = (self.fleet.clone(), self.me);
-        let own = |service: &Service, range| fleet.home_of(service, &range) == Some(me);
-        report.loads = self.tally.take(now, own);
+        report.loads = self.tally.take(now);
         report.busy = self.busy(open);
         report.idle = self.idle(open);
     }
--- a/node/src/request/tally.rs
+++ b/node/src/request/tally.rs
@@ -10,10 +10,6 @@
 
 /// Shortest span over which a rate is measured.
 const SPAN: Duration = Duration::from_secs(1);
-/// Part of the way that a reported rate goes towards the one measured last.
-const GAIN: f64 = 0.2;
-/// Requests a second below which a range is not reported.
-const LEAST_RATE: f64 = 0.05;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct RangeId {
@@ -43,25 +39,17 @@
     }
 }
 
-/// Rate of a range, smoothed so that noise moves no ranges, and its busiest key of late.
-#[derive(Debug, Default)]
-struct Level {
-    rate: f64,
-    peak: Option<Peak>,
-}
-
-/// Arrivals since the last report, and the smoothed rates.
+/// Arrivals since the last report.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
     counts: BTreeMap<RangeId, Count>,
-    levels: BTreeMap<RangeId, Level>,
     since: Moment,
 }
 
 impl Tally {
     /// Counts one arrival.
     pub(super) fn count(&mut self, now: Moment, service: &Service, range: KeyRange, hash: KeyHash) {
-        if self.counts.is_empty() && self.levels.is_empty() {
+        if self.counts.is_empty() {
             self.since = now;
         }
         let id = RangeId {
@@ -76,48 +64,26 @@
         count.arrive(hash);
     }
 
-    /// Takes the loads of the ranges that are `own` still, once they have been measured for long
-    /// enough.
-    pub(super) fn take(
-        &mut self,
-        now: Moment,
-        own: impl Fn(&Service, KeyRange) -> bool,
-    ) -> Vec<RangeLoad> {
+    /// Takes the loads, once they have been measured for long enough.
+    pub(super) fn take(&mut self, now: Moment) -> Vec<RangeLoad> {
         let span = now.since(self.since);
         if span < SPAN {
             return Vec::new();
         }
         let seconds = span.as_secs_f64();
         let counts = std::mem::take(&mut self.counts);
-        let mut levels = std::mem::take(&mut self.levels);
-        for level in levels.values_mut() {
-            level.rate *= 1.0 - GAIN;
-            level.peak = None;
-        }
-        for (id, count) in counts {
-            let rate = count.arrivals as f64 / seconds;
-            let peak = Peak {
-                hash: count.candidate,
-                rate: count.votes as f64 / seconds,
-            };
-            let known = levels.contains_key(&id);
-            let level = levels.entry(id).or_default();
-            level.rate += if known { GAIN * rate } else { rate };
-            level.peak = Some(peak);
-        }
-        levels.retain(|id, level| level.rate > LEAST_RATE && own(&id.service, id.range));
-        self.levels = levels;
-        self.since = now;
-        self.levels.iter().map(load).collect()
-    }
-}
-
-fn load((id, level): (&RangeId, &Level)) -> RangeLoad {
-    RangeLoad {
-        service: id.service.clone(),
-        range: id.range,
-        rate: level.rate,
-        slow_ms: 0.0,
-        peak: level.peak,
+        counts
+            .into_iter()
+            .map(|(id, count)| RangeLoad {
+                service: id.service,
+                range: id.range,
+                rate: count.arrivals as f64 / seconds,
+                slow_ms: 0.0,
+                peak: Some(Peak {
+                    hash: count.candidate,
+                    rate: count.votes as f64 / seconds,
+                }),
+            })
+            .collect()
     }
 }
