args: one loop takes the values of all subcommands

Change: Reader::option adds the values it passes to a list and gives the next option. Ruled out: one table of options for all, since each reads its own types.

--- a/cli/src/args/demo.rs
+++ b/cli/src/args/demo.rs
@@ -1,9 +1,6 @@
 //! Arguments of `demo` and `stand-in`.
 
-use super::{
-    Command,
-    reader::{Reader, Word},
-};
+use super::{Command, reader::Reader};
 use crate::{
     command::stand_in::StandInOptions,
     demo::{DemoOptions, Fault, Policy, Workload},
@@ -22,14 +19,7 @@
 pub(super) fn parse_demo(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
     let mut options = DemoOptions::default();
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        let option = match word {
-            Word::Value(value) => {
-                values.push(value);
-                continue;
-            }
-            Word::Option(option) => option,
-        };
+    while let Some(option) = reader.option(&mut values)? {
         match option.as_str() {
             "help" => return Ok(None),
             "requests" => options.requests = reader.number("requests", REQUESTS_MAX)?,
@@ -80,14 +70,7 @@
 pub(super) fn parse_stand_in(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
     let mut options = StandInOptions::default();
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        let option = match word {
-            Word::Value(value) => {
-                values.push(value);
-                continue;
-            }
-            Word::Option(option) => option,
-        };
+    while let Some(option) = reader.option(&mut values)? {
         match option.as_str() {
             "help" => return Ok(None),
             "service" => options.service = reader.value()?,
--- a/cli/src/args/mod.rs
+++ b/cli/src/args/mod.rs
@@ -156,14 +156,11 @@
     let mut entry = EntryOptions::default();
     let mut wait = None;
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        match word {
-            Word::Value(value) => values.push(value),
-            Word::Option(option) => match option.as_str() {
-                "help" => return Ok(None),
-                "wait" => wait = Some(reader.parse::<Span>("wait", "a time span such as 6s")?.0),
-                _ => entry.take(&option, reader)?,
-            },
+    while let Some(option) = reader.option(&mut values)? {
+        match option.as_str() {
+            "help" => return Ok(None),
+            "wait" => wait = Some(reader.parse::<Span>("wait", "a time span such as 6s")?.0),
+            _ => entry.take(&option, reader)?,
         }
     }
     let [verb, file] = reader.exact(values, "check FILE, apply FILE or status FILE")?;
@@ -193,11 +190,10 @@
 fn parse_status(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
     let mut entry = EntryOptions::default();
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        match word {
-            Word::Value(value) => values.push(value),
-            Word::Option(option) if option == "help" => return Ok(None),
-            Word::Option(option) => entry.take(&option, reader)?,
+    while let Some(option) = reader.option(&mut values)? {
+        match option.as_str() {
+            "help" => return Ok(None),
+            _ => entry.take(&option, reader)?,
         }
     }
     let [] = reader.exact(values, "no further words")?;
@@ -209,11 +205,10 @@
 fn parse_explain(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
     let mut entry = EntryOptions::default();
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        match word {
-            Word::Value(value) => values.push(value),
-            Word::Option(option) if option == "help" => return Ok(None),
-            Word::Option(option) => entry.take(&option, reader)?,
+    while let Some(option) = reader.option(&mut values)? {
+        match option.as_str() {
+            "help" => return Ok(None),
+            _ => entry.take(&option, reader)?,
         }
     }
     let [name] = reader.exact(values, "SERVICE/KEY")?;
@@ -234,12 +229,11 @@
 /// Reads the rest of a `settings` command; `None` asks for help.
 fn parse_settings(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        match word {
-            Word::Value(value) => values.push(value),
-            Word::Option(option) if option == "help" => return Ok(None),
-            Word::Option(option) => return Err(reader.unknown(&option)),
-        }
+    if let Some(option) = reader.option(&mut values)? {
+        return match option.as_str() {
+            "help" => Ok(None),
+            _ => Err(reader.unknown(&option)),
+        };
     }
     let [verb, file] = reader.exact(values, "check FILE")?;
     match verb.as_str() {
@@ -253,15 +247,12 @@
     let mut nodes = None;
     let mut node = None;
     let mut values = Vec::new();
-    while let Some(word) = reader.next()? {
-        match word {
-            Word::Value(value) => values.push(value),
-            Word::Option(option) => match option.as_str() {
-                "help" => return Ok(None),
-                "nodes" => nodes = Some(reader.parse::<u64>("nodes", "a whole number")?),
-                "node" => node = Some(reader.parse::<u64>("node", "a whole number")?),
-                _ => return Err(reader.unknown(&option)),
-            },
+    while let Some(option) = reader.option(&mut values)? {
+        match option.as_str() {
+            "help" => return Ok(None),
+            "nodes" => nodes = Some(reader.parse::<u64>("nodes", "a whole number")?),
+            "node" => node = Some(reader.parse::<u64>("node", "a whole number")?),
+            _ => return Err(reader.unknown(&option)),
         }
     }
     let [verb, path] = reader.exact(values, "make FOLDER, add FOLDER or token FILE")?;
--- a/cli/src/args/reader.rs
+++ b/cli/src/args/reader.rs
@@ -49,6 +49,20 @@
         }
     }
 
+    /// The next option without its dashes; what comes before it is added to `values`.
+    pub(super) fn option(
+        &mut self,
+        values: &mut Vec<String>,
+    ) -> Result<Option<String>, CommandError> {
+        while let Some(word) = self.next()? {
+            match word {
+                Word::Value(value) => values.push(value),
+                Word::Option(option) => return Ok(Some(option)),
+            }
+        }
+        Ok(None)
+    }
+
     /// The value of an option.
     pub(super) fn value(&mut self) -> Result<String, CommandError> {
         let value = self.parser.value().and_then(|value| value.string());
