--- a/lib/examples/slopes/voters.rs
+++ b/lib/examples/slopes/voters.rs
@@ -3,7 +3,7 @@
 use cornelrail_lib::{
     moment::Moment,
     name::Node,
-    process::raft::{Action, Batch, Identity, Raft, RaftConfig, Restored},
+    process::raft::{Action, Batch, Identity, Joining, Raft, RaftConfig, Restored},
 };
 use std::time::Duration;
 
@@ -32,6 +32,7 @@
                 node: listed[place],
                 identity: identity(disk),
                 listed: listed.clone(),
+                joining: Joining::Listed,
                 election: Duration::from_millis(250),
                 heartbeat: HEARTBEAT,
                 drift: Duration::from_millis(20),
--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -63,6 +63,8 @@
     SettingsLoaded = 4, Info, "settings-loaded";
     /// The daemon cannot start; the text names the remedy.
     StartFailed = 5, Error, "start-failed";
+    /// The settings file changed but could not be read; the former settings go on.
+    ReloadFailed = 7, Warn, "reload-failed";
     /// A listening address is taken by another process.
     AddressInUse = 6, Error, "address-in-use";
     /// The log has a new leader, or none that this entry knows.
@@ -87,6 +89,14 @@
     TargetLost = 22, Warn, "target-lost";
     /// A target has left and owns nothing any more.
     TargetDrained = 23, Info, "target-drained";
+    /// A target asked to leave.
+    TargetLeaving = 27, Info, "target-leaving";
+    /// This entry follows a leader.
+    LeaderFollowed = 17, Info, "leader-followed";
+    /// This entry has lost its leader and goes on by the copy that it has.
+    LeaderLost = 18, Warn, "leader-lost";
+    /// A command was not taken into the log, or its outcome is not known.
+    ProposalFailed = 19, Warn, "proposal-failed";
     /// A target got another entry as its home.
     TargetRehomed = 24, Info, "target-rehomed";
     /// A slow target gets no new work for a while.
@@ -107,6 +117,16 @@
     NoteConflict = 42, Warn, "note-conflict";
     /// Every live entry has confirmed a version.
     NoteInForce = 43, Info, "note-in-force";
+    /// Items of the desired state changed.
+    DesiredChanged = 45, Info, "desired-changed";
+    /// An order was refused; nothing of it is in force.
+    DesiredRefused = 46, Warn, "desired-refused";
+    /// A zone's targets get no work any more.
+    ZoneOut = 47, Info, "zone-out";
+    /// A zone is in service again.
+    ZoneIn = 48, Info, "zone-in";
+    /// A call of a target or operator could not be read or was invalid.
+    CallRefused = 49, Warn, "call-refused";
     /// Somebody without a valid token asked at the operators' address.
     OperatorRefused = 44, Warn, "operator-refused";
     /// A record of the log is damaged in the middle.
@@ -127,6 +147,12 @@
     QuarantineLifted = 61, Info, "quarantine-lifted";
     /// A request was refused; counted in the metrics too.
     RequestRefused = 62, Debug, "request-refused";
+    /// A request got another answer than its target's, or a late one.
+    RequestEnded = 63, Info, "request-ended";
+    /// A request goes to a further target.
+    RequestResent = 64, Info, "request-resent";
+    /// Log lines were dropped, since the reader of the log is too slow.
+    LinesDropped = 65, Warn, "lines-dropped";
     /// One hop of a request ended.
     SpanEnded = 70, Debug, "span-ended";
 }
--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -8,14 +8,22 @@
 
 use super::{
     Raft, Role,
+    config::Joining,
     membership::{ChangeError, Identity, Member, Membership, VoterChange},
     message::{Body, Payload},
     replication::Progress,
 };
 use crate::{moment::Moment, name::Node};
+use std::{collections::BTreeSet, time::Duration};
 
 /// Shortest election timeouts for which a greeting counts.
 const GREETING_ELECTIONS: u32 = 3;
+/// A fleet without a list of members never shrinks below so many voters.
+const LEAST_VOTERS: usize = 3;
+/// Shortest election timeouts of silence after which a voter of an even number is removed.
+const SILENT_EVEN: u32 = 3;
+/// The same for an odd number, of which two have to be silent; a restart takes less.
+const SILENT_ODD: u32 = 20;
 
 /// What a node said of itself.
 #[derive(Debug, Clone, Copy)]
@@ -51,10 +59,14 @@
             .ok_or(ChangeError::NotLeader(self.leader))
     }
 
-    /// Tells all listed nodes the identity of this one.
+    /// Tells all listed nodes, and all members known, the identity of this one.
     pub(super) fn greet(&mut self) {
         let empty = self.log.is_empty();
-        for node in self.config.listed.clone() {
+        let mut nodes: BTreeSet<Node> = self.config.listed.iter().copied().collect();
+        if let Joining::Seeded { .. } = self.config.joining {
+            nodes.extend(self.membership().members().map(|m| m.node));
+        }
+        for node in nodes {
             if node != self.config.node {
                 let identity = Identity::ANY;
                 self.send(Member { node, identity }, Body::Hello { empty });
@@ -64,7 +76,7 @@
 
     /// Takes note of a node's identity; a new one is greeted in turn.
     pub(super) fn take_hello(&mut self, now: Moment, sender: Member, empty: bool) {
-        if !self.config.listed.contains(&sender.node) || sender.node == self.config.node {
+        if !self.config.admits(sender.node) || sender.node == self.config.node {
             return;
         }
         let known = self.greeting(now, sender.node).map(|g| g.identity);
@@ -81,7 +93,8 @@
 
     /// All listed nodes, if each of them said of late that its folder is empty, as this one's is.
     pub(super) fn founders(&self, now: Moment) -> Option<Membership> {
-        if !self.log.is_empty() || !self.membership().voters.is_empty() {
+        let exists = !self.log.is_empty() || !self.membership().voters.is_empty();
+        if exists || !self.config.may_found() {
             return None;
         }
         let identities = self.config.listed.iter().map(|node| {
@@ -107,6 +120,7 @@
     pub(super) fn admit(&mut self, now: Moment) {
         let change = self
             .superseded(now)
+            .or_else(|| self.dispensable(now))
             .map(VoterChange::Remove)
             .or_else(|| self.caught_up(now).map(VoterChange::Promote))
             .or_else(|| self.newcomer(now).map(VoterChange::Learn));
@@ -147,8 +161,8 @@
         let mut learners = self.membership().learners.iter();
         let found = learners.find(|m| {
             let matched = leading.progress.get(m).map_or(0, Progress::matched);
-            let listed = self.config.listed.contains(&m.node);
-            listed && matched >= self.commit && self.answers(now, **m)
+            let admitted = self.config.admits(m.node);
+            admitted && matched >= self.commit && self.answers(now, **m)
         });
         found.copied()
     }
@@ -168,6 +182,37 @@
         ready.or(idle)
     }
 
+    /// A silent voter that the quorum is better off without. With an even number of voters its
+    /// removal costs no tolerance; with an odd one it pays once a second voter is silent too. Only a
+    /// fleet whose members are not listed shrinks by itself: a voter that returns joins anew.
+    fn dispensable(&self, now: Moment) -> Option<Member> {
+        let Joining::Seeded { .. } = self.config.joining else {
+            return None;
+        };
+        let voters = &self.membership().voters;
+        if voters.len() <= LEAST_VOTERS {
+            return None;
+        }
+        let even = voters.len().is_multiple_of(2);
+        let elections = if even { SILENT_EVEN } else { SILENT_ODD };
+        let span = self.config.election * elections;
+        let mut silent = voters.iter().filter(|m| self.silent_for(now, **m) >= span);
+        let first = silent.next().copied();
+        first.filter(|_| even || silent.next().is_some())
+    }
+
+    /// How long the leader has heard nothing from a member.
+    fn silent_for(&self, now: Moment, member: Member) -> Duration {
+        let Role::Leader(leading) = &self.role else {
+            return Duration::ZERO;
+        };
+        if member == self.member() {
+            return Duration::ZERO;
+        }
+        let acked = leading.progress.get(&member).and_then(Progress::acked);
+        now.since(acked.unwrap_or(leading.since()).max(leading.since()))
+    }
+
     fn voter_of(&self, node: Node) -> Option<Member> {
         let mut voters = self.membership().voters.iter().copied();
         voters.find(|m| m.node == node)
--- a/lib/src/process/raft/config.rs
+++ b/lib/src/process/raft/config.rs
@@ -7,6 +7,19 @@
 use crate::name::Node;
 use std::time::Duration;
 
+/// Who may join the log, and who may found it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Joining {
+    /// Only the listed nodes, each of which may found the fleet.
+    Listed,
+    /// Any node that greets: the listed ones are seeds, by which the others find the fleet.
+    Seeded {
+        /// Whether this node may ask for the founding election. False once the fleet exists, so a
+        /// seed whose disk was emptied founds no second one.
+        found: bool,
+    },
+}
+
 /// Settings of one voter.
 #[derive(Debug, Clone)]
 pub struct RaftConfig {
@@ -16,6 +29,8 @@
     pub identity: Identity,
     /// Nodes that the settings list as voters, this one included.
     pub listed: Vec<Node>,
+    /// Who may join and found.
+    pub joining: Joining,
     /// Shortest election timeout; the longest is twice that.
     pub election: Duration,
     /// Pause between heartbeats of a leader.
@@ -36,6 +51,22 @@
             identity: self.identity,
         }
     }
+
+    /// Whether a node may become a member.
+    pub(super) fn admits(&self, node: Node) -> bool {
+        match self.joining {
+            Joining::Listed => self.listed.contains(&node),
+            Joining::Seeded { .. } => true,
+        }
+    }
+
+    /// Whether this node may ask for the founding election.
+    pub(super) fn may_found(&self) -> bool {
+        match self.joining {
+            Joining::Listed => true,
+            Joining::Seeded { found } => found,
+        }
+    }
 }
 
 /// State found on disk; the default is that of an empty folder.
--- a/lib/src/process/raft/election.rs
+++ b/lib/src/process/raft/election.rs
@@ -33,7 +33,8 @@
     /// fleet that exists waits, since it may have granted a lease to a leader that was removed.
     pub(super) fn is_first(&self, now: Moment) -> bool {
         let listed = self.config.listed == [self.config.node];
-        listed && self.log.is_empty() && !self.may_be_leased(now)
+        let empty = self.log.is_empty() && !self.may_be_leased(now);
+        listed && empty && self.config.may_found()
     }
 
     /// Starts an election, if this voter may.
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -22,7 +22,7 @@
 mod replication;
 
 pub use self::{
-    config::{RaftConfig, Restored},
+    config::{Joining, RaftConfig, Restored},
     disk::Batch,
     membership::{ChangeError, Identity, Member, Membership, VoterChange},
     message::{AppendOutcome, Ballot, Body, Entry, HardState, Message, Payload, Snapshot},
--- a/lib/src/process/raft/replication.rs
+++ b/lib/src/process/raft/replication.rs
@@ -97,6 +97,11 @@
             since: now,
         }
     }
+
+    /// Time since which this voter leads.
+    pub(super) fn since(&self) -> Moment {
+        self.since
+    }
 }
 
 impl Raft {
--- /dev/null
+++ b/lib/src/request/balance/admit.rs
@@ -0,0 +1,59 @@
+//! Whether a request is let in.
+//!
+//! Load pattern: more work than the targets can do, for seconds. A queue that is longer than the
+//! aim makes every answer late and serves nobody more, so a request that could not end within its
+//! aim is turned away at once, with the time after which there will be room. A less urgent request
+//! is turned away at a shorter queue, so the more urgent ones find room.
+
+use std::time::Duration;
+
+/// Part of the aim within which the least urgent request must be expected to end.
+const LAST_SHARE: f64 = 0.75;
+/// Part of the time left that an answer may be expected to take.
+const DEADLINE_SHARE: f64 = 0.9;
+/// Shortest time after which a caller is asked back.
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a request wants.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// Time from now within which the answer is worth most; zero if that is past.
+    pub aim: Duration,
+    /// The whole aim of its route.
+    pub whole: Duration,
+    /// Time that its caller waits from now on.
+    pub left: Duration,
+    /// Whether requests more urgent than this one go to the same service.
+    pub last: bool,
+}
+
+/// Whether a request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is.
+    Send,
+    /// It is turned away; there will be room after this time.
+    Refuse(Duration),
+}
+
+/// Judges a request that would wait for `wait` and then run for `work`.
+pub fn judge(ask: Ask, wait: Duration, work: Duration) -> Verdict {
+    let end = wait + work;
+    if end > ask.left.mul_f64(DEADLINE_SHARE) {
+        return refuse(end - ask.left.mul_f64(DEADLINE_SHARE));
+    }
+    if wait.is_zero() {
+        return Verdict::Send;
+    }
+    let share = if ask.last { LAST_SHARE } else { 1.0 };
+    // A request that comes back has used its aim up; it may still queue as a first one may.
+    let bound = ask.whole.mul_f64(share).max(work.mul_f64(1.5));
+    match end <= bound {
+        true => Verdict::Send,
+        false => refuse(end - bound),
+    }
+}
+
+fn refuse(pause: Duration) -> Verdict {
+    Verdict::Refuse(pause.max(LEAST_PAUSE))
+}
--- /dev/null
+++ b/lib/src/request/balance/router.rs
@@ -0,0 +1,551 @@
+//! The copy of the fleet at one entry, and what it decides for each request by it.
+//!
+//! A copy may be old: an entry that is cut off from the leader goes on by what it knows, since its
+//! callers may reach nobody else. What it must not do by an old copy is deny: that nothing serves a
+//! path is said only by a fresh one.
+
+use super::{
+    admit::{Ask, Verdict, judge},
+    budget::RetryBudget,
+    choose::{Choice, choose},
+    cold::ColdRate,
+    split::Splitter,
+    target::{LoadReport, Outcome, TargetModel},
+};
+use crate::{
+    moment::Moment,
+    name::{Service, Target, Zone},
+    version::{
+        catalog::{Applied, Catalog, TargetId, Update},
+        desired::{RequestLimits, Route, RouteKind, Routing},
+        feed::{KeyCount, Pending, Pulse, Report, TargetCount},
+        sharding::KeyLoad,
+    },
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// Age of the latest pulse up to which the copy counts as fresh: four pulses, and less than the
+/// time within which an order is in force everywhere.
+const FRESH: Duration = Duration::from_millis(1_000);
+/// Part of the time to drain or to evacuate for which keys still go to their old owner.
+const CLOSING_SHARE: f64 = 0.7;
+/// Pause before a key is tried again whose owner said that it does not hold it.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(60);
+/// Pause named to a caller whose key nobody serves.
+const NO_OWNER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Settings of the decisions.
+#[derive(Debug, Clone)]
+pub struct RouterConfig {
+    /// Zone of this entry.
+    pub zone: Zone,
+    /// Time from a target's farewell to its last new request.
+    pub drain: Duration,
+    /// Time from a zone's removal to its last new request.
+    pub evacuate: Duration,
+    /// Sendings beyond the first for each fresh request.
+    pub retry_ratio: f64,
+    /// Sendings beyond the first that are free in each window, for all entries together.
+    pub retry_floor: f64,
+    /// Length of that window.
+    pub retry_window: Duration,
+}
+
+/// The route of a request with the service that gets it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Routed {
+    /// Name of the route.
+    pub name: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that the caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which the answer is worth most.
+    pub aim: Duration,
+    /// Targets to which it may be sent.
+    pub attempts: u32,
+    /// Whether more urgent requests go to the same service.
+    pub last: bool,
+    /// The service.
+    pub service: Service,
+    /// Whether its keys have owners.
+    pub keyed: bool,
+}
+
+/// Why a request has no route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// No route matches, by a fresh copy.
+    NoRoute,
+    /// The copy is old or there is none.
+    Stale,
+}
+
+/// A request that wants a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Service that it goes to.
+    pub service: &'a Service,
+    /// Its key, where the service needs one.
+    pub key: Option<u16>,
+    /// Its bounds in time.
+    pub ask: Ask,
+    /// Targets that it was sent to already.
+    pub tried: &'a [TargetId],
+}
+
+/// Why a request is turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turned {
+    /// It would wait too long.
+    Busy,
+    /// The cold target bears no more.
+    Cold,
+    /// Nobody serves its key, or no target of its service is open.
+    Unowned,
+    /// The target failed of late.
+    Failing,
+    /// It names no key though its service needs one.
+    Keyless,
+}
+
+impl Turned {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Turned::Busy => "busy",
+            Turned::Cold => "cold",
+            Turned::Unowned => "unowned",
+            Turned::Failing => "failing",
+            Turned::Keyless => "keyless",
+        }
+    }
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Place {
+    /// It goes to this target.
+    Send {
+        /// Number of the target.
+        id: TargetId,
+        /// Its name.
+        name: Target,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Its key is on the way to an owner: try again after this time, or when the copy changes.
+    Wait(Duration),
+    /// It is turned away, and may come back after this time.
+    Refuse(Turned, Duration),
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    answers: u32,
+    busy: Duration,
+    load: Option<LoadReport>,
+}
+
+/// Copy of the fleet at one entry with what it has seen itself.
+#[derive(Debug)]
+pub struct Router {
+    config: RouterConfig,
+    catalog: Catalog,
+    routing: Routing,
+    index: Option<u64>,
+    pulse: Pulse,
+    heard: Option<Moment>,
+    models: HashMap<TargetId, TargetModel>,
+    colds: HashMap<TargetId, (Moment, ColdRate)>,
+    closing: BTreeMap<TargetId, Moment>,
+    splits: HashMap<String, Splitter>,
+    budgets: HashMap<Service, RetryBudget>,
+    keys: HashMap<(Service, u16), u32>,
+    seen: HashMap<TargetId, Seen>,
+}
+
+impl Router {
+    /// Entry without a copy.
+    pub fn new(config: RouterConfig) -> Self {
+        Router {
+            config,
+            catalog: Catalog::default(),
+            routing: Routing::default(),
+            index: None,
+            pulse: Pulse::default(),
+            heard: None,
+            models: HashMap::new(),
+            colds: HashMap::new(),
+            closing: BTreeMap::new(),
+            splits: HashMap::new(),
+            budgets: HashMap::new(),
+            keys: HashMap::new(),
+            seen: HashMap::new(),
+        }
+    }
+
+    /// Takes a whole copy. An older one than that held is turned down.
+    pub fn copy(&mut self, now: Moment, index: u64, catalog: Catalog) -> bool {
+        if self.index.is_some_and(|held| index < held) {
+            return false;
+        }
+        self.index = Some(index);
+        self.catalog = catalog;
+        self.rearrange(now);
+        true
+    }
+
+    /// Takes committed updates up to an index.
+    pub fn update(&mut self, now: Moment, index: u64, updates: &[Update]) {
+        let Some(held) = self.index.filter(|held| *held < index) else {
+            return;
+        };
+        let mut routes = false;
+        for update in updates {
+            let applied = self.catalog.apply(update);
+            let is_order = matches!(update, Update::Desired(_));
+            routes |= is_order && matches!(applied, Applied::Changed { .. });
+        }
+        self.index = Some(index.max(held));
+        match routes {
+            true => self.rearrange(now),
+            false => self.note_closing(now),
+        }
+    }
+
+    /// Takes a pulse of the leader.
+    pub fn pulse(&mut self, now: Moment, pulse: Pulse) {
+        for (id, load) in &pulse.loads {
+            if let Some(record) = self.catalog.targets.get(id) {
+                let model = self.models.entry(*id);
+                model
+                    .or_insert_with(|| TargetModel::new(record.slots))
+                    .reported(now, *load);
+            }
+        }
+        for (id, left) in &pulse.cold {
+            let cold = self.colds.entry(*id);
+            cold.or_insert_with(|| (now, ColdRate::new(now))).0 = now + *left;
+        }
+        self.colds.retain(|_, (until, _)| now < *until);
+        self.heard = Some(now);
+        self.pulse = pulse;
+    }
+
+    /// Whether the copy is as young as an order needs it to be.
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        let heard = self.heard.is_some_and(|at| now.since(at) < FRESH);
+        heard && self.index.is_some()
+    }
+
+    /// Age of the latest pulse.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.heard.map(|at| now.since(at))
+    }
+
+    /// Log index of the copy.
+    pub fn index(&self) -> Option<u64> {
+        self.index
+    }
+
+    /// Whether there is desired state to serve by.
+    pub fn is_set_up(&self) -> bool {
+        self.index.is_some() && !self.catalog.desired.is_empty()
+    }
+
+    /// Limits of requests.
+    pub fn limits(&self) -> RequestLimits {
+        self.catalog.desired.limits()
+    }
+
+    /// Connections that this entry may hold to a target.
+    pub fn connections(&self, service: &Service) -> usize {
+        let spec = self.catalog.desired.service(service.as_str());
+        let all = spec.map_or(100, |spec| spec.connections);
+        (all / self.entries()).max(2) as usize
+    }
+
+    /// Finds the route of a request and draws the service that gets it.
+    pub fn route(&mut self, now: Moment, host: &str, path: &str) -> Result<Routed, Denial> {
+        let Some(found) = self.routing.find(host, path) else {
+            let known = self.is_fresh(now) && self.is_set_up();
+            return Err(if known {
+                Denial::NoRoute
+            } else {
+                Denial::Stale
+            });
+        };
+        let route = found.route;
+        let split = self.splits.entry(found.name.to_owned()).or_default();
+        let at = split.next(&route.backends).ok_or(Denial::NoRoute)?;
+        let service = &route.backends[at].service;
+        let spec = self.catalog.desired.service(service.as_str());
+        Ok(Routed {
+            name: found.name.to_owned(),
+            kind: route.kind,
+            timeout: route.timeout,
+            aim: route.aim,
+            attempts: route.attempts,
+            last: self.is_last(route),
+            service: service.clone(),
+            keyed: spec.is_some_and(|spec| spec.keyed),
+        })
+    }
+
+    /// Counts a fresh request.
+    pub fn arrived(&mut self, now: Moment, service: &Service, key: Option<u16>) {
+        self.budget(service).fresh(now);
+        if let Some(key) = key {
+            let bucket = (service.clone(), KeyLoad::bucket(key));
+            *self.keys.entry(bucket).or_default() += 1;
+        }
+    }
+
+    /// Where a request goes now.
+    pub fn place(&mut self, now: Moment, wish: Wish<'_>) -> Place {
+        let spec = self.catalog.desired.service(wish.service.as_str());
+        match spec.is_some_and(|spec| spec.keyed) {
+            true => self.place_keyed(now, wish),
+            false => self.place_pool(now, wish),
+        }
+    }
+
+    /// Counts a sending.
+    pub fn sent(&mut self, id: TargetId) {
+        if let Some(model) = self.models.get_mut(&id) {
+            model.sent();
+        }
+    }
+
+    /// Takes the end of a sending in.
+    pub fn ended(
+        &mut self,
+        now: Moment,
+        id: TargetId,
+        outcome: Outcome,
+        time: Duration,
+        load: Option<LoadReport>,
+    ) {
+        let Some(model) = self.models.get_mut(&id) else {
+            return;
+        };
+        model.ended(now, outcome, time);
+        if let Some(load) = load {
+            model.reported(now, load);
+        }
+        let seen = self.seen.entry(id).or_default();
+        seen.busy += time;
+        seen.answers += u32::from(outcome == Outcome::Answered);
+        seen.load = load.or(seen.load);
+    }
+
+    /// Takes one more sending from the budget of a service.
+    pub fn may_resend(&mut self, now: Moment, service: &Service) -> bool {
+        let entries = self.entries();
+        self.budget(service).spend(now, entries)
+    }
+
+    /// What was seen since the last report.
+    pub fn take_report(&mut self) -> Report {
+        let keys = self
+            .keys
+            .drain()
+            .map(|((service, bucket), requests)| KeyCount {
+                service,
+                bucket,
+                requests,
+            });
+        let targets = self.seen.drain().map(|(id, seen)| TargetCount {
+            id,
+            answers: seen.answers,
+            busy: seen.busy,
+            load: seen.load,
+        });
+        Report {
+            keys: keys.collect(),
+            targets: targets.collect(),
+        }
+    }
+
+    /// Whether the target is in the copy.
+    pub fn knows(&self, id: TargetId) -> bool {
+        self.catalog.targets.contains_key(&id)
+    }
+
+    fn place_keyed(&mut self, now: Moment, wish: Wish<'_>) -> Place {
+        let Some(key) = wish.key else {
+            return Place::Refuse(Turned::Keyless, NO_OWNER_PAUSE);
+        };
+        if let Some(wait) = self.pending_wait(now, wish.service, key) {
+            return self.hold(wish, wait);
+        }
+        let table = self.catalog.shards.get(wish.service);
+        let Some(id) = table.and_then(|table| table.row(key).owner) else {
+            return self.hold(wish, NO_OWNER_PAUSE);
+        };
+        if wish.tried.contains(&id) {
+            return self.hold(wish, MISDIRECTED_PAUSE);
+        }
+        if !self.takes_keys(now, id) {
+            return self.hold(wish, NO_OWNER_PAUSE);
+        }
+        self.send(now, wish, id)
+    }
+
+    fn place_pool(&mut self, now: Moment, wish: Wish<'_>) -> Place {
+        let targets = self.catalog.targets_of(wish.service);
+        let open: Vec<(TargetId, bool, u32)> = targets
+            .filter(|(id, record)| self.catalog.is_open(record) && !wish.tried.contains(id))
+            .filter(|(id, _)| !self.pulse.silent.contains(id))
+            .map(|(id, record)| (id, record.zone == self.config.zone, record.slots))
+            .collect();
+        for (id, _, slots) in &open {
+            let model = self.models.entry(*id);
+            model.or_insert_with(|| TargetModel::new(*slots));
+        }
+        let mut left = open;
+        let mut refused = Place::Refuse(Turned::Unowned, NO_OWNER_PAUSE);
+        // A cold target that bears no more leaves the request to the next best one.
+        while !left.is_empty() {
+            let choices = left.iter().filter_map(|(id, near, _)| {
+                Some(Choice {
+                    id: *id,
+                    model: self.models.get(id)?,
+                    near: *near,
+                })
+            });
+            let Some(id) = choose(now, choices).map(|choice| choice.id) else {
+                break;
+            };
+            match self.send(now, wish, id) {
+                Place::Refuse(Turned::Cold, pause) => {
+                    refused = Place::Refuse(Turned::Cold, pause);
+                    left.retain(|(other, ..)| *other != id);
+                }
+                other => return other,
+            }
+        }
+        refused
+    }
+
+    /// Sends a request to a target if that serves it in time.
+    fn send(&mut self, now: Moment, wish: Wish<'_>, id: TargetId) -> Place {
+        let Some(record) = self.catalog.targets.get(&id) else {
+            return Place::Refuse(Turned::Unowned, NO_OWNER_PAUSE);
+        };
+        let slots = record.slots;
+        let model = self.models.entry(id);
+        let model = model.or_insert_with(|| TargetModel::new(slots));
+        if model.is_paused(now) {
+            let pause = model.paused_until().since(now);
+            return Place::Refuse(Turned::Failing, pause);
+        }
+        match judge(wish.ask, model.wait(now), model.work(now)) {
+            Verdict::Refuse(pause) => return Place::Refuse(Turned::Busy, pause),
+            Verdict::Send => {}
+        }
+        let entries = self.entries();
+        let rate = self.catalog.desired.service(wish.service.as_str());
+        let rate = rate.map_or(0, |spec| spec.cold_rate);
+        if let Some((until, cold)) = self.colds.get_mut(&id)
+            && now < *until
+            && let Err(pause) = cold.take(now, rate, entries)
+        {
+            return Place::Refuse(Turned::Cold, pause.min(until.since(now)));
+        }
+        Place::Send {
+            id,
+            name: record.name.clone(),
+            address: record.address,
+        }
+    }
+
+    /// Holds a request until its key is served, if it can still be of use then.
+    fn hold(&self, wish: Wish<'_>, wait: Duration) -> Place {
+        let work = Duration::from_millis(20);
+        match judge(wish.ask, wait, work) {
+            Verdict::Send => Place::Wait(wait),
+            Verdict::Refuse(_) => Place::Refuse(Turned::Unowned, wait),
+        }
+    }
+
+    /// Time until a key on its way is served.
+    fn pending_wait(&self, now: Moment, service: &Service, key: u16) -> Option<Duration> {
+        let is_it = |p: &&Pending| p.span.contains(key) && p.service == *service;
+        let pending = self.pulse.pending.iter().find(is_it)?;
+        let heard = self.heard?;
+        // By an old pulse nothing is known: the owner of the copy is asked.
+        let fresh = now.since(heard) < FRESH;
+        fresh.then(|| {
+            (heard + pending.wait)
+                .since(now)
+                .max(Duration::from_millis(10))
+        })
+    }
+
+    /// Whether the owner of a key may still get requests for it.
+    fn takes_keys(&self, now: Moment, id: TargetId) -> bool {
+        let Some(record) = self.catalog.targets.get(&id) else {
+            return false;
+        };
+        if self.catalog.is_open(record) {
+            return true;
+        }
+        let span = match record.leaving {
+            true => self.config.drain,
+            false => self.config.evacuate,
+        };
+        let since = self.closing.get(&id);
+        since.is_some_and(|since| now.since(*since) < span.mul_f64(CLOSING_SHARE))
+    }
+
+    /// Whether more urgent routes lead to the services of this one.
+    fn is_last(&self, route: &Route) -> bool {
+        let routes = self.catalog.desired.routes.values();
+        let mut others = routes.filter_map(|item| item.value.as_ref());
+        others.any(|other| {
+            other.priority < route.priority
+                && other
+                    .backends
+                    .iter()
+                    .any(|b| route.backends.iter().any(|own| own.service == b.service))
+        })
+    }
+
+    fn entries(&self) -> u32 {
+        self.pulse.entries.max(1)
+    }
+
+    fn budget(&mut self, service: &Service) -> &mut RetryBudget {
+        let config = &self.config;
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| {
+            RetryBudget::new(config.retry_ratio, config.retry_floor, config.retry_window)
+        })
+    }
+
+    fn rearrange(&mut self, now: Moment) {
+        self.routing = Routing::of(&self.catalog.desired);
+        self.note_closing(now);
+    }
+
+    /// Notes since when targets get no new work, and forgets those that are gone.
+    fn note_closing(&mut self, now: Moment) {
+        let catalog = &self.catalog;
+        for (id, record) in &catalog.targets {
+            if catalog.is_open(record) {
+                self.closing.remove(id);
+            } else {
+                self.closing.entry(*id).or_insert(now);
+            }
+        }
+        self.closing
+            .retain(|id, _| catalog.targets.contains_key(id));
+        self.models.retain(|id, _| catalog.targets.contains_key(id));
+    }
+}
--- /dev/null
+++ b/lib/src/request/balance/split.rs
@@ -0,0 +1,29 @@
+//! Which service of a route with several gets the next request.
+//!
+//! Smooth weighted round robin: each service gets its share in any short run of requests.
+
+use crate::version::desired::Backend;
+
+/// State of one route's split at one entry.
+#[derive(Debug, Clone, Default)]
+pub struct Splitter {
+    credits: Vec<i64>,
+}
+
+impl Splitter {
+    /// Place of the backend that gets the next request; `None` if all weights are 0.
+    pub fn next(&mut self, backends: &[Backend]) -> Option<usize> {
+        self.credits.resize(backends.len(), 0);
+        let total: i64 = backends.iter().map(|b| i64::from(b.weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        for (credit, backend) in self.credits.iter_mut().zip(backends) {
+            *credit += i64::from(backend.weight);
+        }
+        let weighted = (0..backends.len()).filter(|at| backends[*at].weight > 0);
+        let best = weighted.max_by_key(|at| (self.credits[*at], std::cmp::Reverse(*at)))?;
+        self.credits[best] -= total;
+        Some(best)
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one request.
 
+pub mod balance;
 pub mod dispatch;
 pub mod header;
 pub mod once;
--- /dev/null
+++ b/lib/src/version/catalog/mod.rs
@@ -0,0 +1,215 @@
+//! State of a seeded fleet that the replicated log keeps: desired state, zones taken out, targets,
+//! and who owns which keys.
+//!
+//! Core hosts apply the committed [`Update`]s in order; entries get a copy and the same updates.
+//! Whoever applied the same updates has the same catalog. An update that no longer fits changes
+//! nothing, so the leader may propose from a view that is a little behind.
+
+mod shard;
+mod update;
+
+pub use self::{
+    shard::{KeySpan, Row, ShardTable},
+    update::{Applied, Grant, Update},
+};
+
+use super::desired::{ChangeError, DesiredState};
+use crate::name::{Fence, Incarnation, Service, Target, Zone};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+};
+
+/// Number of one life of a target in this fleet, never given out twice.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct TargetId(pub u32);
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "t{}", self.0)
+    }
+}
+
+/// One life of a target, as it announced itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// Its name.
+    pub name: Target,
+    /// Its life; a later one takes a higher number.
+    pub life: Incarnation,
+    /// Service that it serves.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it asked to leave.
+    pub leaving: bool,
+}
+
+/// Replicated state of a seeded fleet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Catalog {
+    /// What operators want.
+    pub desired: DesiredState,
+    /// Zones whose targets get no work.
+    pub zones_out: BTreeSet<Zone>,
+    /// Lives of targets.
+    pub targets: BTreeMap<TargetId, TargetRecord>,
+    /// Owners of keys, for each keyed service.
+    pub shards: BTreeMap<Service, ShardTable>,
+    next_target: u32,
+    last_fence: Fence,
+}
+
+impl Catalog {
+    /// Applies a committed update and tells what came of it.
+    pub fn apply(&mut self, update: &Update) -> Applied {
+        match update {
+            Update::Desired(change) => match self.desired.apply(change) {
+                Ok(items) => Applied::Changed { items },
+                Err(error) => Applied::Refused(error),
+            },
+            Update::ZoneOut(zone) => changed(self.zones_out.insert(zone.clone())),
+            Update::ZoneIn(zone) => changed(self.zones_out.remove(zone)),
+            Update::Join(record) => self.join(record),
+            Update::Leave(id) => self.leave(*id),
+            Update::Remove(id) => self.remove(*id),
+            Update::Move {
+                service,
+                span,
+                next,
+            } => self.begin_move(service, *span, *next),
+            Update::Assign { service, grants } => self.assign(service, grants),
+        }
+    }
+
+    /// Present life of the target of this name.
+    pub fn find(&self, name: &Target) -> Option<(TargetId, &TargetRecord)> {
+        let mut found = self.targets.iter().filter(|(_, t)| t.name == *name);
+        found.next().map(|(id, record)| (*id, record))
+    }
+
+    /// Targets of a service.
+    pub fn targets_of<'a>(
+        &'a self,
+        service: &'a Service,
+    ) -> impl Iterator<Item = (TargetId, &'a TargetRecord)> {
+        let mine = self.targets.iter().filter(|(_, t)| t.service == *service);
+        mine.map(|(id, record)| (*id, record))
+    }
+
+    /// Whether a target may get new work as far as operators and the target itself say.
+    pub fn is_open(&self, record: &TargetRecord) -> bool {
+        !record.leaving && !self.zones_out.contains(&record.zone)
+    }
+
+    /// Rows that a target owns and is not about to lose, of its own service.
+    pub fn rows_of(&self, id: TargetId) -> Vec<&Row> {
+        let Some(table) = self
+            .targets
+            .get(&id)
+            .and_then(|record| self.shards.get(&record.service))
+        else {
+            return Vec::new();
+        };
+        let mine = table.rows().iter();
+        mine.filter(|row| row.owner == Some(id) && row.next.is_none())
+            .collect()
+    }
+
+    fn join(&mut self, record: &TargetRecord) -> Applied {
+        let rivals: Vec<(TargetId, Incarnation)> = self
+            .targets
+            .iter()
+            .filter(|(_, t)| t.name == record.name || t.address == record.address)
+            .map(|(id, t)| (*id, t.life))
+            .collect();
+        if rivals.iter().any(|(_, life)| *life >= record.life) {
+            return Applied::Unchanged;
+        }
+        for (id, _) in rivals {
+            self.remove(id);
+        }
+        self.next_target += 1;
+        let id = TargetId(self.next_target);
+        self.targets.insert(id, record.clone());
+        Applied::Joined(id)
+    }
+
+    fn leave(&mut self, id: TargetId) -> Applied {
+        match self.targets.get_mut(&id) {
+            Some(record) if !record.leaving => {
+                record.leaving = true;
+                Applied::Changed { items: 1 }
+            }
+            _ => Applied::Unchanged,
+        }
+    }
+
+    fn remove(&mut self, id: TargetId) -> Applied {
+        let Some(record) = self.targets.remove(&id) else {
+            return Applied::Unchanged;
+        };
+        if let Some(table) = self.shards.get_mut(&record.service) {
+            table.forget(id);
+        }
+        Applied::Changed { items: 1 }
+    }
+
+    fn begin_move(&mut self, service: &Service, span: KeySpan, next: TargetId) -> Applied {
+        let fits = self
+            .targets
+            .get(&next)
+            .is_some_and(|t| t.service == *service);
+        let Some(table) = self.shards.get_mut(service).filter(|_| fits) else {
+            return Applied::Unchanged;
+        };
+        changed(table.begin_move(span, next))
+    }
+
+    /// Gives spans to new owners, each under a fence that was never used before.
+    fn assign(&mut self, service: &Service, grants: &[Grant]) -> Applied {
+        let table = self.shards.entry(service.clone()).or_default();
+        let mut items = 0;
+        for grant in grants {
+            let fits = self
+                .targets
+                .get(&grant.owner)
+                .is_some_and(|t| t.service == *service);
+            if fits && table.owner_of(grant.span) == Some(grant.former) {
+                self.last_fence = self.last_fence.next();
+                table.assign(grant, self.last_fence);
+                items += 1;
+            }
+        }
+        match items {
+            0 => Applied::Unchanged,
+            items => Applied::Changed { items },
+        }
+    }
+}
+
+fn changed(changed: bool) -> Applied {
+    match changed {
+        true => Applied::Changed { items: 1 },
+        false => Applied::Unchanged,
+    }
+}
+
+impl Applied {
+    /// Why an order of an operator was refused.
+    pub fn refusal(&self) -> Option<&ChangeError> {
+        match self {
+            Applied::Refused(error) => Some(error),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/version/catalog/shard.rs
@@ -0,0 +1,183 @@
+//! Who owns which keys of a service whose keys are numbers.
+//!
+//! The unit of ownership is a span of neighbouring keys, cut where the load needs it.
+
+use super::{Grant, TargetId};
+use crate::name::Fence;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Closed interval of keys; never empty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KeySpan {
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+}
+
+impl KeySpan {
+    /// All keys.
+    pub const FULL: KeySpan = KeySpan {
+        first: 0,
+        last: u16::MAX,
+    };
+
+    /// Span from `first` to `last`, both included; `None` if it would be empty.
+    pub fn new(first: u16, last: u16) -> Option<Self> {
+        (first <= last).then_some(KeySpan { first, last })
+    }
+
+    /// Number of keys.
+    pub fn width(&self) -> u32 {
+        u32::from(self.last) - u32::from(self.first) + 1
+    }
+
+    /// Whether the key lies in the span.
+    pub fn contains(&self, key: u16) -> bool {
+        self.first <= key && key <= self.last
+    }
+
+    /// Whether the spans share a key.
+    pub fn overlaps(&self, other: &KeySpan) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
+    /// Whether all keys of `other` lie in this span.
+    pub fn covers(&self, other: &KeySpan) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+}
+
+impl fmt::Display for KeySpan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.first, self.last)
+    }
+}
+
+/// A span with its owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The keys.
+    pub span: KeySpan,
+    /// Who may hold them.
+    pub owner: Option<TargetId>,
+    /// Who gets them once the owner has let them go.
+    pub next: Option<TargetId>,
+    /// Fence of the owner's grant.
+    pub fence: Fence,
+    /// Proof of the handover from the former owner, empty without one.
+    pub handover: String,
+}
+
+/// Rows in the order of their keys, without gap or overlap.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardTable {
+    rows: Vec<Row>,
+}
+
+impl Default for ShardTable {
+    fn default() -> Self {
+        ShardTable {
+            rows: vec![Row {
+                span: KeySpan::FULL,
+                owner: None,
+                next: None,
+                fence: Fence(0),
+                handover: String::new(),
+            }],
+        }
+    }
+}
+
+impl ShardTable {
+    /// All rows.
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// Row of a key.
+    pub fn row(&self, key: u16) -> &Row {
+        let at = self.rows.partition_point(|row| row.span.last < key);
+        &self.rows[at.min(self.rows.len() - 1)]
+    }
+
+    /// Owner of all keys of a span; `None` if they have different ones.
+    pub fn owner_of(&self, span: KeySpan) -> Option<Option<TargetId>> {
+        let mut rows = self.rows_in(span);
+        let first = rows.next()?.owner;
+        rows.all(|row| row.owner == first).then_some(first)
+    }
+
+    /// Rows that share a key with a span.
+    pub fn rows_in(&self, span: KeySpan) -> impl Iterator<Item = &Row> {
+        let from = self.rows.partition_point(|row| row.span.last < span.first);
+        let rows = self.rows[from..].iter();
+        rows.take_while(move |row| row.span.first <= span.last)
+    }
+
+    /// Marks a span as about to go to `next`. Refused unless it has one owner other than that.
+    pub(super) fn begin_move(&mut self, span: KeySpan, next: TargetId) -> bool {
+        let owner = self.owner_of(span).flatten();
+        if owner.is_none_or(|owner| owner == next) {
+            return false;
+        }
+        self.cut(span);
+        for row in self.rows.iter_mut().filter(|row| span.covers(&row.span)) {
+            row.next = Some(next);
+        }
+        true
+    }
+
+    /// Gives a span to a new owner.
+    pub(super) fn assign(&mut self, grant: &Grant, fence: Fence) {
+        self.cut(grant.span);
+        let row = Row {
+            span: grant.span,
+            owner: Some(grant.owner),
+            next: None,
+            fence,
+            handover: grant.handover.clone(),
+        };
+        let from = self
+            .rows
+            .partition_point(|r| r.span.last < grant.span.first);
+        let to = self
+            .rows
+            .partition_point(|r| r.span.first <= grant.span.last);
+        self.rows.splice(from..to, [row]);
+    }
+
+    /// Takes all rows from a target, and calls off the moves towards it.
+    pub(super) fn forget(&mut self, id: TargetId) {
+        for row in &mut self.rows {
+            if row.owner == Some(id) {
+                row.owner = None;
+                row.next = None;
+            }
+            if row.next == Some(id) {
+                row.next = None;
+            }
+        }
+    }
+
+    /// Cuts rows so that the span begins and ends at an edge.
+    fn cut(&mut self, span: KeySpan) {
+        self.cut_before(span.first);
+        if let Some(after) = span.last.checked_add(1) {
+            self.cut_before(after);
+        }
+    }
+
+    fn cut_before(&mut self, key: u16) {
+        let at = self.rows.partition_point(|row| row.span.last < key);
+        let row = &mut self.rows[at];
+        if row.span.first == key {
+            return;
+        }
+        let mut upper = row.clone();
+        row.span.last = key - 1;
+        upper.span.first = key;
+        self.rows.insert(at + 1, upper);
+    }
+}
--- /dev/null
+++ b/lib/src/version/feed.rs
@@ -0,0 +1,130 @@
+//! What core hosts and entries of a seeded fleet tell each other.
+//!
+//! An entry holds a copy of the catalog. The leader sends it whole once, then each committed
+//! update, and several times a second a [`Pulse`] with what the log does not keep. An entry whose
+//! latest pulse is old knows that its copy may be old too.
+
+use super::catalog::{Catalog, KeySpan, TargetId, Update};
+use crate::{
+    name::{Node, Service, Zone},
+    process::{
+        control_call::{ControlCall, ControlReply},
+        raft::Message,
+    },
+    request::balance::LoadReport,
+};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// First message on a connection: who dials.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Greeting {
+    /// A core host.
+    Core {
+        /// Its number.
+        node: Node,
+    },
+    /// An entry that wants a copy of the catalog.
+    Entry {
+        /// Its name.
+        name: String,
+        /// Its zone.
+        zone: Zone,
+    },
+}
+
+/// From the host that dialled to a core host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Upward {
+    /// Message of the replicated log.
+    Raft(Message),
+    /// A call to pass on, with a number that the answer repeats.
+    Call(u64, ControlCall),
+    /// What an entry saw since its last report.
+    Report(Report),
+    /// Asks for a sign of life.
+    Ping,
+}
+
+/// From a core host to the host that dialled.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Downward {
+    /// Who leads and who the core hosts are, as far as this one knows.
+    Members {
+        /// The leader.
+        leader: Option<Node>,
+        /// Core hosts.
+        nodes: Vec<Node>,
+    },
+    /// Answer to a call of this number.
+    Reply(u64, ControlReply),
+    /// The whole catalog as of a log index.
+    Copy(u64, Box<Catalog>),
+    /// Updates up to and with a log index.
+    Updates(u64, Vec<Update>),
+    /// What the log does not keep.
+    Pulse(Pulse),
+    /// A sign of life.
+    Pong,
+}
+
+/// What the leader knows beside the catalog; each pulse replaces the one before.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Log index up to which the leader has applied.
+    pub index: u64,
+    /// Entries that follow the leader.
+    pub entries: u32,
+    /// Keys that nobody serves at this moment, and when they will be served again.
+    pub pending: Vec<Pending>,
+    /// Cold targets, and how much longer they are.
+    pub cold: Vec<(TargetId, Duration)>,
+    /// Targets that have not been heard for the length of a lease.
+    pub silent: Vec<TargetId>,
+    /// Loads that entries reported since the last pulse.
+    pub loads: Vec<(TargetId, LoadReport)>,
+}
+
+/// Keys on their way to an owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pending {
+    /// The service.
+    pub service: Service,
+    /// The keys.
+    pub span: KeySpan,
+    /// Time until the new owner is expected to serve them.
+    pub wait: Duration,
+}
+
+/// What an entry saw since its last report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests for each bucket of keys.
+    pub keys: Vec<KeyCount>,
+    /// Answers of each target.
+    pub targets: Vec<TargetCount>,
+}
+
+/// Requests for a bucket of keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyCount {
+    /// The service.
+    pub service: Service,
+    /// The bucket.
+    pub bucket: u16,
+    /// Requests that came.
+    pub requests: u32,
+}
+
+/// Answers of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetCount {
+    /// The target.
+    pub id: TargetId,
+    /// Answers that came.
+    pub answers: u32,
+    /// Sum of the times from sending to answer.
+    pub busy: Duration,
+    /// What the target said of its load last.
+    pub load: Option<LoadReport>,
+}
--- /dev/null
+++ b/lib/src/version/sharding/load.rs
@@ -0,0 +1,148 @@
+//! Measured load of keys and targets.
+//!
+//! Keys are counted in buckets of neighbours: busy keys lie side by side, and the state must not
+//! follow the number of keys. Entries report what they saw, the leader keeps decaying means.
+
+use crate::version::catalog::{KeySpan, TargetId};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Keys of one bucket: fine enough to cut 60 busy neighbours in pieces.
+pub const BUCKET_KEYS: u32 = 16;
+const BUCKETS: usize = (1 << 16) / BUCKET_KEYS as usize;
+/// Span over which the means decay to a third: long enough for a few requests of each target.
+const MEMORY: Duration = Duration::from_millis(2_000);
+/// Weight of a key that was not asked for, in requests a second, so that quiet keys count too.
+const QUIET_KEY: f64 = 0.000_5;
+
+/// What entries saw of one target since their last reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Requests answered in a second.
+    pub rate: f64,
+    /// Requests under way at a time, waiting ones included.
+    pub open: f64,
+}
+
+impl TargetLoad {
+    /// Mean time of a request, in seconds.
+    pub fn latency(&self) -> Option<f64> {
+        (self.rate > 0.0).then(|| self.open / self.rate)
+    }
+}
+
+/// Load of the keys and targets of one service.
+#[derive(Debug, Clone)]
+pub struct KeyLoad {
+    rates: Vec<f64>,
+    targets: BTreeMap<TargetId, TargetLoad>,
+}
+
+impl Default for KeyLoad {
+    fn default() -> Self {
+        KeyLoad {
+            rates: vec![0.0; BUCKETS],
+            targets: BTreeMap::new(),
+        }
+    }
+}
+
+impl KeyLoad {
+    /// Bucket of a key.
+    pub fn bucket(key: u16) -> u16 {
+        (u32::from(key) / BUCKET_KEYS) as u16
+    }
+
+    /// Lets the past fade by the time that went by.
+    pub fn fade(&mut self, span: Duration) {
+        let left = (-span.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        self.rates.iter_mut().for_each(|rate| *rate *= left);
+        for load in self.targets.values_mut() {
+            load.rate *= left;
+            load.open *= left;
+        }
+    }
+
+    /// Counts requests for a bucket.
+    pub fn count_keys(&mut self, bucket: u16, requests: u32) {
+        if let Some(rate) = self.rates.get_mut(usize::from(bucket)) {
+            *rate += f64::from(requests) / MEMORY.as_secs_f64();
+        }
+    }
+
+    /// Counts what an entry saw of a target: answers, and the sum of their times.
+    pub fn count_target(&mut self, id: TargetId, answers: u32, busy: Duration) {
+        let load = self.targets.entry(id).or_default();
+        load.rate += f64::from(answers) / MEMORY.as_secs_f64();
+        load.open += busy.as_secs_f64() / MEMORY.as_secs_f64();
+    }
+
+    /// Load of a target.
+    pub fn target(&self, id: TargetId) -> TargetLoad {
+        self.targets.get(&id).copied().unwrap_or_default()
+    }
+
+    /// Forgets the targets that are gone.
+    pub fn retain(&mut self, mut lives: impl FnMut(TargetId) -> bool) {
+        self.targets.retain(|id, _| lives(*id));
+    }
+
+    /// Requests a second for the keys of a span, with a little for quiet ones.
+    pub fn weight(&self, span: KeySpan) -> f64 {
+        let buckets = bucket_range(span);
+        let measured: f64 = buckets
+            .map(|bucket| self.rates[bucket] * overlap(span, bucket))
+            .sum();
+        measured + QUIET_KEY * f64::from(span.width())
+    }
+
+    /// Weight of all keys.
+    pub fn total(&self) -> f64 {
+        self.weight(KeySpan::FULL)
+    }
+
+    /// Cuts a span at the edges of buckets into pieces of at most `most`, where a bucket allows it.
+    pub fn cut(&self, span: KeySpan, most: f64) -> Vec<KeySpan> {
+        let mut pieces = Vec::new();
+        let mut first = u32::from(span.first);
+        let mut weight = 0.0;
+        for bucket in bucket_range(span) {
+            let part = self.part(span, bucket);
+            let more = self.weight(part);
+            if weight > 0.0 && weight + more > most {
+                let last = u32::from(part.first) - 1;
+                pieces.extend(KeySpan::new(first as u16, last as u16));
+                first = u32::from(part.first);
+                weight = 0.0;
+            }
+            weight += more;
+        }
+        pieces.extend(KeySpan::new(first as u16, span.last));
+        pieces
+    }
+
+    /// Part of a span that lies in a bucket, or the bucket's first key if there is none.
+    pub(super) fn part(&self, span: KeySpan, bucket: usize) -> KeySpan {
+        let low = (bucket as u32 * BUCKET_KEYS) as u16;
+        let high = (bucket as u32 * BUCKET_KEYS + BUCKET_KEYS - 1) as u16;
+        KeySpan {
+            first: low.max(span.first),
+            last: high.min(span.last),
+        }
+    }
+}
+
+/// Buckets that share a key with a span.
+pub(super) fn bucket_range(span: KeySpan) -> std::ops::RangeInclusive<usize> {
+    let of = |key: u16| usize::from(KeyLoad::bucket(key));
+    of(span.first)..=of(span.last)
+}
+
+/// Share of a bucket's keys that lie in a span.
+fn overlap(span: KeySpan, bucket: usize) -> f64 {
+    let low = bucket as u32 * BUCKET_KEYS;
+    let high = low + BUCKET_KEYS - 1;
+    let first = low.max(u32::from(span.first));
+    let last = high.min(u32::from(span.last));
+    f64::from((last + 1).saturating_sub(first)) / f64::from(BUCKET_KEYS)
+}
--- a/lib/tests/raft_cluster/mod.rs
+++ b/lib/tests/raft_cluster/mod.rs
@@ -9,7 +9,7 @@
     moment::Moment,
     name::Node,
     process::raft::{
-        Action, Batch, Body, Entry, Identity, Member, Membership, Message, Payload, Raft,
+        Action, Batch, Body, Entry, Identity, Joining, Member, Membership, Message, Payload, Raft,
         RaftConfig, Restored, VoterChange,
     },
 };
@@ -115,6 +115,7 @@
             node: Node(node),
             identity: self.machine(node).identity,
             listed: (1..=self.listed.max(node)).map(Node).collect(),
+            joining: Joining::Listed,
             election: Duration::from_millis(ELECTION_MS),
             heartbeat: Duration::from_millis(HEARTBEAT_MS),
             drift: Duration::from_millis(DRIFT_MS),
--- a/lib/tests/test_raft_rules.rs
+++ b/lib/tests/test_raft_rules.rs
@@ -4,8 +4,8 @@
     moment::Moment,
     name::Node,
     process::raft::{
-        Action, AppendOutcome, Ballot, Body, Entry, HardState, Identity, Member, Membership,
-        Message, Payload, Raft, RaftConfig, Restored,
+        Action, AppendOutcome, Ballot, Body, Entry, HardState, Identity, Joining, Member,
+        Membership, Message, Payload, Raft, RaftConfig, Restored,
     },
 };
 use std::time::Duration;
@@ -43,6 +43,7 @@
         node: Node(1),
         identity: member(1).identity,
         listed: [1, 2, 3].map(Node).to_vec(),
+        joining: Joining::Listed,
         election: ELECTION,
         heartbeat: Duration::from_millis(20),
         drift: DRIFT,
--- /dev/null
+++ b/node/src/connection/core_link.rs
@@ -0,0 +1,104 @@
+//! Link to one core host, kept up by a task.
+//!
+//! While the host cannot be reached, messages are dropped: their senders repeat what matters. A
+//! connection that brings nothing for a while is made anew, since it may have fallen silent without
+//! a reset.
+
+use super::message::{MessageError, MessageStream, encode};
+use bytes::Bytes;
+use cornelrail_lib::version::feed::{Downward, Greeting, Upward};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout_at},
+};
+
+/// Messages that wait for the link.
+const MESSAGES_HELD: usize = 1_024;
+/// Messages sent in one go.
+const BURST: usize = 64;
+/// Pause between signs of life.
+const PING_PAUSE: Duration = Duration::from_millis(300);
+/// A connection that brought nothing for so long is made anew.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// Pause before a connection is tried again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(100);
+
+/// Handle of the task that keeps the link to one core host.
+#[derive(Debug, Clone)]
+pub struct CoreLink {
+    tx: mpsc::Sender<Upward>,
+}
+
+impl CoreLink {
+    /// Starts the task; what the host sends goes to `inbox`.
+    pub fn start(
+        address: SocketAddr,
+        greeting: Greeting,
+        inbox: mpsc::Sender<Downward>,
+    ) -> CoreLink {
+        let (tx, rx) = mpsc::channel(MESSAGES_HELD);
+        tokio::spawn(run(address, greeting, rx, inbox));
+        CoreLink { tx }
+    }
+
+    /// Sends a message, or drops it if the host cannot be reached.
+    pub fn send(&self, message: Upward) {
+        // The senders repeat what matters, so a full queue needs no other answer.
+        let _ = self.tx.try_send(message);
+    }
+}
+
+async fn run(
+    address: SocketAddr,
+    greeting: Greeting,
+    mut rx: mpsc::Receiver<Upward>,
+    inbox: mpsc::Sender<Downward>,
+) {
+    while !rx.is_closed() || !rx.is_empty() {
+        if let Ok(mut stream) = MessageStream::connect(address).await {
+            // The next connection begins anew, whatever ended this one.
+            let ended = serve(&mut stream, &greeting, &mut rx, &inbox).await;
+            if ended.is_ok() {
+                return;
+            }
+        }
+        sleep(REDIAL_PAUSE).await;
+        while rx.try_recv().is_ok() {}
+    }
+}
+
+/// Passes messages until the connection breaks; `Ok` once nobody uses the link any more.
+async fn serve(
+    stream: &mut MessageStream,
+    greeting: &Greeting,
+    rx: &mut mpsc::Receiver<Upward>,
+    inbox: &mpsc::Sender<Downward>,
+) -> Result<(), MessageError> {
+    stream.send([encode(greeting)?]).await?;
+    let mut burst = Vec::with_capacity(BURST);
+    let mut heard = Instant::now();
+    let mut ping = Instant::now() + PING_PAUSE;
+    loop {
+        tokio::select! {
+            count = rx.recv_many(&mut burst, BURST) => {
+                if count == 0 {
+                    return Ok(());
+                }
+                let messages: Result<Vec<Bytes>, _> = burst.drain(..).map(|m| encode(&m)).collect();
+                stream.send(messages?).await?;
+            }
+            message = timeout_at(heard + SILENCE, stream.receive::<Downward>()) => {
+                let message = message.map_err(|_| MessageError::Silent)??;
+                heard = Instant::now();
+                if !matches!(message, Downward::Pong) && inbox.send(message).await.is_err() {
+                    return Ok(());
+                }
+            }
+            () = tokio::time::sleep_until(ping) => {
+                stream.send([encode(&Upward::Ping)?]).await?;
+                ping = Instant::now() + PING_PAUSE;
+            }
+        }
+    }
+}
--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -1,7 +1,11 @@
 //! What lives as long as the tie to one target or peer.
 
 pub mod announce;
+pub mod core_link;
+pub mod http_server;
 pub mod incoming;
+pub mod message;
 pub mod peer;
+pub mod pool;
 pub mod target;
 pub mod wire;
--- /dev/null
+++ b/node/src/connection/pool.rs
@@ -0,0 +1,262 @@
+//! Connections of an entry to the targets that it sends to itself.
+//!
+//! A connection is driven by the request that uses it: nothing of it runs while it is idle, and
+//! dropping a request closes it, which is how a target learns that its caller has left. A connection
+//! goes back to the pool only when the answer and the request's body have both ended, so what a
+//! target sends beyond its answer is never taken for the next one.
+
+use crate::request::proxy_body::RequestBody;
+use bytes::Bytes;
+use cornelrail_lib::version::catalog::TargetId;
+use futures_util::FutureExt;
+use http::{Request, Response};
+use http_body::{Body, Frame, SizeHint};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, Connection, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll},
+    time::Duration,
+};
+use thiserror::Error;
+use tokio::{net::TcpStream, time::Instant, time::timeout};
+
+/// Time to connect to a target in another zone, several times over.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle time after which a connection is not used again, unless the target says less: targets may
+/// drop idle connections sooner than they say.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Part of the target's own idle time that is used.
+const KEEP_SHARE: f64 = 0.6;
+
+/// Why a target gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum SendError {
+    /// No byte of the request reached the target.
+    #[error("the target could not be reached; no byte was sent")]
+    NotSent,
+    /// The connection broke after bytes may have reached the target.
+    #[error("the connection broke while the target may have run the request")]
+    Broken,
+}
+
+/// One connection to a target; dropping it closes it.
+pub struct TargetConnection {
+    sender: SendRequest<RequestBody>,
+    driver: Pin<Box<Connection<TokioIo<TcpStream>, RequestBody>>>,
+    over: bool,
+    used: bool,
+}
+
+impl std::fmt::Debug for TargetConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("TargetConnection")
+            .field("over", &self.over)
+            .field("used", &self.used)
+            .finish_non_exhaustive()
+    }
+}
+
+impl TargetConnection {
+    async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = connecting
+            .ok()
+            .and_then(Result::ok)
+            .ok_or(SendError::NotSent)?;
+        stream.set_nodelay(true).map_err(|_| SendError::NotSent)?;
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = shaken.map_err(|_| SendError::NotSent)?;
+        Ok(TargetConnection {
+            sender,
+            driver: Box::pin(driver),
+            over: false,
+            used: false,
+        })
+    }
+
+    /// Whether the connection had carried a request before this one.
+    pub fn is_used(&self) -> bool {
+        self.used
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut answer = Box::pin(self.sender.try_send_request(request));
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut answer => {
+                    return answer.map_err(|mut error| match error.take_message() {
+                        Some(_unsent) => SendError::NotSent,
+                        None => SendError::Broken,
+                    });
+                }
+                // A broken connection shows at the request that uses it.
+                _ = &mut self.driver, if !self.over => self.over = true,
+            }
+        }
+    }
+
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        if !self.over && self.driver.as_mut().poll(cx).is_ready() {
+            self.over = true;
+        }
+    }
+
+    /// Whether it is still open and has nothing to read.
+    fn is_idle(&mut self) -> bool {
+        if !self.over && self.driver.as_mut().now_or_never().is_some() {
+            self.over = true;
+        }
+        !self.over && self.sender.is_ready()
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: TargetConnection,
+    until: Instant,
+}
+
+/// Idle connections by target.
+#[derive(Debug, Clone, Default)]
+pub struct Pool {
+    idle: Arc<Mutex<HashMap<TargetId, Vec<Idle>>>>,
+}
+
+impl Pool {
+    /// An idle connection, or a new one.
+    pub async fn take(
+        &self,
+        id: TargetId,
+        address: SocketAddr,
+    ) -> Result<TargetConnection, SendError> {
+        while let Some(mut idle) = self.pop(id) {
+            if Instant::now() < idle.until && idle.connection.is_idle() {
+                idle.connection.used = true;
+                return Ok(idle.connection);
+            }
+        }
+        self.open(address).await
+    }
+
+    /// A new connection.
+    pub async fn open(&self, address: SocketAddr) -> Result<TargetConnection, SendError> {
+        metrics::counter!("cornelrail_target_connections_total").increment(1);
+        TargetConnection::open(address).await
+    }
+
+    /// Closes what has been idle for too long, and all that leads to targets that are gone.
+    pub fn sweep(&self, is_known: impl Fn(TargetId) -> bool) {
+        let now = Instant::now();
+        self.with(|idle| {
+            idle.retain(|id, list| {
+                list.retain(|one| now < one.until);
+                !list.is_empty() && is_known(*id)
+            });
+        });
+    }
+
+    fn pop(&self, id: TargetId) -> Option<Idle> {
+        self.with(|idle| idle.get_mut(&id)?.pop())
+    }
+
+    fn give_back(&self, lease: &PoolPlace, connection: TargetConnection) {
+        let keep = lease.keep.map(|keep| keep.mul_f64(KEEP_SHARE));
+        let until = Instant::now() + keep.unwrap_or(IDLE_TIME).min(IDLE_TIME);
+        self.with(|idle| {
+            let list = idle.entry(lease.id).or_default();
+            if list.len() < lease.room {
+                list.push(Idle { connection, until });
+            }
+        });
+    }
+
+    fn with<T>(&self, use_it: impl FnOnce(&mut HashMap<TargetId, Vec<Idle>>) -> T) -> T {
+        // Nothing panics while the lock is held, so a poisoned one is as good as any.
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        use_it(&mut idle)
+    }
+}
+
+/// Where a connection goes once its answer has ended.
+#[derive(Debug, Clone)]
+pub struct PoolPlace {
+    /// The pool.
+    pub pool: Pool,
+    /// The target.
+    pub id: TargetId,
+    /// Idle connections that may be held to it.
+    pub room: usize,
+    /// Idle time that the target names.
+    pub keep: Option<Duration>,
+    /// Whether the connection may be used again.
+    pub reuse: bool,
+}
+
+/// Body of an answer, which drives its connection.
+#[derive(Debug)]
+pub struct AnswerBody {
+    body: Incoming,
+    connection: Option<TargetConnection>,
+    place: PoolPlace,
+}
+
+impl AnswerBody {
+    /// Body of an answer that came over `connection`.
+    pub fn new(body: Incoming, connection: TargetConnection, place: PoolPlace) -> Self {
+        AnswerBody {
+            body,
+            connection: Some(connection),
+            place,
+        }
+    }
+
+    fn finish(&mut self, cx: &mut Context<'_>) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        connection.drive(cx);
+        if self.place.reuse && !connection.over && connection.sender.is_ready() {
+            self.place.pool.give_back(&self.place, connection);
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(connection) = &mut self.connection {
+            connection.drive(cx);
+        }
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let ended = matches!(polled, Poll::Ready(None));
+        if ended || (matches!(polled, Poll::Ready(Some(Ok(_)))) && self.body.is_end_stream()) {
+            self.finish(cx);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream() && self.connection.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,7 @@
 use cornelrail_node::process::{
     daemon::{self, DaemonError},
     logging::{self, EventLog},
+    seeded,
     settings_file::{self, LoadError},
     telemetry::Telemetry,
 };
@@ -69,6 +70,12 @@
         Ok(Wish::Run(path)) => path,
         Err(report) => return fail(&report, EXIT_USAGE),
     };
+    if seeded::is_meant(&path) {
+        return match seeded::run(&path) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(report) => fail(&report, 1),
+        };
+    }
     let settings = match settings_file::load(&path) {
         Ok(settings) => settings,
         Err(error) => return fail(&error.into(), EXIT_USAGE),
--- a/node/src/process/clock.rs
+++ b/node/src/process/clock.rs
@@ -1,30 +1,41 @@
-//! The monotonic clock of the process.
+//! The clock of the process, which counts the time for which the machine was suspended.
+//!
+//! A lease that is read from it is over after a suspension that outlasted it. The runtime's timers
+//! stand still meanwhile, so whoever acts on a lease compares it with [`Clock::now`] first.
 
 use cornelrail_lib::moment::Moment;
-use std::time::{Duration, Instant};
+use rustix::time::{ClockId, clock_gettime};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Clock whose origin is the time of its making.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Clock that starts now.
     pub fn start() -> Self {
         Clock {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
     /// The present moment.
     pub fn now(&self) -> Moment {
-        Moment::from_micros(self.origin.elapsed().as_micros() as u64)
+        Moment::ZERO + since_boot().saturating_sub(self.origin)
     }
 
-    /// The instant of the runtime's timer that matches `moment`.
-    pub fn instant(&self, moment: Moment) -> tokio::time::Instant {
-        let span = Duration::from_micros(moment.as_micros());
-        tokio::time::Instant::from_std(self.origin + span)
+    /// The instant of the runtime's timer that matches `moment`, if the machine is not suspended
+    /// until then.
+    pub fn instant(&self, moment: Moment) -> Instant {
+        let now = self.now();
+        Instant::now() + moment.since(now) - now.since(moment)
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- /dev/null
+++ b/node/src/process/core/mod.rs
@@ -0,0 +1,131 @@
+//! A core host of a seeded fleet: keeps the replicated log, answers targets and operators, and
+//! feeds the entries.
+//!
+//! One task owns the catalog and, while this host leads, what the log does not keep. Connections
+//! and the voter talk to it by messages.
+
+mod control;
+mod leading;
+mod peers;
+mod pulse;
+mod task;
+
+pub use task::{CoreEvent, CoreHandle, Subscriber};
+
+use super::{
+    clock::Clock,
+    logging::EventLog,
+    store::StoreError,
+    voter::{self, VoterConfig},
+};
+use cornelrail_lib::{
+    name::Node,
+    process::{
+        event::Event,
+        raft::Joining,
+        seeded_settings::{Role, SeededSettings},
+    },
+};
+use miette::Diagnostic;
+use std::{io, net::IpAddr, net::SocketAddr, path::PathBuf, time::Duration};
+use thiserror::Error;
+use tokio::net::TcpListener;
+
+/// Name of every seeded fleet in its log; processes of another fleet are not reachable.
+const FLEET: &str = "seeded";
+/// Shortest election timeout: bears a disk that takes 25 times as long, and pauses of a host with
+/// half a core.
+const ELECTION: Duration = Duration::from_millis(600);
+/// Heartbeats of a leader in each election timeout.
+const BEATS_PER_ELECTION: u32 = 4;
+/// How much two clocks may run apart during an election timeout.
+const DRIFT: Duration = Duration::from_millis(20);
+/// Log entries kept behind a snapshot.
+const ENTRIES_RETAINED: u64 = 500;
+
+/// Why a seeded process cannot start.
+#[derive(Debug, Error, Diagnostic)]
+pub enum SeededError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address} (`{key}`): {source}")]
+    #[diagnostic(
+        code(cornelrail::seeded::listen),
+        help("end the process that holds the address, or set another one")
+    )]
+    Listen {
+        /// Key of the address in the settings.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The data folder cannot be used.
+    #[error(transparent)]
+    #[diagnostic(code(cornelrail::seeded::store))]
+    Store(#[from] StoreError),
+    /// The settings are those of another role.
+    #[error("the role `{0}` needs more settings than the file has")]
+    #[diagnostic(code(cornelrail::seeded::role), help("see docs/SETTINGS.md"))]
+    Role(&'static str),
+}
+
+/// Number of the host with this address. Hosts of a seeded fleet are told apart by their addresses.
+pub fn node_of(address: IpAddr) -> Node {
+    match address {
+        IpAddr::V4(address) => Node(u64::from(u32::from(address))),
+        IpAddr::V6(address) => Node(u128::from(address) as u64),
+    }
+}
+
+/// Address of a host by its number; the other way round of [`node_of`] for IPv4.
+pub fn address_of(node: Node) -> IpAddr {
+    IpAddr::V4(std::net::Ipv4Addr::from(node.0 as u32))
+}
+
+/// Binds an address.
+pub(super) async fn bind(
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, SeededError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| SeededError::Listen {
+        key,
+        address,
+        source,
+    })
+}
+
+/// Starts the tasks of a core host on the present runtime.
+pub async fn start(settings: SeededSettings) -> Result<CoreHandle, SeededError> {
+    let (Some(control), Some(data)) = (settings.listen.control, settings.data.clone()) else {
+        return Err(SeededError::Role(Role::Core.name()));
+    };
+    let peer_address = SocketAddr::new(settings.address, settings.port);
+    let peers = bind("port", peer_address).await?;
+    let control = bind("listen.control", control).await?;
+    let clock = Clock::start();
+    let (voter, events) = voter::start(voter_config(&settings, data, clock))?;
+    let handle = task::start(settings, clock, voter.clone(), events);
+    tokio::spawn(peers::run(peers, voter, handle.clone()));
+    tokio::spawn(control::run(control, handle.clone()));
+    Event::Started.log(format_args!("role=core peers={peer_address}"));
+    Ok(handle)
+}
+
+fn voter_config(settings: &SeededSettings, folder: PathBuf, clock: Clock) -> VoterConfig {
+    VoterConfig {
+        clock,
+        folder,
+        fleet: FLEET.to_owned(),
+        node: node_of(settings.address),
+        listed: settings.seeds.iter().map(|seed| node_of(*seed)).collect(),
+        joining: Joining::Seeded {
+            found: settings.found,
+        },
+        election: ELECTION,
+        heartbeat: ELECTION / BEATS_PER_ELECTION,
+        drift: DRIFT,
+        retain: ENTRIES_RETAINED,
+    }
+}
--- /dev/null
+++ b/node/src/process/core/peers.rs
@@ -0,0 +1,117 @@
+//! Connections that other processes of the fleet open to a core host.
+
+use super::task::CoreHandle;
+use crate::{
+    connection::message::{MessageError, MessageStream, encode},
+    process::{logging::EventLog, voter::VoterHandle},
+};
+use bytes::Bytes;
+use cornelrail_lib::{
+    name::Node,
+    process::{control_call::ControlReply, event::Event},
+    version::feed::{Downward, Greeting, Upward},
+};
+use std::time::Duration;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+/// Time for the first message, and for the next one: entries report several times a second.
+const SILENCE: Duration = Duration::from_secs(5);
+/// Answers that wait for a connection.
+const REPLIES_HELD: usize = 1_024;
+/// Messages sent in one go.
+const BURST: usize = 64;
+/// Pause after the system refused to accept, such as without descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections for ever.
+pub(super) async fn run(listener: TcpListener, voter: VoterHandle, core: CoreHandle) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(admit(stream, voter.clone(), core.clone()))),
+            Err(error) => {
+                Event::PeerRefused.log(format_args!("why={error}"));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn admit(stream: TcpStream, voter: VoterHandle, core: CoreHandle) {
+    let address = stream.peer_addr();
+    let Ok(mut stream) = MessageStream::new(stream) else {
+        return;
+    };
+    let greeting = timeout(SILENCE, stream.receive::<Greeting>()).await;
+    let ended = match greeting {
+        Ok(Ok(Greeting::Core { node })) => serve_core(stream, node, &voter, &core).await,
+        Ok(Ok(Greeting::Entry { name, .. })) => serve_entry(stream, name, &core).await,
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(MessageError::Silent),
+    };
+    if let (Err(error @ MessageError::Decode(_)), Ok(address)) = (ended, address) {
+        Event::PeerRefused.log(format_args!("address={address} why={error}"));
+    }
+}
+
+/// Takes messages of another core host, and answers the calls that it passes on.
+async fn serve_core(
+    mut stream: MessageStream,
+    node: Node,
+    voter: &VoterHandle,
+    core: &CoreHandle,
+) -> Result<(), MessageError> {
+    let (replies_tx, mut replies) = mpsc::channel::<(u64, ControlReply)>(REPLIES_HELD);
+    loop {
+        tokio::select! {
+            message = timeout(SILENCE, stream.receive::<Upward>()) => {
+                match message.map_err(|_| MessageError::Silent)?? {
+                    Upward::Raft(message) => voter.receive(node, message),
+                    Upward::Call(number, call) => {
+                        let (core, replies) = (core.clone(), replies_tx.clone());
+                        tokio::spawn(async move {
+                            let reply = core.call(call, true).await;
+                            // Without the connection the asker asks again.
+                            let _ = replies.send((number, reply)).await;
+                        });
+                    }
+                    Upward::Ping => stream.send([encode(&Downward::Pong)?]).await?,
+                    Upward::Report(_) => {}
+                }
+            }
+            Some((number, reply)) = replies.recv() => {
+                stream.send([encode(&Downward::Reply(number, reply))?]).await?;
+            }
+        }
+    }
+}
+
+/// Feeds an entry and takes its reports.
+async fn serve_entry(
+    mut stream: MessageStream,
+    name: String,
+    core: &CoreHandle,
+) -> Result<(), MessageError> {
+    let mut feed = core.follow(name).await;
+    let mut burst: Vec<Bytes> = Vec::with_capacity(BURST);
+    loop {
+        tokio::select! {
+            count = feed.recv_many(&mut burst, BURST) => {
+                if count == 0 {
+                    return Ok(());
+                }
+                stream.send(burst.drain(..)).await?;
+            }
+            message = timeout(SILENCE, stream.receive::<Upward>()) => {
+                match message.map_err(|_| MessageError::Silent)?? {
+                    Upward::Report(report) => core.report(report).await,
+                    Upward::Ping => stream.send([encode(&Downward::Pong)?]).await?,
+                    Upward::Raft(_) | Upward::Call(..) => {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/process/core/task.rs
@@ -0,0 +1,516 @@
+//! The task that owns the catalog of a core host.
+
+use super::{address_of, leading::Leading, node_of};
+use crate::{
+    connection::{core_link::CoreLink, message::encode},
+    process::{
+        clock::Clock,
+        logging::EventLog,
+        voter::{ProposeError, VoterEvent, VoterHandle},
+    },
+};
+use bytes::Bytes;
+use cornelrail_lib::{
+    moment::Moment,
+    name::Node,
+    process::{
+        control_call::{ControlCall, ControlReply},
+        event::Event,
+        seeded_settings::SeededSettings,
+    },
+    version::{
+        catalog::{Applied, Catalog, Update},
+        feed::{Downward, Greeting, Report, Upward},
+    },
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{MissedTickBehavior, interval},
+};
+
+/// Events that wait for the task.
+const EVENTS_HELD: usize = 4_096;
+/// Events taken in one go.
+const BURST: usize = 128;
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Commands applied between two snapshots.
+const SNAPSHOT_COMMANDS: u64 = 400;
+/// Messages that wait for one entry; one that is further behind has to follow anew.
+const FEED_HELD: usize = 256;
+
+/// What connections tell the task.
+#[derive(Debug)]
+pub enum CoreEvent {
+    /// A call, and whether it was passed on by another core host already.
+    Call(ControlCall, oneshot::Sender<ControlReply>, bool),
+    /// An entry wants to follow.
+    Follow(Subscriber),
+    /// What an entry saw.
+    Report(Report),
+    /// A command was not taken into the log, or its outcome is not known.
+    Failed(u64, ProposeError),
+    /// The process is to end.
+    Stop(oneshot::Sender<()>),
+}
+
+/// An entry that follows this host.
+#[derive(Debug)]
+pub struct Subscriber {
+    /// Name in logs.
+    pub name: String,
+    /// Way to it.
+    pub feed: mpsc::Sender<Bytes>,
+}
+
+/// Way to talk to the task.
+#[derive(Debug, Clone)]
+pub struct CoreHandle {
+    tx: mpsc::Sender<CoreEvent>,
+}
+
+impl CoreHandle {
+    /// Makes a call.
+    pub async fn call(&self, call: ControlCall, relayed: bool) -> ControlReply {
+        let (tx, rx) = oneshot::channel();
+        self.send(CoreEvent::Call(call, tx, relayed)).await;
+        rx.await.unwrap_or(ControlReply::Unavailable)
+    }
+
+    /// Asks to follow; gives the messages for the entry.
+    pub async fn follow(&self, name: String) -> mpsc::Receiver<Bytes> {
+        let (feed, rx) = mpsc::channel(FEED_HELD);
+        self.send(CoreEvent::Follow(Subscriber { name, feed }))
+            .await;
+        rx
+    }
+
+    /// Hands in a report of an entry.
+    pub async fn report(&self, report: Report) {
+        self.send(CoreEvent::Report(report)).await;
+    }
+
+    /// Ends the task and frees the data folder.
+    pub async fn stop(&self) {
+        let (tx, rx) = oneshot::channel();
+        self.send(CoreEvent::Stop(tx)).await;
+        // The way to answer is dropped with the task or before it.
+        let _ = rx.await;
+    }
+
+    async fn send(&self, event: CoreEvent) {
+        // A task that has ended drops the event, and with it the way to answer.
+        let _ = self.tx.send(event).await;
+    }
+}
+
+/// What is to be done once a command of this host is applied.
+#[derive(Debug)]
+pub(super) enum Then {
+    /// Nothing.
+    Nothing,
+    /// The planned updates of a service are in; it may be planned again.
+    Replan(cornelrail_lib::name::Service),
+    /// An operator or a target that leaves gets its answer.
+    Reply(oneshot::Sender<ControlReply>),
+    /// A target gets the answer to its heartbeat, once the last of its updates is applied.
+    Lease(cornelrail_lib::name::Target, oneshot::Sender<ControlReply>),
+}
+
+/// State of the task.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub(super) settings: SeededSettings,
+    pub(super) clock: Clock,
+    pub(super) voter: VoterHandle,
+    pub(super) catalog: Catalog,
+    pub(super) index: u64,
+    pub(super) leading: Option<Leading>,
+    pub(super) subscribers: Vec<Subscriber>,
+    leader: Option<Node>,
+    members: Vec<Node>,
+    links: HashMap<Node, CoreLink>,
+    replies_tx: mpsc::Sender<Downward>,
+    events_tx: mpsc::Sender<CoreEvent>,
+    relays: HashMap<u64, oneshot::Sender<ControlReply>>,
+    proposals: BTreeMap<u64, Then>,
+    number: u64,
+    snapshot: u64,
+    fresh: Vec<Update>,
+}
+
+/// Starts the task.
+pub(super) fn start(
+    settings: SeededSettings,
+    clock: Clock,
+    voter: VoterHandle,
+    voter_events: mpsc::Receiver<VoterEvent>,
+) -> CoreHandle {
+    let (tx, rx) = mpsc::channel(EVENTS_HELD);
+    let (replies_tx, replies) = mpsc::channel(EVENTS_HELD);
+    let task = Task {
+        settings,
+        clock,
+        voter,
+        catalog: Catalog::default(),
+        index: 0,
+        leading: None,
+        subscribers: Vec::new(),
+        leader: None,
+        members: Vec::new(),
+        links: HashMap::new(),
+        replies_tx,
+        events_tx: tx.clone(),
+        relays: HashMap::new(),
+        proposals: BTreeMap::new(),
+        // Numbers of commands are unique over the hosts and lives of the fleet by chance alone.
+        number: rand::random::<u64>() >> 1,
+        snapshot: 0,
+        fresh: Vec::new(),
+    };
+    tokio::spawn(task.run(rx, replies, voter_events));
+    CoreHandle { tx }
+}
+
+impl Task {
+    async fn run(
+        mut self,
+        mut events: mpsc::Receiver<CoreEvent>,
+        mut replies: mpsc::Receiver<Downward>,
+        mut voter_events: mpsc::Receiver<VoterEvent>,
+    ) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut burst = Vec::with_capacity(BURST);
+        let mut voted = Vec::with_capacity(BURST);
+        loop {
+            tokio::select! {
+                count = voter_events.recv_many(&mut voted, BURST) => {
+                    if count == 0 {
+                        return;
+                    }
+                    for event in voted.drain(..) {
+                        if !self.take_voter(event).await {
+                            return;
+                        }
+                    }
+                }
+                count = events.recv_many(&mut burst, BURST) => {
+                    if count == 0 {
+                        return;
+                    }
+                    for event in burst.drain(..) {
+                        if let CoreEvent::Stop(done) = event {
+                            self.voter.stop().await;
+                            // Whoever asked may be gone.
+                            let _ = done.send(());
+                            return;
+                        }
+                        self.take(event).await;
+                    }
+                }
+                Some(reply) = replies.recv() => self.take_reply(reply),
+                _ = tick.tick() => self.tick().await,
+            }
+            self.spread();
+            self.pulse();
+        }
+    }
+
+    pub(super) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    async fn take(&mut self, event: CoreEvent) {
+        match event {
+            CoreEvent::Call(call, reply, relayed) => self.take_call(call, reply, relayed).await,
+            CoreEvent::Follow(subscriber) => self.take_follower(subscriber),
+            CoreEvent::Report(report) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.take_report(report);
+                }
+            }
+            CoreEvent::Failed(number, error) => self.fail(number, error),
+            CoreEvent::Stop(_) => {}
+        }
+    }
+
+    async fn take_call(
+        &mut self,
+        call: ControlCall,
+        reply: oneshot::Sender<ControlReply>,
+        relayed: bool,
+    ) {
+        if self.leading.is_some() {
+            self.lead_call(call, reply).await;
+            return;
+        }
+        match self.leader.filter(|_| !relayed) {
+            Some(leader) if leader != node_of(self.settings.address) => {
+                self.number += 1;
+                let number = self.number;
+                self.relays.retain(|_, reply| !reply.is_closed());
+                self.relays.insert(number, reply);
+                self.link(leader).send(Upward::Call(number, call));
+            }
+            // The asker goes to another host, or asks again.
+            _ => drop(reply.send(ControlReply::Unavailable)),
+        }
+    }
+
+    fn take_reply(&mut self, reply: Downward) {
+        if let Downward::Reply(number, reply) = reply
+            && let Some(asker) = self.relays.remove(&number)
+        {
+            // The asker may have given up.
+            let _ = asker.send(reply);
+        }
+    }
+
+    /// Takes an event of the voter in; false if the process cannot go on.
+    async fn take_voter(&mut self, event: VoterEvent) -> bool {
+        match event {
+            VoterEvent::Send { to, message } => self.link(to).send(Upward::Raft(message)),
+            VoterEvent::Committed { index, command, .. } => self.commit(index, &command).await,
+            VoterEvent::Install { index, snapshot } => self.install(index, &snapshot),
+            VoterEvent::Role { leader, term, ours } => self.change_role(leader, term, ours).await,
+            VoterEvent::Failed(error) => {
+                Event::StoreFailed.log(format_args!("why={error}"));
+                return false;
+            }
+        }
+        true
+    }
+
+    fn link(&mut self, node: Node) -> &CoreLink {
+        let address = SocketAddr::new(address_of(node), self.settings.port);
+        let own = node_of(self.settings.address);
+        let inbox = &self.replies_tx;
+        self.links.entry(node).or_insert_with(|| {
+            CoreLink::start(address, Greeting::Core { node: own }, inbox.clone())
+        })
+    }
+
+    async fn commit(&mut self, index: u64, command: &[u8]) {
+        self.index = index;
+        if command.is_empty() {
+            self.refresh_members().await;
+            return;
+        }
+        let (number, update): (u64, Update) = match postcard::from_bytes(command) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                Event::StoreDamaged.log(format_args!("index={index} why={error}"));
+                return;
+            }
+        };
+        let applied = self.catalog.apply(&update);
+        log_update(index, &update, &applied);
+        self.fresh.push(update);
+        if let Some(then) = self.proposals.remove(&number) {
+            self.carry_on(then, &applied);
+        }
+        if let Some(leading) = &mut self.leading {
+            leading.catalog_changed();
+        }
+        if index >= self.snapshot + SNAPSHOT_COMMANDS {
+            self.snapshot = index;
+            self.take_snapshot().await;
+        }
+    }
+
+    async fn take_snapshot(&mut self) {
+        match postcard::to_stdvec(&self.catalog) {
+            Ok(state) => {
+                Event::SnapshotTaken.log(format_args!(
+                    "index={} bytes={}",
+                    self.index,
+                    state.len()
+                ));
+                self.voter.snapshot(self.index, state).await;
+            }
+            Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
+        }
+    }
+
+    fn install(&mut self, index: u64, snapshot: &[u8]) {
+        match postcard::from_bytes(snapshot) {
+            Ok(catalog) => {
+                self.catalog = catalog;
+                self.index = index;
+                self.snapshot = index;
+                self.fresh.clear();
+                self.subscribers.clear();
+                Event::SnapshotInstalled.log(format_args!("index={index}"));
+            }
+            Err(error) => Event::StoreDamaged.log(format_args!("index={index} why={error}")),
+        }
+    }
+
+    async fn change_role(&mut self, leader: Option<Node>, term: u64, ours: bool) {
+        self.leader = leader;
+        self.refresh_members().await;
+        let name = leader.map_or("none".to_owned(), |node| address_of(node).to_string());
+        Event::LeaderChanged.log(format_args!("leader={name} term={term} ours={ours}"));
+        match (ours, self.leading.is_some()) {
+            (true, false) => self.leading = Some(Leading::new(&self.settings, self.now())),
+            (false, true) => self.step_down(),
+            _ => {}
+        }
+    }
+
+    fn step_down(&mut self) {
+        self.leading = None;
+        for (_, then) in std::mem::take(&mut self.proposals) {
+            then.give_up();
+        }
+        // The entries look for the new leader.
+        self.subscribers.clear();
+    }
+
+    async fn refresh_members(&mut self) {
+        if let Some(status) = self.voter.status().await {
+            let members = status.membership.members().map(|member| member.node);
+            self.members = members.collect();
+            self.members.dedup();
+            let members = &self.members;
+            let leader = self.leader;
+            self.links
+                .retain(|node, _| members.contains(node) || leader == Some(*node));
+        }
+    }
+
+    /// Offers an update to the log.
+    pub(super) fn propose(&mut self, update: &Update, then: Then) {
+        self.number += 1;
+        let number = self.number;
+        let command = match postcard::to_stdvec(&(number, update)) {
+            Ok(command) => command,
+            Err(error) => {
+                Event::StoreFailed.log(format_args!("why={error}"));
+                return then.give_up();
+            }
+        };
+        self.proposals.insert(number, then);
+        let (voter, events) = (self.voter.clone(), self.events_tx.clone());
+        tokio::spawn(async move {
+            if let Err(error) = voter.propose(command).await {
+                // A task that has ended needs no news.
+                let _ = events.send(CoreEvent::Failed(number, error)).await;
+            }
+        });
+    }
+
+    fn fail(&mut self, number: u64, error: ProposeError) {
+        if let Some(then) = self.proposals.remove(&number) {
+            Event::ProposalFailed.log(format_args!("number={number} why={error}"));
+            if let (Then::Replan(service), Some(leading)) = (&then, &mut self.leading) {
+                leading.planned(service);
+            }
+            then.give_up();
+        }
+    }
+
+    /// Sends what was committed to the entries that follow.
+    fn spread(&mut self) {
+        if self.fresh.is_empty() {
+            return;
+        }
+        let updates = std::mem::take(&mut self.fresh);
+        if !self.subscribers.is_empty() {
+            self.broadcast(&Downward::Updates(self.index, updates));
+        }
+    }
+
+    pub(super) fn broadcast(&mut self, message: &Downward) {
+        match encode(message) {
+            Ok(bytes) => self.subscribers.retain(|subscriber| {
+                let sent = subscriber.feed.try_send(bytes.clone()).is_ok();
+                if !sent {
+                    Event::EntryLost.log(format_args!("entry={}", subscriber.name));
+                }
+                sent
+            }),
+            Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
+        }
+    }
+
+    fn take_follower(&mut self, subscriber: Subscriber) {
+        self.spread();
+        let members = Downward::Members {
+            leader: self.leader,
+            nodes: self.members.clone(),
+        };
+        let mut messages = vec![members];
+        if self.leading.is_some() {
+            messages.push(Downward::Copy(self.index, Box::new(self.catalog.clone())));
+        }
+        for message in &messages {
+            let sent = encode(message).map(|bytes| subscriber.feed.try_send(bytes));
+            if !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+        }
+        if let Some(leading) = &mut self.leading {
+            leading.hasten_pulse();
+            Event::EntryUp.log(format_args!("entry={}", subscriber.name));
+            self.subscribers.push(subscriber);
+        }
+    }
+}
+
+impl Then {
+    /// Answers that the outcome is not known.
+    fn give_up(self) {
+        match self {
+            Then::Reply(reply) | Then::Lease(_, reply) => {
+                // The asker may have given up.
+                let _ = reply.send(ControlReply::Unavailable);
+            }
+            Then::Nothing | Then::Replan(_) => {}
+        }
+    }
+}
+
+fn log_update(index: u64, update: &Update, applied: &Applied) {
+    match (update, applied) {
+        (Update::Desired(change), Applied::Changed { items }) => Event::DesiredChanged.log(
+            format_args!("index={index} sent={} changed={items}", change.len()),
+        ),
+        (Update::Desired(_), Applied::Refused(error)) => {
+            Event::DesiredRefused.log(format_args!("index={index} why={error}"));
+        }
+        (Update::ZoneOut(zone), _) => Event::ZoneOut.log(format_args!("index={index} zone={zone}")),
+        (Update::ZoneIn(zone), _) => Event::ZoneIn.log(format_args!("index={index} zone={zone}")),
+        (Update::Join(record), Applied::Joined(id)) => Event::TargetAdmitted.log(format_args!(
+            "index={index} id={id} target={} life={} service={} address={} zone={}",
+            record.name, record.life, record.service, record.address, record.zone
+        )),
+        (Update::Leave(id), _) => Event::TargetLeaving.log(format_args!("index={index} id={id}")),
+        (Update::Remove(id), _) => Event::TargetLost.log(format_args!("index={index} id={id}")),
+        (
+            Update::Move {
+                service,
+                span,
+                next,
+            },
+            Applied::Changed { .. },
+        ) => Event::MoveBegun.log(format_args!(
+            "index={index} service={service} keys={span} next={next}"
+        )),
+        (Update::Assign { service, grants }, Applied::Changed { items }) => {
+            Event::MoveEnded.log(format_args!(
+                "index={index} service={service} spans={items} first={}",
+                grants
+                    .first()
+                    .map_or(String::new(), |g| format!("{}:{}", g.span, g.owner)),
+            ));
+        }
+        _ => {}
+    }
+}
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -28,6 +28,7 @@
     name::{Incarnation, Node},
     process::{
         event::Event,
+        raft::Joining,
         settings::{Limits, Listen, Settings},
     },
     request::quarantine::Crash,
@@ -108,16 +109,18 @@
 /// The voter with its events, on a host with a data folder.
 type StartedVoter = Option<(VoterHandle, mpsc::Receiver<VoterEvent>)>;
 
-fn start_voter(settings: &Settings) -> Result<StartedVoter, DaemonError> {
+fn start_voter(settings: &Settings, clock: Clock) -> Result<StartedVoter, DaemonError> {
     let Some(folder) = settings.data.clone().filter(|_| settings.is_voter()) else {
         return Ok(None);
     };
     let voters = settings.peers.iter().filter(|peer| peer.voter);
     let config = VoterConfig {
+        clock,
         folder,
         fleet: settings.fleet.clone(),
         node: settings.node,
         listed: voters.map(|peer| peer.node).collect(),
+        joining: Joining::Listed,
         election: settings.timing.election,
         heartbeat: settings.timing.election / 4,
         drift: settings.timing.drift,
@@ -212,8 +215,8 @@
     /// Starts all tasks on the runtime that is entered; requests live on the runtime `requests`.
     fn start(settings: &Arc<Settings>, requests: Handle) -> Result<Plane, DaemonError> {
         let transport = Transport::bind(settings)?;
-        let (voter, voter_events) = start_voter(settings)?.unzip();
         let clock = Clock::start();
+        let (voter, voter_events) = start_voter(settings, clock)?.unzip();
         let life = incarnation();
         let peers = peer_links(settings, &transport);
         let (view_tx, view) = watch::channel(View::default());
--- /dev/null
+++ b/node/src/process/entry/follow.rs
@@ -0,0 +1,160 @@
+//! Following the leader: where the entry's copy comes from.
+//!
+//! Any core host tells who leads. The entry stays with the leader until its connection breaks or
+//! falls silent, and goes on by its copy until it has found the next one.
+
+use super::Entry;
+use crate::{
+    connection::message::{MessageError, MessageStream, encode},
+    process::{core::address_of, logging::EventLog},
+};
+use cornelrail_lib::{
+    name::Node,
+    process::{event::Event, seeded_settings::SeededSettings},
+    version::feed::{Downward, Greeting, Upward},
+};
+use std::{
+    collections::VecDeque,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
+};
+
+/// Pause between two reports.
+const REPORT_PAUSE: Duration = Duration::from_millis(500);
+/// A leader that sends nothing for so long is left: four pulses.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// Pause after all known core hosts were asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Core hosts that this entry knows.
+#[derive(Debug, Default)]
+struct Directory {
+    leader: Option<Node>,
+    nodes: Vec<Node>,
+}
+
+impl Directory {
+    /// Hosts to ask, the leader first.
+    fn round(&self, seeds: &[IpAddr]) -> VecDeque<IpAddr> {
+        let mut round: VecDeque<IpAddr> = VecDeque::new();
+        let known = self.leader.iter().chain(&self.nodes);
+        for address in known
+            .map(|node| address_of(*node))
+            .chain(seeds.iter().copied())
+        {
+            if !round.contains(&address) {
+                round.push_back(address);
+            }
+        }
+        round
+    }
+}
+
+/// Follows for ever.
+pub(super) async fn run(
+    entry: Arc<Entry>,
+    settings: SeededSettings,
+    seeds: watch::Receiver<Vec<IpAddr>>,
+) {
+    let greeting = Greeting::Entry {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+    };
+    let mut directory = Directory::default();
+    loop {
+        let mut round = directory.round(&seeds.borrow().clone());
+        while let Some(host) = round.pop_front() {
+            let address = SocketAddr::new(host, settings.port);
+            let Err(error) = ask(&entry, address, &greeting, &mut directory).await;
+            // Whoever leads by the answer is asked next.
+            if let Some(leader) = directory.leader.take() {
+                let leader = address_of(leader);
+                if leader != host {
+                    round.push_front(leader);
+                }
+            }
+            if let MessageError::Decode(error) = error {
+                Event::PeerRefused.log(format_args!("address={address} why={error}"));
+            }
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Follows one host as long as it leads.
+async fn ask(
+    entry: &Arc<Entry>,
+    address: SocketAddr,
+    greeting: &Greeting,
+    directory: &mut Directory,
+) -> Result<std::convert::Infallible, MessageError> {
+    let mut stream = MessageStream::connect(address).await?;
+    stream.send([encode(greeting)?]).await?;
+    let mut follower = Follower {
+        entry,
+        address,
+        following: false,
+    };
+    let mut heard = Instant::now();
+    let mut report = interval(REPORT_PAUSE);
+    report.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            message = timeout_at(heard + SILENCE, stream.receive::<Downward>()) => {
+                heard = Instant::now();
+                follower.take(message.map_err(|_| MessageError::Silent)??, directory);
+            }
+            _ = report.tick(), if follower.following => {
+                let report = entry.router().take_report();
+                stream.send([encode(&Upward::Report(report))?]).await?;
+            }
+        }
+    }
+}
+
+struct Follower<'a> {
+    entry: &'a Arc<Entry>,
+    address: SocketAddr,
+    following: bool,
+}
+
+impl Follower<'_> {
+    fn take(&mut self, message: Downward, directory: &mut Directory) {
+        let now = self.entry.clock.now();
+        match message {
+            Downward::Members { leader, nodes } => {
+                directory.leader = leader;
+                if !nodes.is_empty() {
+                    directory.nodes = nodes;
+                }
+            }
+            Downward::Copy(index, catalog) => {
+                self.following = self.entry.router().copy(now, index, *catalog);
+                Event::LeaderFollowed.log(format_args!(
+                    "leader={} index={index} taken={}",
+                    self.address, self.following
+                ));
+            }
+            Downward::Updates(index, updates) => {
+                self.entry.router().update(now, index, &updates);
+            }
+            Downward::Pulse(pulse) if self.following => self.entry.router().pulse(now, pulse),
+            Downward::Pulse(_) | Downward::Pong | Downward::Reply(..) => {}
+        }
+        self.entry.changes.notify_waiters();
+    }
+}
+
+impl Drop for Follower<'_> {
+    fn drop(&mut self) {
+        if self.following {
+            let index = self.entry.router().index().unwrap_or_default();
+            Event::LeaderLost.log(format_args!("leader={} index={index}", self.address));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/process/entry/front.rs
@@ -0,0 +1,86 @@
+//! Connections of callers.
+
+use super::Entry;
+use crate::request::proxy;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::sleep,
+};
+
+/// Least size of the buffer for a head that the HTTP library takes.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+/// Pause after the system refused to accept, such as without descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until the entry closes.
+pub(super) async fn run(
+    listener: TcpListener,
+    entry: Arc<Entry>,
+    mut closing: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let open = Open::new(entry.clone());
+                tokio::spawn(serve(stream, open, closing.clone()));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Counts an open connection.
+struct Open {
+    entry: Arc<Entry>,
+}
+
+impl Open {
+    fn new(entry: Arc<Entry>) -> Self {
+        entry.connections.fetch_add(1, Ordering::Relaxed);
+        Open { entry }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.entry.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(stream: TcpStream, open: Open, mut closing: watch::Receiver<bool>) {
+    // Without it answers are only later.
+    let _ = stream.set_nodelay(true);
+    let limits = open.entry.router().limits();
+    let entry = open.entry.clone();
+    let service = service_fn(move |request| {
+        let entry = entry.clone();
+        async move { Ok::<_, Infallible>(proxy::serve(entry, request).await) }
+    });
+    let head_size = usize::try_from(limits.head_size).unwrap_or(LEAST_HEAD_BYTES);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the idle time before a head as part of its arrival.
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(head_size.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // A caller that breaks off needs no answer.
+        _ = connection.as_mut() => return,
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- /dev/null
+++ b/node/src/process/entry/mod.rs
@@ -0,0 +1,196 @@
+//! An entry of a seeded fleet: takes callers' requests and sends them to targets by its copy of the
+//! fleet.
+//!
+//! The copy stands behind one lock that is held for a decision and never across a wait. A task of
+//! its own would own it more clearly, but each request would pay two more wake-ups, which is what an
+//! entry host of a tenth of a core has least of.
+
+mod follow;
+mod front;
+
+use super::{
+    clock::Clock,
+    core::{SeededError, bind},
+    logging::EventLog,
+};
+use crate::connection::{
+    http_server::{self, respond},
+    pool::Pool,
+};
+use bytes::Bytes;
+use cornelrail_lib::{
+    process::{
+        event::Event,
+        seeded_settings::{Role, SeededSettings},
+    },
+    request::balance::{Router, RouterConfig},
+};
+use cornelrail_platform::READY_PATH;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, futures::OwnedNotified, watch},
+    time::{Instant, interval, sleep},
+};
+
+/// Pause between two sweeps of the idle connections.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+/// Age of the copy beyond which other entries serve better.
+const READY_AGE: Duration = Duration::from_millis(2_500);
+/// Time for the balancer to learn that this entry ends: two of its questions and a bit.
+const LEAVING_TIME: Duration = Duration::from_millis(2_500);
+/// Time that is left of the grace when the last requests are given up.
+const LAST_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between two looks whether the last request has ended.
+const END_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the tasks of an entry share.
+#[derive(Debug)]
+pub struct Entry {
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Connections to targets.
+    pub pool: Pool,
+    router: Mutex<Router>,
+    changes: Arc<Notify>,
+    stopping: AtomicBool,
+    connections: AtomicUsize,
+}
+
+impl Entry {
+    fn new(settings: &SeededSettings) -> Self {
+        let config = RouterConfig {
+            zone: settings.zone.clone(),
+            drain: settings.drain,
+            evacuate: settings.evacuate,
+            retry_ratio: settings.retry.ratio,
+            retry_floor: settings.retry.floor,
+            retry_window: settings.retry.window.0,
+        };
+        Entry {
+            clock: Clock::start(),
+            pool: Pool::default(),
+            router: Mutex::new(Router::new(config)),
+            changes: Arc::new(Notify::new()),
+            stopping: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+        }
+    }
+
+    /// The copy of the fleet, for one decision.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        // A decision that panicked left the copy as whole as it was before.
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends when the copy changes after this call.
+    pub fn changed(&self) -> OwnedNotified {
+        // `notify_waiters` reaches all that were made before it, polled or not.
+        self.changes.clone().notified_owned()
+    }
+
+    /// Whether the process is to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        let router = self.router();
+        let young = router.age(now).is_some_and(|age| age < READY_AGE);
+        router.is_set_up() && young && !self.is_stopping()
+    }
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryHandle {
+    entry: Arc<Entry>,
+    seeds: watch::Sender<Vec<IpAddr>>,
+    closing: watch::Sender<bool>,
+    grace: Duration,
+}
+
+/// Starts the tasks of an entry on the present runtime.
+pub async fn start(settings: SeededSettings) -> Result<EntryHandle, SeededError> {
+    let (Some(callers), Some(ready)) = (settings.listen.callers, settings.listen.ready) else {
+        return Err(SeededError::Role(Role::Entry.name()));
+    };
+    let callers_listener = bind("listen.callers", callers).await?;
+    let ready_listener = bind("listen.ready", ready).await?;
+    let entry = Arc::new(Entry::new(&settings));
+    let (seeds, seeds_rx) = watch::channel(settings.seeds.clone());
+    let (closing, closing_rx) = watch::channel(false);
+    Event::Started.log(format_args!(
+        "role=entry zone={} callers={callers}",
+        settings.zone
+    ));
+    let grace = settings.grace;
+    tokio::spawn(follow::run(entry.clone(), settings, seeds_rx));
+    tokio::spawn(front::run(callers_listener, entry.clone(), closing_rx));
+    tokio::spawn(serve_ready(ready_listener, entry.clone()));
+    tokio::spawn(sweep(entry.clone()));
+    Ok(EntryHandle {
+        entry,
+        seeds,
+        closing,
+        grace,
+    })
+}
+
+impl EntryHandle {
+    /// Takes other seeds over.
+    pub fn reseed(&self, seeds: &[IpAddr]) {
+        self.seeds.send_replace(seeds.to_vec());
+    }
+
+    /// Ends in good order: the balancer is told first, and what was begun is finished.
+    pub async fn stop(self) {
+        let end = Instant::now() + self.grace.saturating_sub(LAST_MARGIN);
+        self.entry.stopping.store(true, Ordering::Relaxed);
+        Event::Stopping.log(format_args!("limit={:?}", self.grace));
+        sleep(LEAVING_TIME.min(self.grace / 2)).await;
+        self.closing.send_replace(true);
+        while self.entry.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+            sleep(END_PAUSE).await;
+        }
+        let open = self.entry.connections.load(Ordering::Relaxed);
+        Event::Stopped.log(format_args!("connections={open}"));
+    }
+}
+
+async fn serve_ready(listener: TcpListener, entry: Arc<Entry>) {
+    let handle = move |request: Request<Incoming>| {
+        let entry = entry.clone();
+        async move { answer_ready(&entry, &request) }
+    };
+    http_server::run(listener, handle).await;
+}
+
+fn answer_ready(entry: &Entry, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let status = match (request.uri().path() == READY_PATH, entry.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    respond(status, Vec::new())
+}
+
+async fn sweep(entry: Arc<Entry>) {
+    let mut pause = interval(SWEEP_PAUSE);
+    loop {
+        pause.tick().await;
+        let router = entry.router();
+        entry.pool.sweep(|id| router.knows(id));
+    }
+}
--- a/node/src/process/logging.rs
+++ b/node/src/process/logging.rs
@@ -10,12 +10,20 @@
 };
 use flexi_logger::{
     Age, Cleanup, Criterion, DeferredNow, FileSpec, FlexiLoggerError, LogSpecification, Logger,
-    LoggerHandle, Naming, WriteMode,
+    LoggerHandle, Naming, WriteMode, writers::LogWriter,
 };
 use log::{LevelFilter, Record};
 use miette::Diagnostic;
 use serde::Serialize;
-use std::{fmt, io};
+use std::{
+    fmt,
+    io::{self, Write},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+};
 use thiserror::Error;
 
 /// Target of the records of numbered events.
@@ -24,6 +32,12 @@
 const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
 /// Size at which a log file is cut, in bytes.
 const FILE_SIZE: u64 = 16 << 20;
+/// Lines that wait for the reader of the log.
+const LINES_HELD: usize = 1_024;
+/// Usual length of a line, in bytes.
+const LINE_BYTES: usize = 160;
+/// Stack of the thread that writes lines, in bytes: it only copies.
+const WRITER_STACK: usize = 64 << 10;
 /// Log files that are kept besides the current one.
 const FILES_KEPT: usize = 8;
 
@@ -85,6 +99,74 @@
     Ok(logger.start()?)
 }
 
+/// Starts a log on standard output that never blocks; it ends when the handle is dropped.
+pub fn start_bounded(level: LogLevel) -> Result<LoggerHandle, LogError> {
+    let writer = BoundedWriter::start().map_err(FlexiLoggerError::OutputIo)?;
+    let logger = Logger::with(specification(level))
+        .use_utc()
+        .log_to_writer(Box::new(writer));
+    Ok(logger.start()?)
+}
+
+/// Writes lines from a thread of its own. Lines that find no room are dropped and counted.
+struct BoundedWriter {
+    lines: mpsc::SyncSender<Vec<u8>>,
+    dropped: AtomicU64,
+}
+
+impl BoundedWriter {
+    fn start() -> io::Result<Self> {
+        let (lines, rx) = mpsc::sync_channel::<Vec<u8>>(LINES_HELD);
+        let thread = thread::Builder::new()
+            .name("log".to_owned())
+            .stack_size(WRITER_STACK);
+        thread.spawn(move || {
+            let mut out = io::stdout();
+            while let Ok(mut bytes) = rx.recv() {
+                while let Ok(more) = rx.try_recv() {
+                    bytes.extend(more);
+                }
+                // Without a reader there is nobody to tell.
+                let _ = out.write_all(&bytes).and_then(|()| out.flush());
+            }
+        })?;
+        Ok(BoundedWriter {
+            lines,
+            dropped: AtomicU64::new(0),
+        })
+    }
+
+    fn pass(&self, line: Vec<u8>) -> bool {
+        self.lines.try_send(line).is_ok()
+    }
+}
+
+impl LogWriter for BoundedWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut line = Vec::with_capacity(LINE_BYTES);
+        text_line(&mut line, now, record)?;
+        line.push(b'\n');
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let event = Event::LinesDropped;
+            let time = now.format(TIME_FORMAT);
+            let head = format!("{time} WARN  {} {} ", event.code(), event.name());
+            let told = self.pass(format!("{head}count={dropped}\n").into_bytes());
+            if !told {
+                self.dropped.fetch_add(dropped, Ordering::Relaxed);
+            }
+        }
+        if !self.pass(line) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Lets our own records pass from `level` on, and warnings of libraries.
 fn specification(level: LogLevel) -> LogSpecification {
     let own = match level {
--- a/node/src/process/telemetry.rs
+++ b/node/src/process/telemetry.rs
@@ -8,8 +8,9 @@
 //! Metrics are recorded by `metrics` and rendered as Prometheus text at the operators' address.
 
 use super::logging::EventLog;
+use crate::connection::http_server::{self, respond};
 use cornelrail_lib::process::event::Event;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use miette::Diagnostic;
 use opentelemetry::{
@@ -22,8 +23,9 @@
     propagation::TraceContextPropagator,
     trace::{Sampler, SdkTracerProvider, SpanData, SpanExporter},
 };
-use std::time::Duration;
+use std::{io, net::SocketAddr, time::Duration};
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tracing::{Span, subscriber::SetGlobalDefaultError};
 use tracing_opentelemetry::{OpenTelemetryLayer, OpenTelemetrySpanExt};
 use tracing_subscriber::{Layer, filter::filter_fn, layer::SubscriberExt, registry::Registry};
@@ -89,6 +91,22 @@
         Ok(Telemetry { metrics, provider })
     }
 
+    /// Installs the recorder of metrics alone and serves them as text at an address.
+    pub async fn serve_metrics(address: SocketAddr) -> io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(&LATENCY_BUCKETS)
+            .and_then(PrometheusBuilder::install_recorder);
+        let metrics = recorder.map_err(io::Error::other)?;
+        tokio::spawn(Telemetry::upkeep(metrics.clone()));
+        let handle = move |_request| {
+            let text = metrics.render();
+            async move { respond(StatusCode::OK, text.into_bytes()) }
+        };
+        tokio::spawn(http_server::run(listener, handle));
+        Ok(())
+    }
+
     /// Keeps the memory of the metrics bounded; runs until it is dropped.
     pub async fn upkeep(metrics: PrometheusHandle) {
         loop {
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -7,6 +7,7 @@
 
 pub use super::voter_handle::{ProposeError, VoterConfig, VoterEvent, VoterHandle, VoterStatus};
 use super::{
+    clock::Clock,
     logging::EventLog,
     store::{Store, StoreError},
     voter_handle::Request,
@@ -20,7 +21,7 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -49,6 +50,7 @@
         node: config.node,
         identity: opened.identity,
         listed: config.listed,
+        joining: config.joining,
         election: config.election,
         heartbeat: config.heartbeat,
         drift: config.drift,
@@ -57,11 +59,11 @@
     };
     let (requests, inbox) = mpsc::channel(REQUESTS);
     let (events, receiver) = mpsc::channel(EVENTS);
-    let raft = Raft::new(raft_config, opened.restored, Moment::ZERO);
+    let raft = Raft::new(raft_config, opened.restored, config.clock.now());
     let voter = Voter {
         membership: raft.membership().clone(),
         raft,
-        origin: Instant::now(),
+        clock: config.clock,
         election: config.election,
         disk: Disk::Idle(opened.store),
         inbox,
@@ -72,7 +74,11 @@
         batches: 0,
     };
     tokio::spawn(voter.run());
-    Ok((VoterHandle { requests }, receiver))
+    let handle = VoterHandle {
+        requests,
+        clock: config.clock,
+    };
+    Ok((handle, receiver))
 }
 
 /// Writes to the log that a data folder lost what may have been acknowledged.
@@ -116,7 +122,7 @@
     raft: Raft,
     /// Membership that the log of events told of last.
     membership: Membership,
-    origin: Instant,
+    clock: Clock,
     election: Duration,
     disk: Disk,
     inbox: mpsc::Receiver<Request>,
@@ -140,7 +146,7 @@
             if self.stopping.is_some() {
                 return self.stop().await;
             }
-            let wakeup = self.origin + self.raft.next_wakeup().since(Moment::ZERO);
+            let wakeup = self.clock.instant(self.raft.next_wakeup());
             tokio::select! {
                 count = self.inbox.recv_many(&mut burst, BURST) => {
                     if count == 0 {
@@ -159,14 +165,14 @@
                         _ => return,
                     }
                 }
-                () = time::sleep_until(wakeup.into()) => {}
+                () = time::sleep_until(wakeup) => {}
             }
             self.raft.tick(self.now());
         }
     }
 
     fn now(&self) -> Moment {
-        Moment::ZERO + self.origin.elapsed()
+        self.clock.now()
     }
 
     fn take(&mut self, request: Request) {
@@ -200,7 +206,7 @@
             snapshot: self.raft.snapshot_index(),
             membership: self.raft.membership().clone(),
             batches: self.batches,
-            lease: lease.map(|end| self.origin + end.min(longest).since(Moment::ZERO)),
+            lease: lease.map(|end| end.min(longest)),
         }
     }
 
--- a/node/src/process/voter_handle.rs
+++ b/node/src/process/voter_handle.rs
@@ -1,20 +1,20 @@
 //! Settings, messages and handle of the voter's task.
 
-use super::store::StoreError;
+use super::{clock::Clock, store::StoreError};
 use cornelrail_lib::{
+    moment::Moment,
     name::Node,
-    process::raft::{ChangeError, Member, Membership, Message, RoleNews, VoterChange},
-};
-use std::{
-    path::PathBuf,
-    time::{Duration, Instant},
+    process::raft::{ChangeError, Joining, Member, Membership, Message, RoleNews, VoterChange},
 };
+use std::{path::PathBuf, time::Duration};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
 /// Settings of a voter.
 #[derive(Debug, Clone)]
 pub struct VoterConfig {
+    /// Clock of the process.
+    pub clock: Clock,
     /// Data folder.
     pub folder: PathBuf,
     /// Name of the fleet.
@@ -23,6 +23,8 @@
     pub node: Node,
     /// Nodes that the settings list as voters, this one included.
     pub listed: Vec<Node>,
+    /// Who may join the log, and who may found it.
+    pub joining: Joining,
     /// Shortest election timeout; the longest is twice that.
     pub election: Duration,
     /// Pause between heartbeats of a leader.
@@ -100,7 +102,7 @@
     /// Membership in force.
     pub membership: Membership,
     /// End of the lease that this voter holds as leader.
-    pub lease: Option<Instant>,
+    pub lease: Option<Moment>,
     /// Batches synced to disk since the start.
     pub batches: u64,
 }
@@ -119,6 +121,7 @@
 #[derive(Debug, Clone)]
 pub struct VoterHandle {
     pub(super) requests: mpsc::Sender<Request>,
+    pub(super) clock: Clock,
 }
 
 impl VoterHandle {
@@ -136,11 +139,11 @@
 
     /// Whether this voter leads and no other can, at the time of the answer.
     pub async fn has_lease(&self) -> bool {
-        self.lease().await.is_some_and(|end| Instant::now() < end)
+        self.lease().await.is_some_and(|end| self.clock.now() < end)
     }
 
     /// End of the lease that this voter holds as leader.
-    pub async fn lease(&self) -> Option<Instant> {
+    pub async fn lease(&self) -> Option<Moment> {
         self.status().await?.lease
     }
 
--- a/node/src/request/mod.rs
+++ b/node/src/request/mod.rs
@@ -11,6 +11,8 @@
 pub mod home_handle;
 mod home_targets;
 pub mod message;
+pub mod proxy;
+pub mod proxy_body;
 pub mod route;
 pub mod serve;
 mod tally;
--- /dev/null
+++ b/node/src/request/proxy.rs
@@ -0,0 +1,491 @@
+//! One request of a caller at an entry that sends to targets itself.
+//!
+//! The request goes to a target once, and again only where that cannot run it twice. Whatever
+//! becomes of it, the caller gets one answer: the target's own, or one that says truthfully whether
+//! the request may have run.
+
+use super::proxy_body::{ReplyBody, RequestBody, WHOLE_BYTES, discard, read_short};
+use crate::{
+    connection::pool::{AnswerBody, PoolPlace, SendError, TargetConnection},
+    process::{entry::Entry, logging::EventLog},
+};
+use bytes::Bytes;
+use cornelrail_lib::{
+    moment::Moment,
+    name::Target,
+    process::event::Event,
+    request::balance::{Ask, Denial, LoadReport, Outcome, Place, Routed, Turned, Wish},
+    version::catalog::TargetId,
+};
+use cornelrail_platform::{
+    caller::{CallerHead, is_hop_header, retry_after},
+    target::{AnswerHead, address_request},
+};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode, Version,
+    header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER},
+};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Deadline of a request that names none.
+const USUAL_DEADLINE: Duration = Duration::from_secs(30);
+/// Time that the answer needs to the caller before its deadline.
+const WAY_BACK: Duration = Duration::from_millis(20);
+/// A try that has less time than this left is not begun.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
+/// Pause named to a caller at an entry that knows too little.
+const STALE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Final answer of this entry's own.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Refusal {
+    status: StatusCode,
+    reason: &'static str,
+    pause: Option<Duration>,
+}
+
+impl Refusal {
+    /// It has not run and will not.
+    fn not_run(reason: &'static str, pause: Duration) -> Self {
+        Refusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            pause: Some(pause),
+        }
+    }
+
+    fn denied(status: StatusCode, reason: &'static str) -> Self {
+        Refusal {
+            status,
+            reason,
+            pause: None,
+        }
+    }
+}
+
+/// What is known of a request while it is served.
+#[derive(Debug)]
+struct Job {
+    id: String,
+    head: CallerHead,
+    routed: Routed,
+    parts: http::request::Parts,
+    since: Moment,
+    until: Instant,
+    tried: Vec<TargetId>,
+    arrivals: u32,
+    unknown: bool,
+}
+
+/// How one sending ended.
+#[derive(Debug)]
+enum Tried {
+    Answer(Response<ReplyBody>),
+    /// Nothing was sent.
+    Unreachable,
+    /// The target said that it has not run it.
+    NotRun {
+        misdirected: bool,
+    },
+    /// It may have run.
+    Broken,
+    /// The time is up while it may run.
+    Late,
+}
+
+/// Serves one request.
+pub async fn serve(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let since = entry.clock.now();
+    let (parts, body) = request.into_parts();
+    let head = CallerHead::read(&parts.headers);
+    let id = head.id.clone().unwrap_or_default();
+    let mut response = match begin(&entry, &parts, head, since) {
+        Ok(job) => job.run(&entry, body).await,
+        Err(refusal) => {
+            discard(body);
+            refuse(&id, refusal, entry.clock.now().since(since))
+        }
+    };
+    if entry.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Finds the route and the bounds of a request.
+fn begin(
+    entry: &Entry,
+    parts: &http::request::Parts,
+    head: CallerHead,
+    since: Moment,
+) -> Result<Job, Refusal> {
+    let host = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let Some(id) = head.id.clone() else {
+        return Err(Refusal::denied(StatusCode::BAD_REQUEST, "no-identity"));
+    };
+    let mut router = entry.router();
+    let limit = router.limits().body_size;
+    let routed = router
+        .route(since, host, parts.uri.path())
+        .map_err(|denial| match denial {
+            Denial::NoRoute => Refusal::denied(StatusCode::NOT_FOUND, "no-route"),
+            Denial::Stale => Refusal::not_run("stale", STALE_PAUSE),
+        })?;
+    let length = parts.headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if length.is_some_and(|length| length > limit) {
+        return Err(Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "too-long"));
+    }
+    router.arrived(since, &routed.service, head.key.filter(|_| routed.keyed));
+    let waits = head.deadline.unwrap_or(USUAL_DEADLINE);
+    let left = waits.saturating_sub(WAY_BACK).min(routed.timeout);
+    let mut parts = parts.clone();
+    strip(&mut parts.headers);
+    Ok(Job {
+        id,
+        head,
+        routed,
+        parts,
+        since,
+        until: Instant::now() + left,
+        tried: Vec::new(),
+        arrivals: 0,
+        unknown: false,
+    })
+}
+
+impl Job {
+    async fn run(mut self, entry: &Arc<Entry>, body: Incoming) -> Response<ReplyBody> {
+        let mut body = match self.read_body(entry, body).await {
+            Ok(body) => body,
+            Err(refusal) => return self.refuse(entry, refusal),
+        };
+        loop {
+            let (target, name, address) = match self.next(entry).await {
+                Ok(found) => found,
+                Err(refusal) => {
+                    if let RequestBody::Stream(body) = body {
+                        discard(body);
+                    }
+                    return self.refuse(entry, refusal);
+                }
+            };
+            let again = match &body {
+                RequestBody::Whole(bytes) => Some(RequestBody::Whole(bytes.clone())),
+                RequestBody::Stream(_) => None,
+            };
+            let tried = self.attempt(entry, target, &name, address, body).await;
+            self.tried.push(target);
+            let refusal = match tried {
+                Tried::Answer(response) => return self.answer(entry, response),
+                Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
+                Tried::NotRun { misdirected } => {
+                    Refusal::not_run(if misdirected { "misdirected" } else { "shed" }, SHED_PAUSE)
+                }
+                Tried::Broken => {
+                    self.unknown = true;
+                    Refusal::denied(StatusCode::BAD_GATEWAY, "broken")
+                }
+                Tried::Late => {
+                    self.unknown = true;
+                    Refusal::denied(StatusCode::GATEWAY_TIMEOUT, "late")
+                }
+            };
+            let more = matches!(refusal.reason, "unreachable" | "misdirected" | "shed")
+                || (refusal.reason == "broken" && self.routed.kind.is_idempotent());
+            match again {
+                Some(next) if more && self.may_go_on(entry) => body = next,
+                _ => return self.refuse(entry, refusal),
+            }
+            Event::RequestResent.log(format_args!(
+                "request={} reason={} after={target}",
+                self.id, refusal.reason
+            ));
+        }
+    }
+
+    /// Reads a short body whole; a longer one is passed on as it comes.
+    async fn read_body(&self, entry: &Entry, body: Incoming) -> Result<RequestBody, Refusal> {
+        let exact = body.size_hint().exact();
+        if exact.is_none_or(|length| length > WHOLE_BYTES) {
+            return Ok(RequestBody::Stream(body));
+        }
+        if exact == Some(0) {
+            return Ok(RequestBody::Whole(None));
+        }
+        let limit = entry.router().limits().body_size;
+        let reading = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX)).collect();
+        match timeout_at(self.until, reading).await {
+            Ok(Ok(collected)) => Ok(RequestBody::Whole(Some(collected.to_bytes()))),
+            Ok(Err(_)) => Err(Refusal::denied(StatusCode::BAD_REQUEST, "body-broken")),
+            Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body-late")),
+        }
+    }
+
+    /// Waits for the target that gets the request next.
+    async fn next(&self, entry: &Entry) -> Result<(TargetId, Target, SocketAddr), Refusal> {
+        loop {
+            let changed = entry.changed();
+            let now = entry.clock.now();
+            let placed = entry.router().place(now, self.wish(now));
+            match placed {
+                Place::Send { id, name, address } => return Ok((id, name, address)),
+                Place::Refuse(turned, pause) => return Err(Refusal::not_run(turned.name(), pause)),
+                Place::Wait(wait) => {
+                    let wake = Instant::now() + wait;
+                    if wake + LEAST_LEFT > self.until {
+                        return Err(Refusal::not_run(Turned::Unowned.name(), wait));
+                    }
+                    tokio::select! {
+                        () = sleep_until(wake) => {}
+                        () = changed => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn wish(&self, now: Moment) -> Wish<'_> {
+        Wish {
+            service: &self.routed.service,
+            key: self.head.key,
+            ask: Ask {
+                aim: self.routed.aim.saturating_sub(now.since(self.since)),
+                whole: self.routed.aim,
+                left: self.until.saturating_duration_since(Instant::now()),
+                last: self.routed.last,
+            },
+            tried: &self.tried,
+        }
+    }
+
+    /// Whether there is time, a try and room in the budget for one more sending.
+    fn may_go_on(&self, entry: &Entry) -> bool {
+        let time = self.until.saturating_duration_since(Instant::now()) > LEAST_LEFT;
+        let tries = (self.tried.len() as u32) < self.routed.attempts.max(1) + 1;
+        let arrived = self.arrivals < self.routed.attempts.max(1);
+        let now = entry.clock.now();
+        time && tries && arrived && entry.router().may_resend(now, &self.routed.service)
+    }
+
+    /// Sends the request to one target.
+    async fn attempt(
+        &mut self,
+        entry: &Arc<Entry>,
+        id: TargetId,
+        name: &Target,
+        address: SocketAddr,
+        body: RequestBody,
+    ) -> Tried {
+        let flight = Flight::begin(entry, id);
+        let taking = timeout_at(self.until, entry.pool.take(id, address)).await;
+        let connection = match taking {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(_)) => {
+                flight.end(Outcome::Unreachable, None);
+                return Tried::Unreachable;
+            }
+            Err(_) => return Tried::Unreachable,
+        };
+        let left = self.until.saturating_duration_since(Instant::now());
+        if left < LEAST_LEFT {
+            return Tried::Unreachable;
+        }
+        let request = self.target_request(name, left, body);
+        self.arrivals += 1;
+        let exchanging = self.exchange(entry, flight, connection, request);
+        match timeout_at(self.until, exchanging).await {
+            Ok(tried) => tried,
+            Err(_) => Tried::Late,
+        }
+    }
+
+    fn target_request(
+        &self,
+        name: &Target,
+        left: Duration,
+        body: RequestBody,
+    ) -> Request<RequestBody> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = self.parts.headers.clone();
+        address_request(request.headers_mut(), name, left);
+        request
+    }
+
+    async fn exchange(
+        &self,
+        entry: &Arc<Entry>,
+        flight: Flight,
+        mut connection: TargetConnection,
+        request: Request<RequestBody>,
+    ) -> Tried {
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(SendError::NotSent) => {
+                flight.end(Outcome::Unreachable, None);
+                return Tried::Unreachable;
+            }
+            Err(SendError::Broken) => {
+                flight.end(Outcome::Broken, None);
+                return Tried::Broken;
+            }
+        };
+        let (mut parts, body) = response.into_parts();
+        let head = AnswerHead::read(Some(&self.id), parts.status, &parts.headers);
+        if !head.matches || (parts.status.is_success() && !head.signed) {
+            flight.end(Outcome::Broken, None);
+            return Tried::Broken;
+        }
+        let place = PoolPlace {
+            pool: entry.pool.clone(),
+            id: flight.id,
+            room: entry.router().connections(&self.routed.service),
+            keep: head.keep,
+            reuse: true,
+        };
+        let body = read_short(AnswerBody::new(body, connection, place)).await;
+        if head.not_run {
+            flight.end(Outcome::Shed, head.load);
+            let misdirected = head.misdirected;
+            return Tried::NotRun { misdirected };
+        }
+        match body {
+            Ok(body) => {
+                flight.end(Outcome::Answered, head.load);
+                strip(&mut parts.headers);
+                Tried::Answer(Response::from_parts(parts, body))
+            }
+            Err(_) => {
+                flight.end(Outcome::Broken, head.load);
+                Tried::Broken
+            }
+        }
+    }
+
+    fn answer(&self, entry: &Entry, response: Response<ReplyBody>) -> Response<ReplyBody> {
+        let spent = entry.clock.now().since(self.since);
+        metrics::histogram!("cornelrail_request_seconds").record(spent.as_secs_f64());
+        metrics::counter!("cornelrail_requests_total", "outcome" => "answered").increment(1);
+        if spent > self.routed.aim || !response.status().is_success() {
+            Event::RequestEnded.log(format_args!(
+                "request={} route={} status={} targets={:?} ms={} aim={}",
+                self.id,
+                self.routed.name,
+                response.status().as_u16(),
+                self.tried,
+                spent.as_millis(),
+                self.routed.aim.as_millis()
+            ));
+        }
+        response
+    }
+
+    /// The final answer where no target gave one. What may have run is never called not run.
+    fn refuse(&self, entry: &Entry, refusal: Refusal) -> Response<ReplyBody> {
+        let refusal = match refusal.pause {
+            Some(_) if self.unknown => Refusal::denied(StatusCode::BAD_GATEWAY, refusal.reason),
+            _ => refusal,
+        };
+        refuse(&self.id, refusal, entry.clock.now().since(self.since))
+    }
+}
+
+/// Pause named to a caller whose target had no room.
+const SHED_PAUSE: Duration = Duration::from_millis(150);
+/// Callers come back spread over so much more than the pause.
+const PAUSE_SPREAD: f64 = 0.5;
+
+fn refuse(id: &str, refusal: Refusal, spent: Duration) -> Response<ReplyBody> {
+    let reason = refusal.reason;
+    metrics::counter!("cornelrail_refusals_total", "reason" => reason).increment(1);
+    Event::RequestEnded.log(format_args!(
+        "request={id} status={} reason={reason} ms={} retry_ms={}",
+        refusal.status.as_u16(),
+        spent.as_millis(),
+        refusal.pause.map_or(0, |pause| pause.as_millis())
+    ));
+    let text = Bytes::from(format!("{reason}\n"));
+    let mut response = Response::new(ReplyBody::Whole(Some(text)));
+    *response.status_mut() = refusal.status;
+    if let Some(pause) = refusal.pause {
+        let pause = pause.mul_f64(1.0 + PAUSE_SPREAD * rand::random::<f64>());
+        if let Ok(value) = HeaderValue::from_str(&retry_after(pause)) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Takes out what concerns one connection alone.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let hops: Vec<_> = headers
+        .keys()
+        .filter(|name| is_hop_header(name) || named.iter().any(|n| n == name.as_str()))
+        .cloned()
+        .collect();
+    for name in hops {
+        headers.remove(name);
+    }
+}
+
+/// A sending under way. One that is dropped without an end was cancelled.
+#[derive(Debug)]
+struct Flight {
+    entry: Arc<Entry>,
+    id: TargetId,
+    since: Moment,
+    over: bool,
+}
+
+impl Flight {
+    fn begin(entry: &Arc<Entry>, id: TargetId) -> Self {
+        entry.router().sent(id);
+        Flight {
+            entry: entry.clone(),
+            id,
+            since: entry.clock.now(),
+            over: false,
+        }
+    }
+
+    fn end(mut self, outcome: Outcome, load: Option<LoadReport>) {
+        self.tell(outcome, load);
+    }
+
+    fn tell(&mut self, outcome: Outcome, load: Option<LoadReport>) {
+        if self.over {
+            return;
+        }
+        self.over = true;
+        let now = self.entry.clock.now();
+        let spent = now.since(self.since);
+        self.entry
+            .router()
+            .ended(now, self.id, outcome, spent, load);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.tell(Outcome::Cancelled, None);
+    }
+}
--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -1,7 +1,10 @@
 //! Voters commit over real folders and tasks, alone and as three.
 
-use cornelrail_lib::name::Node;
-use cornelrail_node::process::voter::{self, ProposeError, VoterConfig, VoterEvent, VoterHandle};
+use cornelrail_lib::{name::Node, process::raft::Joining};
+use cornelrail_node::process::{
+    clock::Clock,
+    voter::{self, ProposeError, VoterConfig, VoterEvent, VoterHandle},
+};
 use std::{
     collections::BTreeSet,
     fs,
@@ -16,10 +19,12 @@
 /// Settings of one voter of a fleet that lists `count` voters.
 fn config(root: &Path, node: u64, count: u64) -> VoterConfig {
     VoterConfig {
+        clock: Clock::start(),
         folder: root.join(format!("voter-{node}")),
         fleet: "test".to_owned(),
         node: Node(node),
         listed: (1..=count).map(Node).collect(),
+        joining: Joining::Listed,
         election: Duration::from_millis(150),
         heartbeat: Duration::from_millis(30),
         drift: Duration::from_millis(10),
