leader: keys of an owner that was not yet granted are not given away again

The log showed spans going to and fro between two new targets every 150 ms: an owner that had joined but never been granted counted as one whose lease is over, and an assignment away from it was proposed while its next heartbeat still granted the keys. Ruled out: the freeze of the former leader (it came back 4 s before the first clash).

Change: keys are free only if their owner's lease is over and it is not heard; a target that is about to lose keys gets no lease until that is committed.

--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -13,6 +13,7 @@
 pub mod feed;
 pub mod fleet;
 mod homes;
+pub mod leader;
 mod moves;
 pub mod note;
 pub mod note_error;
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -26,6 +26,8 @@
 pub struct Candidate {
     /// Whether it may get keys.
     pub open: bool,
+    /// Whether it sends heartbeats, so that it will take the keys that it owns.
+    pub heard: bool,
     /// Whether it may still hold those that it owns.
     pub holding: bool,
     /// How much longer it is cold.
@@ -123,7 +125,10 @@
 ) -> Vec<Grant> {
     let is_free = |row: &&Row| match row.owner {
         None => true,
-        Some(owner) => row.next.is_none() && !candidates.get(&owner).is_some_and(|c| c.holding),
+        Some(owner) => {
+            let alive = candidates.get(&owner).is_some_and(|c| c.holding || c.heard);
+            row.next.is_none() && !alive
+        }
     };
     let free: Vec<&Row> = table.rows().iter().filter(is_free).collect();
     if free.len() == 1 && free[0].span == KeySpan::FULL {
@@ -180,7 +185,10 @@
     shares: &mut Shares,
     load: &KeyLoad,
 ) -> Vec<Update> {
-    let closed = |id: TargetId| candidates.get(&id).is_some_and(|c| !c.open && c.holding);
+    let closed = |id: TargetId| {
+        let candidate = candidates.get(&id);
+        candidate.is_some_and(|c| !c.open && (c.holding || c.heard))
+    };
     let mut updates = Vec::new();
     for row in table.rows() {
         let lost = row
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -7,7 +7,6 @@
 mod control;
 mod leading;
 mod peers;
-mod pulse;
 mod task;
 
 pub use task::{CoreEvent, CoreHandle, Subscriber};
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -232,7 +232,7 @@
             CoreEvent::Follow(subscriber) => self.take_follower(subscriber),
             CoreEvent::Report(report) => {
                 if let Some(leading) = &mut self.leading {
-                    leading.take_report(report);
+                    leading.leader.report(report);
                 }
             }
             CoreEvent::Failed(number, error) => self.fail(number, error),
@@ -316,7 +316,7 @@
             self.carry_on(then, &applied);
         }
         if let Some(leading) = &mut self.leading {
-            leading.catalog_changed();
+            leading.leader.hasten_pulse();
         }
         if index >= self.snapshot + SNAPSHOT_COMMANDS {
             self.snapshot = index;
@@ -410,7 +410,7 @@
         if let Some(then) = self.proposals.remove(&number) {
             Event::ProposalFailed.log(format_args!("number={number} why={error}"));
             if let (Then::Replan(service), Some(leading)) = (&then, &mut self.leading) {
-                leading.planned(service);
+                leading.leader.settle(service);
             }
             then.give_up();
         }
@@ -457,7 +457,7 @@
             }
         }
         if let Some(leading) = &mut self.leading {
-            leading.hasten_pulse();
+            leading.leader.hasten_pulse();
             Event::EntryUp.log(format_args!("entry={}", subscriber.name));
             self.subscribers.push(subscriber);
         }
