sharding: load is evened out by demand, down to single hot keys

A span of 20 keys drew 250 requests a second in buckets of 16 keys, heavier than any share; only the busiest row was looked at; and the latency of a full queue was taken for the time of a request.

Change: demand is arrivals times the time of a request once it runs; buckets of 2 keys; all rows are searched, a single bucket may move if that lowers the higher demand; a giver gives up to four spans at one heartbeat.

--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -1,9 +1,9 @@
 //! Moves that even the load out.
 //!
 //! Load pattern: a few neighbouring keys get a third of the traffic within a second, and targets of
-//! one service differ in speed. A target whose requests pile up gives part of its busiest keys to
-//! the one with the most room. The load of a target is the number of requests under way there
-//! (Little's law), so a slow target counts as loaded without its speed being known.
+//! one service differ in speed. What counts is demand: the requests that come for a target's keys,
+//! turned away or not, times the time that one takes there, over its slots. A target whose demand is
+//! high gives some of its busiest keys to those with the most room.
 //!
 //! During a move its keys are served by nobody from the giver's heartbeat to the taker's, so a
 //! giver moves just before its heartbeat is due, and a taker is preferred whose heartbeat follows
@@ -17,39 +17,38 @@
 };
 use std::time::Duration;
 
-/// A giver has at least so many requests under way for each slot.
-const BUSY: f64 = 0.7;
-/// A move must lower the giver's requests for each slot by as much as this over the taker's.
-const LEAST_GAIN: f64 = 0.25;
+/// A giver's demand is at least so much of what it can do.
+const BUSY: f64 = 0.6;
+/// A move must lower the higher demand of the two by as much as this.
+const LEAST_GAIN: f64 = 0.08;
+/// A giver's demand exceeds the taker's by at least so much.
+const LEAST_GAP: f64 = 0.25;
 /// A giver's heartbeat is due within this span: longer than the pause between two plans.
 const DUE_WITHIN: Duration = Duration::from_millis(250);
 /// Time between the giver's heartbeat and the one that shows that it let the keys go.
 const RELEASE_TIME: Duration = Duration::from_millis(120);
-/// Requests for each slot that a second of waiting for the taker's heartbeat weighs.
-const WAIT_WEIGHT: f64 = 0.4;
+/// Demand that a second of waiting for the taker's heartbeat weighs.
+const WAIT_WEIGHT: f64 = 0.15;
 /// Part of the load that would even the two out, so that a late report does not swing back.
-const CAUTION: f64 = 0.8;
-/// Latency taken for a target that answered nothing of late, in seconds.
-const UNKNOWN_LATENCY: f64 = 0.1;
+const CAUTION: f64 = 0.85;
+/// Time of a request at a target that answered nothing of late, in seconds.
+const UNKNOWN_WORK: f64 = 0.1;
 /// Spans under way at one time, for each service.
-const MOVES_AT_ONCE: usize = 8;
+const MOVES_AT_ONCE: usize = 12;
+/// Spans that one giver gives at one heartbeat.
+const MOVES_OF_ONE: usize = 4;
 
 /// A target with what it carries.
 #[derive(Debug, Clone, Copy)]
 struct Loaded {
     id: TargetId,
     candidate: Candidate,
-    open: f64,
-    latency: f64,
+    /// Part of a slot's time that one request a second takes, over all slots.
+    cost: f64,
+    demand: f64,
 }
 
-impl Loaded {
-    fn pressure(&self) -> f64 {
-        self.open / f64::from(self.candidate.slots.max(1))
-    }
-}
-
-/// Moves that pay for themselves, at most one for each giver and taker.
+/// Moves that pay for themselves.
 pub(super) fn moves(
     now: Moment,
     service: &Service,
@@ -59,51 +58,57 @@
 ) -> Vec<Update> {
     let moving = table.rows().iter().filter(|row| row.next.is_some());
     let mut room = MOVES_AT_ONCE.saturating_sub(moving.count());
-    let mut loaded = loads(candidates, load);
+    let mut loaded = loads(table, candidates, load);
     loaded.retain(|one| !is_moving(table, one.id));
-    loaded.sort_by(|a, b| b.pressure().total_cmp(&a.pressure()));
-    let mut taken: Vec<TargetId> = Vec::new();
+    let mut givers = loaded.clone();
+    givers.retain(|one| one.candidate.due.since(now) <= DUE_WITHIN && one.demand > BUSY);
+    givers.sort_by(|a, b| b.demand.total_cmp(&a.demand));
     let mut updates = Vec::new();
-    for giver in &loaded {
-        if room == 0 || giver.pressure() < BUSY {
-            break;
-        }
-        if giver.candidate.due.since(now) > DUE_WITHIN || taken.contains(&giver.id) {
-            continue;
-        }
-        let found = best_move(giver, &loaded, &taken, table, load);
-        if let Some((taker, span)) = found {
-            taken.extend([giver.id, taker]);
+    for mut giver in givers {
+        // One that takes keys in this plan gives none.
+        let changed = loaded.iter().any(|l| l.id == giver.id && l.demand != giver.demand);
+        let mut given: Vec<KeySpan> = Vec::new();
+        while !changed && room > 0 && given.len() < MOVES_OF_ONE {
+            let Some((at, span, rate)) = best_move(&giver, &loaded, &given, table, load) else {
+                break;
+            };
+            giver.demand -= rate * giver.cost;
+            loaded[at].demand += rate * loaded[at].cost;
+            given.push(span);
             room -= 1;
             updates.push(Update::Move {
                 service: service.clone(),
                 span,
-                next: taker,
+                next: loaded[at].id,
             });
         }
+        if !given.is_empty() {
+            loaded.retain(|one| one.id != giver.id);
+        }
     }
     updates
 }
 
-/// The taker and the span that serve best, if a move pays.
+/// Place of the taker, the span and its requests a second, if a move pays.
 fn best_move(
     giver: &Loaded,
     loaded: &[Loaded],
-    taken: &[TargetId],
+    given: &[KeySpan],
     table: &ShardTable,
     load: &KeyLoad,
-) -> Option<(TargetId, KeySpan)> {
-    let free = loaded.iter().filter(|one| {
-        one.id != giver.id && one.candidate.cold.is_zero() && !taken.contains(&one.id)
-    });
-    let cost = |one: &Loaded| one.pressure() + wait(giver, one).as_secs_f64() * WAIT_WEIGHT;
-    let taker = free.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-    if giver.pressure() - taker.pressure() < LEAST_GAIN {
+) -> Option<(usize, KeySpan, f64)> {
+    let cost = |one: &Loaded| one.demand + wait(giver, one).as_secs_f64() * WAIT_WEIGHT;
+    let free = loaded.iter().enumerate();
+    let free = free.filter(|(_, one)| one.id != giver.id && one.candidate.cold.is_zero());
+    let (at, taker) = free.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))?;
+    let gap = giver.demand - taker.demand;
+    if gap < LEAST_GAP {
         return None;
     }
-    let even = (giver.open - taker.open) / (giver.latency + taker.latency);
-    let span = busiest_part(giver.id, table, load, even * CAUTION)?;
-    Some((taker.id, span))
+    let even = gap / (giver.cost + taker.cost);
+    let (span, rate) = busiest_part(giver.id, table, load, even * CAUTION, given)?;
+    let after = (giver.demand - rate * giver.cost).max(taker.demand + rate * taker.cost);
+    (after + LEAST_GAIN < giver.demand).then_some((at, span, rate))
 }
 
 /// Time from the giver's release to the taker's next heartbeat.
@@ -115,54 +120,71 @@
     }
 }
 
-fn loads(candidates: &Candidates, load: &KeyLoad) -> Vec<Loaded> {
+fn loads(table: &ShardTable, candidates: &Candidates, load: &KeyLoad) -> Vec<Loaded> {
     let open = candidates.iter().filter(|(_, c)| c.open && c.holding);
     open.map(|(id, candidate)| {
-        let seen = load.target(*id);
+        let slots = f64::from(candidate.slots.max(1));
+        let work = load.work(*id, candidate.slots).unwrap_or(UNKNOWN_WORK);
+        let mine = table.rows().iter().filter(|row| row.owner == Some(*id));
+        let rate: f64 = mine.map(|row| load.weight(row.span)).sum();
         Loaded {
             id: *id,
             candidate: *candidate,
-            open: seen.open,
-            latency: seen.latency().unwrap_or(UNKNOWN_LATENCY),
+            cost: work / slots,
+            demand: rate * work / slots,
         }
     })
     .collect()
 }
 
 fn is_moving(table: &ShardTable, id: TargetId) -> bool {
-    let involved =
-        |row: &Row| row.next == Some(id) || (row.owner == Some(id) && row.next.is_some());
+    let involved = |row: &Row| row.next == Some(id) || (row.owner == Some(id) && row.next.is_some());
     table.rows().iter().any(involved)
 }
 
-/// Neighbouring keys of a target's busiest row that make up at most `most` requests a second.
-fn busiest_part(id: TargetId, table: &ShardTable, load: &KeyLoad, most: f64) -> Option<KeySpan> {
-    let mine = table.rows().iter().filter(|row| row.owner == Some(id));
-    let row = mine.max_by(|a, b| load.weight(a.span).total_cmp(&load.weight(b.span)))?;
-    let mut best: Option<(f64, KeySpan)> = None;
-    let mut low = *bucket_range(row.span).start();
-    let mut weight = 0.0;
-    for high in bucket_range(row.span) {
-        weight += load.weight(load.part(row.span, high));
-        while weight > most && low <= high {
-            weight -= load.weight(load.part(row.span, low));
-            low += 1;
-        }
-        if low > high {
-            continue;
-        }
-        let span = KeySpan {
-            first: load.part(row.span, low).first,
-            last: load.part(row.span, high).last,
-        };
-        // Fewer keys carry the same load at a lower price.
-        let better = best.is_none_or(|(found, kept)| {
-            weight > found * 1.05 || (weight > found * 0.95 && span.width() < kept.width())
-        });
-        if better {
-            best = Some((weight, span));
+/// Neighbouring keys of a target with as many requests a second as possible up to `most`, or its
+/// busiest bucket if each has more.
+fn busiest_part(
+    id: TargetId,
+    table: &ShardTable,
+    load: &KeyLoad,
+    most: f64,
+    given: &[KeySpan],
+) -> Option<(KeySpan, f64)> {
+    let mut best: Option<(KeySpan, f64)> = None;
+    let mut least: Option<(KeySpan, f64)> = None;
+    for row in table.rows().iter().filter(|row| row.owner == Some(id)) {
+        let (mut low, mut weight) = (*bucket_range(row.span).start(), 0.0);
+        for high in bucket_range(row.span) {
+            let part = load.part(row.span, high);
+            if given.iter().any(|span| span.overlaps(&part)) {
+                (low, weight) = (high + 1, 0.0);
+                continue;
+            }
+            let own = load.weight(part);
+            if own > most && least.is_none_or(|(_, found)| own < found) {
+                least = Some((part, own));
+            }
+            weight += own;
+            while weight > most && low <= high {
+                weight -= load.weight(load.part(row.span, low));
+                low += 1;
+            }
+            if low > high {
+                continue;
+            }
+            let span = KeySpan {
+                first: load.part(row.span, low).first,
+                last: part.last,
+            };
+            // Fewer keys that carry the same load change hands at a lower price.
+            let better = best.is_none_or(|(kept, found)| {
+                weight > found * 1.05 || (weight > found * 0.95 && span.width() < kept.width())
+            });
+            if better {
+                best = Some((span, weight));
+            }
         }
     }
-    best.filter(|(weight, _)| *weight > most * 0.2)
-        .map(|(_, span)| span)
+    best.filter(|(_, weight)| *weight > most * 0.3).or(least)
 }
--- a/lib/src/version/sharding/load.rs
+++ b/lib/src/version/sharding/load.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
-/// Keys of one bucket: fine enough to cut 60 busy neighbours in pieces.
-pub const BUCKET_KEYS: u32 = 16;
+/// Keys of one bucket: 20 busy neighbours need several targets.
+pub const BUCKET_KEYS: u32 = 2;
 const BUCKETS: usize = (1 << 16) / BUCKET_KEYS as usize;
 /// Span over which the means decay to a third: long enough for a few requests of each target.
 const MEMORY: Duration = Duration::from_millis(2_000);
@@ -82,6 +82,14 @@
         self.targets.get(&id).copied().unwrap_or_default()
     }
 
+    /// Time that a request takes at a target once it runs, in seconds. Where requests wait, its slots
+    /// are all busy, and the rate of the answers tells.
+    pub fn work(&self, id: TargetId, slots: u32) -> Option<f64> {
+        let load = self.target(id);
+        let latency = load.latency()?;
+        Some(latency.min(f64::from(slots.max(1)) / load.rate))
+    }
+
     /// Forgets the targets that are gone.
     pub fn retain(&mut self, mut lives: impl FnMut(TargetId) -> bool) {
         self.targets.retain(|id, _| lives(*id));
