--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -63,10 +63,10 @@
     SettingsLoaded = 4, Info, "settings-loaded";
     /// The daemon cannot start; the text names the remedy.
     StartFailed = 5, Error, "start-failed";
-    /// The settings file changed but could not be read; the former settings go on.
-    ReloadFailed = 7, Warn, "reload-failed";
     /// A listening address is taken by another process.
     AddressInUse = 6, Error, "address-in-use";
+    /// The settings file changed but could not be read; the former settings go on.
+    ReloadFailed = 7, Warn, "reload-failed";
     /// The log has a new leader, or none that this entry knows.
     LeaderChanged = 10, Info, "leader-changed";
     /// An entry joined, or came back.
@@ -81,6 +81,12 @@
     LeaseLapsed = 15, Warn, "lease-lapsed";
     /// This entry holds a lease again.
     LeaseRegained = 16, Info, "lease-regained";
+    /// This entry follows a leader.
+    LeaderFollowed = 17, Info, "leader-followed";
+    /// This entry has lost its leader and goes on by the copy that it has.
+    LeaderLost = 18, Warn, "leader-lost";
+    /// A command was not taken into the log, or its outcome is not known.
+    ProposalFailed = 19, Warn, "proposal-failed";
     /// A target was admitted.
     TargetAdmitted = 20, Info, "target-admitted";
     /// The announcement of a target was turned down.
@@ -89,20 +95,14 @@
     TargetLost = 22, Warn, "target-lost";
     /// A target has left and owns nothing any more.
     TargetDrained = 23, Info, "target-drained";
-    /// A target asked to leave.
-    TargetLeaving = 27, Info, "target-leaving";
-    /// This entry follows a leader.
-    LeaderFollowed = 17, Info, "leader-followed";
-    /// This entry has lost its leader and goes on by the copy that it has.
-    LeaderLost = 18, Warn, "leader-lost";
-    /// A command was not taken into the log, or its outcome is not known.
-    ProposalFailed = 19, Warn, "proposal-failed";
     /// A target got another entry as its home.
     TargetRehomed = 24, Info, "target-rehomed";
     /// A slow target gets no new work for a while.
     TargetEjected = 25, Warn, "target-ejected";
     /// An ejected target gets work again.
     TargetReturned = 26, Info, "target-returned";
+    /// A target asked to leave.
+    TargetLeaving = 27, Info, "target-leaving";
     /// A range starts to move.
     MoveBegun = 30, Info, "move-begun";
     /// A range has its new owner.
@@ -117,6 +117,8 @@
     NoteConflict = 42, Warn, "note-conflict";
     /// Every live entry has confirmed a version.
     NoteInForce = 43, Info, "note-in-force";
+    /// Somebody without a valid token asked at the operators' address.
+    OperatorRefused = 44, Warn, "operator-refused";
     /// Items of the desired state changed.
     DesiredChanged = 45, Info, "desired-changed";
     /// An order was refused; nothing of it is in force.
@@ -127,8 +129,6 @@
     ZoneIn = 48, Info, "zone-in";
     /// A call of a target or operator could not be read or was invalid.
     CallRefused = 49, Warn, "call-refused";
-    /// Somebody without a valid token asked at the operators' address.
-    OperatorRefused = 44, Warn, "operator-refused";
     /// A record of the log is damaged in the middle.
     StoreDamaged = 50, Error, "store-damaged";
     /// The unfinished end of the log was cut off after a crash.
--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -27,7 +27,7 @@
     #[error("{file}: {why}")]
     #[diagnostic(
         code(cornelrail::seeded::syntax),
-        help("mend the file; docs/SETTINGS.md shows a whole one")
+        help("mend the file; docs/SEEDED.md shows a whole one")
     )]
     Syntax {
         /// The settings file.
--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -66,7 +66,9 @@
     let mut updates = Vec::new();
     for mut giver in givers {
         // One that takes keys in this plan gives none.
-        let changed = loaded.iter().any(|l| l.id == giver.id && l.demand != giver.demand);
+        let changed = loaded
+            .iter()
+            .any(|l| l.id == giver.id && l.demand != giver.demand);
         let mut given: Vec<KeySpan> = Vec::new();
         while !changed && room > 0 && given.len() < MOVES_OF_ONE {
             let Some((at, span, rate)) = best_move(&giver, &loaded, &given, table, load) else {
@@ -138,7 +140,8 @@
 }
 
 fn is_moving(table: &ShardTable, id: TargetId) -> bool {
-    let involved = |row: &Row| row.next == Some(id) || (row.owner == Some(id) && row.next.is_some());
+    let involved =
+        |row: &Row| row.next == Some(id) || (row.owner == Some(id) && row.next.is_some());
     table.rows().iter().any(involved)
 }
 
--- /dev/null
+++ b/lib/tests/test_desired.rs
@@ -0,0 +1,172 @@
+//! Items of the desired state under races, resends and bad orders.
+
+use cornelrail_lib::{
+    name::Service,
+    version::desired::{
+        Backend, Change, ChangeError, DesiredState, Item, ItemVersion, Route, RouteKind, Routing,
+        ServiceSpec, WEIGHT_UNIT,
+    },
+};
+use std::time::Duration;
+
+fn item<T>(version: u64, value: Option<T>) -> Item<T> {
+    Item {
+        version: ItemVersion(version),
+        value,
+        source: format!("{{\"version\":{version}}}"),
+    }
+}
+
+fn service() -> ServiceSpec {
+    ServiceSpec {
+        health: "/health".to_owned(),
+        connections: 10,
+        cold_span: Duration::ZERO,
+        cold_rate: 1_000,
+        keyed: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn route(prefix: &str, timeout: u64, weight: u32) -> Route {
+    Route {
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_millis(timeout),
+        aim: Duration::from_millis(100),
+        priority: 1,
+        backends: vec![Backend {
+            service: Service::from("s"),
+            weight,
+        }],
+        attempts: 2,
+    }
+}
+
+fn routes(version: u64, route: Option<Route>) -> Change {
+    let mut change = Change::default();
+    change.routes.insert("r".to_owned(), item(version, route));
+    change
+}
+
+fn desired() -> DesiredState {
+    let mut change = routes(7, Some(route("/a/", 500, WEIGHT_UNIT)));
+    change
+        .services
+        .insert(Service::from("s"), item(7, Some(service())));
+    let mut desired = DesiredState::default();
+    desired.apply(&change).unwrap();
+    desired
+}
+
+#[test]
+fn the_highest_version_wins_in_any_order() {
+    let older = routes(9, Some(route("/old/", 500, WEIGHT_UNIT)));
+    let newer = routes(12, Some(route("/new/", 500, WEIGHT_UNIT)));
+    let mut first = desired();
+    let mut second = desired();
+
+    first.apply(&older).unwrap();
+    first.apply(&newer).unwrap();
+    second.apply(&newer).unwrap();
+    second.apply(&older).unwrap();
+
+    assert_eq!(first, second);
+    assert_eq!(first.routes["r"].version, ItemVersion(12));
+}
+
+#[test]
+fn an_order_that_comes_again_is_accepted_and_changes_nothing() {
+    let change = routes(9, Some(route("/b/", 500, WEIGHT_UNIT)));
+    let mut desired = desired();
+
+    let first = desired.apply(&change);
+    let again = desired.apply(&change);
+
+    assert_eq!((first, again), (Ok(1), Ok(0)));
+}
+
+#[test]
+fn a_dropped_item_does_not_come_back_by_a_late_order() {
+    let mut desired = desired();
+    desired.apply(&routes(10, None)).unwrap();
+
+    let late = desired.apply(&routes(9, Some(route("/b/", 500, WEIGHT_UNIT))));
+
+    assert_eq!(late, Ok(0));
+    assert!(Routing::of(&desired).find("h", "/b/x").is_none());
+}
+
+#[test]
+fn two_operators_cannot_give_one_version_two_meanings() {
+    let mut desired = desired();
+    desired
+        .apply(&routes(9, Some(route("/b/", 500, WEIGHT_UNIT))))
+        .unwrap();
+
+    let other = desired.apply(&routes(9, Some(route("/c/", 500, WEIGHT_UNIT))));
+
+    assert!(matches!(other, Err(ChangeError::Conflict { .. })));
+    assert!(Routing::of(&desired).find("h", "/b/x").is_some());
+}
+
+#[test]
+fn no_part_of_an_invalid_order_comes_into_force() {
+    let bad = [
+        route("/b/", 0, WEIGHT_UNIT),
+        route("/b/", 600_001, WEIGHT_UNIT),
+        route("/b/", 500, 0),
+        route("b/", 500, WEIGHT_UNIT),
+        Route {
+            backends: vec![Backend {
+                service: Service::from("other"),
+                weight: WEIGHT_UNIT,
+            }],
+            ..route("/b/", 500, WEIGHT_UNIT)
+        },
+    ];
+
+    for route in bad {
+        let mut change = routes(9, Some(route.clone()));
+        let good = self::route("/good/", 500, WEIGHT_UNIT);
+        change.routes.insert("good".to_owned(), item(9, Some(good)));
+        let mut desired = desired();
+        let before = desired.clone();
+
+        assert!(desired.apply(&change).is_err(), "{route:?}");
+        assert_eq!(desired, before);
+    }
+}
+
+#[test]
+fn a_route_may_name_a_service_of_the_same_order() {
+    let mut change = Change::default();
+    change
+        .routes
+        .insert("r".to_owned(), item(1, Some(route("/a/", 500, 1))));
+    change
+        .services
+        .insert(Service::from("s"), item(1, Some(service())));
+
+    assert_eq!(DesiredState::default().apply(&change), Ok(2));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut change = routes(9, Some(route("/a/", 500, WEIGHT_UNIT)));
+    change.routes.insert(
+        "longer".to_owned(),
+        item(9, Some(route("/a/b/", 500, WEIGHT_UNIT))),
+    );
+    let mut desired = desired();
+    desired.apply(&change).unwrap();
+    let routing = Routing::of(&desired);
+
+    let name = |host, path| routing.find(host, path).map(|found| found.name.to_owned());
+
+    assert_eq!(name("h", "/a/b/c").as_deref(), Some("longer"));
+    assert_eq!(name("H", "/a/c").as_deref(), Some("r"));
+    assert_eq!(name("h", "/c"), None);
+    assert_eq!(name("other", "/a/c"), None);
+}
--- a/lib/tests/test_pull_lease.rs
+++ b/lib/tests/test_pull_lease.rs
@@ -169,13 +169,23 @@
     Down(usize, u64, u64, Lease),
 }
 
+/// Heartbeat that waits for a command: target, life and time of sending.
+type Asker = (usize, u64, u64);
+
+struct Commit {
+    due: u64,
+    update: Update,
+    last: Option<Service>,
+    then: Option<Asker>,
+}
+
 struct World {
     now: u64,
     rng: ChaCha8Rng,
     catalog: Catalog,
     leader: Option<Leader>,
     leaderless: u64,
-    commits: Vec<(u64, Update, Option<Service>, Option<(usize, u64, u64)>)>,
+    commits: Vec<Commit>,
     parcels: Vec<(u64, Parcel)>,
     targets: Vec<StandIn>,
     moves: usize,
@@ -211,13 +221,18 @@
         }
     }
 
-    fn propose(&mut self, update: Update, last: Option<Service>, then: Option<(usize, u64, u64)>) {
+    fn propose(&mut self, update: Update, last: Option<Service>, then: Option<Asker>) {
         let due = self.now + 5 + self.draw(60);
         let due = self
             .commits
             .last()
-            .map_or(due, |(before, ..)| due.max(*before));
-        self.commits.push((due, update, last, then));
+            .map_or(due, |commit| due.max(commit.due));
+        self.commits.push(Commit {
+            due,
+            update,
+            last,
+            then,
+        });
     }
 
     fn answer(&mut self, target: usize, life: u64, sent: u64) {
@@ -241,9 +256,11 @@
         while self
             .commits
             .first()
-            .is_some_and(|(due, ..)| *due <= self.now)
+            .is_some_and(|commit| commit.due <= self.now)
         {
-            let (_, update, last, then) = self.commits.remove(0);
+            let Commit {
+                update, last, then, ..
+            } = self.commits.remove(0);
             self.moves += usize::from(matches!(update, Update::Move { .. }));
             self.catalog.apply(&update);
             if let (Some(service), Some(leader)) = (last, &mut self.leader) {
@@ -312,7 +329,7 @@
         }
         if self.draw(400) == 0 {
             // What was proposed is in the next leader's log or nowhere, before that one begins.
-            for (_, update, ..) in std::mem::take(&mut self.commits) {
+            for Commit { update, .. } in std::mem::take(&mut self.commits) {
                 if self.draw(2) == 0 {
                     self.catalog.apply(&update);
                 }
--- /dev/null
+++ b/lib/tests/test_router.rs
@@ -0,0 +1,429 @@
+//! What an entry decides by its copy of the fleet, under load patterns that it is meant for.
+
+use cornelrail_lib::{
+    moment::Moment,
+    name::{Incarnation, Service, Target, Zone},
+    request::balance::{
+        Ask, ColdRate, Denial, LoadReport, Outcome, Place, RetryBudget, Router, RouterConfig,
+        Splitter, Turned, Verdict, Wish, judge,
+    },
+    version::{
+        catalog::{Catalog, Grant, KeySpan, TargetId, TargetRecord, Update},
+        desired::{Backend, Change, Item, ItemVersion, Route, RouteKind, ServiceSpec, WEIGHT_UNIT},
+        feed::{Pending, Pulse},
+    },
+};
+use std::time::Duration;
+
+const AIM: Duration = Duration::from_millis(200);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(10_000 + millis)
+}
+
+fn item<T>(value: T) -> Item<T> {
+    Item {
+        version: ItemVersion(1),
+        value: Some(value),
+        source: String::new(),
+    }
+}
+
+fn spec(keyed: bool) -> ServiceSpec {
+    ServiceSpec {
+        health: "/health".to_owned(),
+        connections: 110,
+        cold_span: Duration::from_secs(3),
+        cold_rate: 18_000,
+        keyed,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn target(number: u16, service: &str, zone: &str) -> TargetRecord {
+    TargetRecord {
+        name: Target(format!("w{number}")),
+        life: Incarnation(1),
+        service: Service::from(service),
+        address: ([10, 0, 0, 1], 8_000 + number).into(),
+        zone: Zone::from(zone),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+/// Two targets of a keyed service, which own half of the keys each, and two of a pool.
+fn catalog() -> Catalog {
+    let mut change = Change::default();
+    for (name, keyed) in [("keyed", true), ("pool", false)] {
+        change
+            .services
+            .insert(Service::from(name), item(spec(keyed)));
+        let route = Route {
+            host: "h".to_owned(),
+            prefix: format!("/{name}/"),
+            kind: RouteKind::Safe,
+            timeout: Duration::from_millis(800),
+            aim: AIM,
+            priority: 1,
+            backends: vec![Backend {
+                service: Service::from(name),
+                weight: WEIGHT_UNIT,
+            }],
+            attempts: 2,
+        };
+        change.routes.insert(name.to_owned(), item(route));
+    }
+    let mut catalog = Catalog::default();
+    catalog.apply(&Update::Desired(change));
+    for (number, service, zone) in [
+        (1, "keyed", "a"),
+        (2, "keyed", "b"),
+        (3, "pool", "a"),
+        (4, "pool", "b"),
+    ] {
+        catalog.apply(&Update::Join(target(number, service, zone)));
+    }
+    let grant = |first, last, owner| Grant {
+        span: KeySpan { first, last },
+        former: None,
+        owner: TargetId(owner),
+        handover: String::new(),
+    };
+    catalog.apply(&Update::Assign {
+        service: Service::from("keyed"),
+        grants: vec![grant(0, 0x7fff, 1), grant(0x8000, 0xffff, 2)],
+    });
+    catalog
+}
+
+fn router() -> Router {
+    let mut router = Router::new(RouterConfig {
+        zone: Zone::from("a"),
+        drain: Duration::from_secs(2),
+        evacuate: Duration::from_secs(5),
+        retry_ratio: 0.2,
+        retry_floor: 56.0,
+        retry_window: Duration::from_secs(10),
+    });
+    assert!(router.copy(at(0), 10, catalog()));
+    router.pulse(at(0), pulse());
+    router
+}
+
+fn pulse() -> Pulse {
+    Pulse {
+        index: 10,
+        entries: 8,
+        ..Pulse::default()
+    }
+}
+
+fn ask() -> Ask {
+    Ask {
+        aim: AIM,
+        whole: AIM,
+        left: Duration::from_millis(800),
+        last: false,
+    }
+}
+
+fn place(router: &mut Router, now: Moment, service: &str, key: Option<u16>) -> Place {
+    let service = Service::from(service);
+    let wish = Wish {
+        service: &service,
+        key,
+        ask: ask(),
+        tried: &[],
+    };
+    router.place(now, wish)
+}
+
+fn sent_to(place: &Place) -> Option<TargetId> {
+    match place {
+        Place::Send { id, .. } => Some(*id),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_key_goes_to_its_owner() {
+    let mut router = router();
+
+    let low = place(&mut router, at(1), "keyed", Some(5));
+    let high = place(&mut router, at(1), "keyed", Some(0x9000));
+
+    assert_eq!(sent_to(&low), Some(TargetId(1)));
+    assert_eq!(sent_to(&high), Some(TargetId(2)));
+}
+
+#[test]
+fn a_request_without_a_key_is_turned_away() {
+    let place = place(&mut router(), at(1), "keyed", None);
+
+    assert!(matches!(place, Place::Refuse(Turned::Keyless, _)));
+}
+
+#[test]
+fn a_key_on_its_way_is_waited_for_if_that_is_soon() {
+    let mut router = router();
+    let pending = |wait| Pulse {
+        pending: vec![Pending {
+            service: Service::from("keyed"),
+            span: KeySpan { first: 0, last: 9 },
+            wait: Duration::from_millis(wait),
+        }],
+        ..pulse()
+    };
+
+    router.pulse(at(1), pending(80));
+    let soon = place(&mut router, at(2), "keyed", Some(5));
+    router.pulse(at(3), pending(900));
+    let late = place(&mut router, at(4), "keyed", Some(5));
+
+    assert!(matches!(soon, Place::Wait(_)), "{soon:?}");
+    assert!(
+        matches!(late, Place::Refuse(Turned::Unowned, _)),
+        "{late:?}"
+    );
+}
+
+#[test]
+fn a_path_is_denied_only_by_a_fresh_copy() {
+    let mut router = router();
+
+    let fresh = router.route(at(10), "h", "/nothing/");
+    let stale = router.route(at(5_000), "h", "/nothing/");
+    let known = router.route(at(5_000), "h", "/pool/x");
+
+    assert_eq!(fresh, Err(Denial::NoRoute));
+    assert_eq!(stale, Err(Denial::Stale));
+    assert!(known.is_ok(), "an old copy still serves");
+}
+
+#[test]
+fn an_entry_without_a_copy_denies_nothing() {
+    let config = RouterConfig {
+        zone: Zone::from("a"),
+        drain: Duration::from_secs(2),
+        evacuate: Duration::from_secs(5),
+        retry_ratio: 0.2,
+        retry_floor: 56.0,
+        retry_window: Duration::from_secs(10),
+    };
+    let mut router = Router::new(config);
+
+    assert_eq!(router.route(at(0), "h", "/pool/"), Err(Denial::Stale));
+}
+
+#[test]
+fn an_older_copy_is_turned_down() {
+    let mut router = router();
+
+    assert!(!router.copy(at(1), 9, Catalog::default()));
+    assert!(router.route(at(1), "h", "/pool/x").is_ok());
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_after_its_time() {
+    let mut router = router();
+    router.update(
+        at(0),
+        11,
+        &[Update::Leave(TargetId(1)), Update::Leave(TargetId(3))],
+    );
+    router.pulse(at(1_900), pulse());
+
+    let early = place(&mut router, at(500), "keyed", Some(5));
+    let late = place(&mut router, at(1_900), "keyed", Some(5));
+    let pool = place(&mut router, at(1), "pool", None);
+
+    assert_eq!(
+        sent_to(&early),
+        Some(TargetId(1)),
+        "its keys have not moved yet"
+    );
+    assert_eq!(sent_to(&late), None);
+    assert_eq!(sent_to(&pool), Some(TargetId(4)));
+}
+
+#[test]
+fn a_zone_that_is_out_gets_no_pool_request_at_once() {
+    let mut router = router();
+    router.update(at(0), 11, &[Update::ZoneOut(Zone::from("a"))]);
+
+    let pool = place(&mut router, at(1), "pool", None);
+
+    assert_eq!(sent_to(&pool), Some(TargetId(4)));
+}
+
+#[test]
+fn overload_is_turned_away_at_once_with_a_time_to_come_back() {
+    let mut router = router();
+    let busy = LoadReport {
+        running: 4,
+        waiting: 14,
+        slots: 4,
+        pace: 100,
+    };
+    let first = place(&mut router, at(0), "keyed", Some(5));
+    router.sent(sent_to(&first).unwrap());
+    router.ended(
+        at(60),
+        TargetId(1),
+        Outcome::Answered,
+        Duration::from_millis(60),
+        Some(busy),
+    );
+
+    let next = place(&mut router, at(61), "keyed", Some(5));
+
+    assert!(
+        matches!(next, Place::Refuse(Turned::Busy, pause) if !pause.is_zero()),
+        "{next:?}"
+    );
+}
+
+#[test]
+fn a_pool_request_goes_to_the_target_that_answers_first() {
+    let mut router = router();
+    let busy = LoadReport {
+        running: 4,
+        waiting: 3,
+        slots: 4,
+        pace: 100,
+    };
+    let near = place(&mut router, at(0), "pool", None);
+    router.pulse(
+        at(1),
+        Pulse {
+            loads: vec![(TargetId(3), busy)],
+            ..pulse()
+        },
+    );
+
+    let next = place(&mut router, at(2), "pool", None);
+
+    assert_eq!(
+        sent_to(&near),
+        Some(TargetId(3)),
+        "its own zone when both are idle"
+    );
+    assert_eq!(sent_to(&next), Some(TargetId(4)));
+}
+
+#[test]
+fn a_target_that_failed_gets_no_pool_request_for_a_while() {
+    let mut router = router();
+    let first = place(&mut router, at(0), "pool", None);
+    router.sent(sent_to(&first).unwrap());
+    router.ended(
+        at(5),
+        TargetId(3),
+        Outcome::Unreachable,
+        Duration::ZERO,
+        None,
+    );
+
+    let next = place(&mut router, at(6), "pool", None);
+    let later = place(&mut router, at(1_000), "pool", None);
+
+    assert_eq!(sent_to(&next), Some(TargetId(4)));
+    assert_eq!(sent_to(&later), Some(TargetId(3)));
+}
+
+#[test]
+fn eight_entries_together_keep_to_the_rate_of_a_cold_target() {
+    let rate = 18_000;
+    let mut entries: Vec<ColdRate> = (0..8).map(|_| ColdRate::new(at(0))).collect();
+    let mut arrivals: Vec<u64> = Vec::new();
+    for millis in 0..3_000 {
+        for entry in &mut entries {
+            if entry.take(at(millis), rate, 8).is_ok() {
+                arrivals.push(millis);
+            }
+        }
+    }
+
+    // The bound of the platform: 1.5 times the rate and 5 in any second.
+    let most = (0..2_000)
+        .map(|from| {
+            arrivals
+                .iter()
+                .filter(|at| (from..from + 1_000).contains(*at))
+                .count()
+        })
+        .max();
+    assert!(most <= Some(32), "{most:?}");
+    assert!(arrivals.len() >= 40, "{}", arrivals.len());
+}
+
+#[test]
+fn retries_of_all_entries_keep_to_their_share() {
+    let mut entries: Vec<RetryBudget> = (0..8)
+        .map(|_| RetryBudget::new(0.2, 56.0, Duration::from_secs(10)))
+        .collect();
+    let mut again = 0;
+    for millis in (0..10_000).step_by(10) {
+        for entry in &mut entries {
+            entry.fresh(at(millis));
+            again += usize::from(entry.spend(at(millis), 8));
+        }
+    }
+
+    assert!(again <= 1_600 + 56, "{again}");
+    assert!(again >= 1_200, "{again}");
+}
+
+#[test]
+fn a_split_keeps_to_its_weights_in_short_runs() {
+    let backend = |service, weight| Backend {
+        service: Service::from(service),
+        weight,
+    };
+    let backends = [
+        backend("s", 9 * WEIGHT_UNIT),
+        backend("t", WEIGHT_UNIT),
+        backend("u", 0),
+    ];
+    let mut splitter = Splitter::default();
+
+    let drawn: Vec<usize> = (0..100).filter_map(|_| splitter.next(&backends)).collect();
+
+    for run in drawn.windows(20) {
+        assert_eq!(run.iter().filter(|at| **at == 1).count(), 2);
+    }
+    assert!(!drawn.contains(&2));
+    assert_eq!(Splitter::default().next(&[backend("s", 0)]), None);
+}
+
+#[test]
+fn the_less_urgent_is_turned_away_at_a_shorter_queue() {
+    let work = Duration::from_millis(60);
+    let wait = Duration::from_millis(110);
+
+    let urgent = judge(ask(), wait, work);
+    let last = judge(
+        Ask {
+            last: true,
+            ..ask()
+        },
+        wait,
+        work,
+    );
+
+    assert_eq!(urgent, Verdict::Send);
+    assert!(matches!(last, Verdict::Refuse(_)));
+}
+
+#[test]
+fn what_cannot_end_by_its_deadline_is_turned_away_even_by_an_idle_target() {
+    let short = Ask {
+        left: Duration::from_millis(50),
+        ..ask()
+    };
+
+    let verdict = judge(short, Duration::ZERO, Duration::from_millis(60));
+
+    assert!(matches!(verdict, Verdict::Refuse(_)));
+}
--- /dev/null
+++ b/lib/tests/test_sharding.rs
@@ -0,0 +1,220 @@
+//! Plans for keys that are numbers: everything has an owner, and busy neighbours are spread.
+
+use cornelrail_lib::{
+    moment::Moment,
+    name::{Incarnation, Service, Target, Zone},
+    version::{
+        catalog::{Catalog, KeySpan, TargetId, TargetRecord, Update},
+        sharding::{self, Candidate, Candidates, KeyLoad},
+    },
+};
+use std::time::Duration;
+
+const SERVICE: &str = "s";
+const TARGETS: u32 = 6;
+const SLOTS: u32 = 4;
+/// Time of a request that runs.
+const WORK: f64 = 0.06;
+
+fn now() -> Moment {
+    Moment::from_millis(60_000)
+}
+
+fn catalog() -> Catalog {
+    let mut catalog = Catalog::default();
+    for number in 0..TARGETS as u16 {
+        catalog.apply(&Update::Join(TargetRecord {
+            name: Target(format!("w{number}")),
+            life: Incarnation(1),
+            service: Service::from(SERVICE),
+            address: ([10, 0, 0, 1], 8_000 + number).into(),
+            zone: Zone::from("a"),
+            slots: SLOTS,
+            leaving: false,
+        }));
+    }
+    catalog
+}
+
+fn candidates() -> Candidates {
+    let candidate = Candidate {
+        open: true,
+        heard: true,
+        holding: true,
+        cold: Duration::ZERO,
+        due: now(),
+        slots: SLOTS,
+    };
+    (1..=TARGETS).map(|id| (TargetId(id), candidate)).collect()
+}
+
+fn plan(catalog: &Catalog, candidates: &Candidates, load: &KeyLoad) -> Vec<Update> {
+    sharding::plan(now(), &Service::from(SERVICE), catalog, candidates, load)
+}
+
+/// Applies plans and ends each move at once, until nothing is planned or `most` rounds are over.
+fn settle(catalog: &mut Catalog, candidates: &Candidates, load: &KeyLoad, most: usize) {
+    for _ in 0..most {
+        let updates = plan(catalog, candidates, load);
+        if updates.is_empty() {
+            return;
+        }
+        for update in updates {
+            catalog.apply(&update);
+            if let Update::Move { span, next, .. } = update {
+                let former = catalog.shards[SERVICE].owner_of(span).flatten();
+                catalog.apply(&Update::Assign {
+                    service: Service::from(SERVICE),
+                    grants: vec![cornelrail_lib::version::catalog::Grant {
+                        span,
+                        former,
+                        owner: next,
+                        handover: String::new(),
+                    }],
+                });
+            }
+        }
+    }
+}
+
+/// Load of 300 requests a second over all keys and `hot` more for each of `keys`.
+fn load(catalog: &Catalog, keys: std::ops::Range<u16>, hot: u32) -> KeyLoad {
+    let mut load = KeyLoad::default();
+    for bucket in (0..=u16::MAX).step_by(218) {
+        load.count_keys(KeyLoad::bucket(bucket), 2);
+    }
+    for key in keys {
+        load.count_keys(KeyLoad::bucket(key), 2 * hot);
+    }
+    for id in catalog.targets.keys() {
+        load.count_target(*id, 60, Duration::from_secs_f64(60.0 * WORK));
+    }
+    load
+}
+
+/// Demand of each target over what its slots can do.
+fn demands(catalog: &Catalog, load: &KeyLoad) -> Vec<f64> {
+    let rows = catalog.shards[SERVICE].rows();
+    let demand = |id: &TargetId| {
+        let mine = rows.iter().filter(|row| row.owner == Some(*id));
+        mine.map(|row| load.weight(row.span)).sum::<f64>() * WORK / f64::from(SLOTS)
+    };
+    catalog.targets.keys().map(demand).collect()
+}
+
+fn owned(catalog: &Catalog) -> u32 {
+    let rows = catalog.shards[SERVICE].rows().iter();
+    let owned = rows.filter(|row| row.owner.is_some());
+    owned.map(|row| row.span.width()).sum()
+}
+
+#[test]
+fn the_first_plan_gives_every_key_to_somebody_evenly() {
+    let mut catalog = catalog();
+
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+
+    assert_eq!(owned(&catalog), KeySpan::FULL.width());
+    let widths = catalog.shards[SERVICE]
+        .rows()
+        .iter()
+        .map(|row| row.span.width());
+    assert!(widths.max().unwrap() <= KeySpan::FULL.width() / TARGETS + 1);
+}
+
+#[test]
+fn twenty_busy_neighbours_are_spread_over_several_targets() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let load = load(&catalog, 5_000..5_020, 8);
+    let before = demands(&catalog, &load).into_iter().fold(0.0, f64::max);
+
+    settle(&mut catalog, &candidates(), &load, 20);
+
+    let after = demands(&catalog, &load).into_iter().fold(0.0, f64::max);
+    let mean = demands(&catalog, &load).iter().sum::<f64>() / f64::from(TARGETS);
+    assert!(before > 2.0, "{before}");
+    assert!(after < mean * 1.35, "{after} over a mean of {mean}");
+    assert_eq!(owned(&catalog), KeySpan::FULL.width());
+}
+
+#[test]
+fn an_even_load_moves_nothing() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let load = load(&catalog, 0..0, 0);
+
+    assert_eq!(plan(&catalog, &candidates(), &load), Vec::new());
+}
+
+#[test]
+fn keys_of_a_lost_target_go_to_several_others() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let mut candidates = candidates();
+    let lost = candidates.get_mut(&TargetId(3)).unwrap();
+    (lost.open, lost.heard, lost.holding) = (false, false, false);
+
+    let updates = plan(&catalog, &candidates, &KeyLoad::default());
+    updates
+        .iter()
+        .for_each(|update| drop(catalog.apply(update)));
+
+    let rows = catalog.shards[SERVICE].rows();
+    assert!(rows.iter().all(|row| row.owner != Some(TargetId(3))));
+    assert_eq!(owned(&catalog), KeySpan::FULL.width());
+    let Some(Update::Assign { grants, .. }) = updates.last() else {
+        panic!("{updates:?}");
+    };
+    assert!(grants.len() > 1);
+}
+
+#[test]
+fn a_silent_target_keeps_its_keys_while_its_lease_may_run() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let mut candidates = candidates();
+    let silent = candidates.get_mut(&TargetId(3)).unwrap();
+    (silent.open, silent.heard) = (false, false);
+
+    let updates = plan(&catalog, &candidates, &KeyLoad::default());
+
+    let assigns = updates.iter().any(|u| matches!(u, Update::Assign { .. }));
+    assert!(!assigns, "{updates:?}");
+}
+
+#[test]
+fn an_owner_that_was_not_yet_granted_keeps_its_keys() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let mut candidates = candidates();
+    candidates.get_mut(&TargetId(3)).unwrap().holding = false;
+
+    assert_eq!(plan(&catalog, &candidates, &KeyLoad::default()), Vec::new());
+}
+
+#[test]
+fn a_leaving_target_is_emptied() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let mut candidates = candidates();
+    candidates.get_mut(&TargetId(3)).unwrap().open = false;
+
+    settle(&mut catalog, &candidates, &KeyLoad::default(), 1);
+
+    let rows = catalog.shards[SERVICE].rows();
+    assert!(rows.iter().all(|row| row.owner != Some(TargetId(3))));
+}
+
+#[test]
+fn a_giver_waits_for_its_heartbeat() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    let load = load(&catalog, 5_000..5_020, 8);
+    let mut candidates = candidates();
+    for candidate in candidates.values_mut() {
+        candidate.due = now() + Duration::from_millis(600);
+    }
+
+    assert_eq!(plan(&catalog, &candidates, &load), Vec::new());
+}
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -65,7 +65,7 @@
     Store(#[from] StoreError),
     /// The settings are those of another role.
     #[error("the role `{0}` needs more settings than the file has")]
-    #[diagnostic(code(cornelrail::seeded::role), help("see docs/SETTINGS.md"))]
+    #[diagnostic(code(cornelrail::seeded::role), help("see docs/SEEDED.md"))]
     Role(&'static str),
 }
 
--- a/node/src/request/body.rs
+++ b/node/src/request/body.rs
@@ -10,11 +10,16 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Body as HttpBody, Frame as HttpFrame};
 use quinn::{RecvStream, SendStream};
+use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 /// Bodies up to this size are read whole before they are passed on, so that they can be sent again.
 pub const WHOLE_BYTES: u64 = 64 << 10;
+/// Time for which the rest of a body is read whose request is answered already.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+/// Bytes that are read for that at most.
+const DISCARD_BYTES: usize = 8 << 20;
 /// Chunks that a streamed body holds at most.
 const CHUNKS_HELD: usize = 4;
 
@@ -101,7 +106,7 @@
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
-            () = tx.closed() => return,
+            () = tx.closed() => return discard(body).await,
         };
         let chunk = match frame {
             None => Chunk::End,
@@ -115,12 +120,35 @@
             total += data.len() as u64;
         }
         let chunk = if total > limit { Chunk::Broken } else { chunk };
-        if !pass_on(&tx, chunk).await {
+        let more = matches!(chunk, Chunk::Data(_));
+        if tx.send(chunk).await.is_err() {
+            return discard(body).await;
+        }
+        if !more {
             return;
         }
     }
 }
 
+/// Reads the rest of a body whose request is answered already. A connection that is closed with
+/// bytes unread is reset, and the caller may never see the answer that was sent before.
+pub async fn discard<B>(mut body: B)
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let reading = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > DISCARD_BYTES {
+                return;
+            }
+        }
+    };
+    // A caller that sends no end of it is cut off.
+    let _ = timeout(DISCARD_TIME, reading).await;
+}
+
 async fn pump_wire(mut stream: RecvStream, tx: mpsc::Sender<Chunk>) {
     loop {
         let frame = tokio::select! {
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -4,7 +4,10 @@
 //! becomes of it, the caller gets one answer: the target's own, or one that says truthfully whether
 //! the request may have run.
 
-use super::proxy_body::{ReplyBody, RequestBody, WHOLE_BYTES, discard, read_short};
+use super::{
+    body::{self, WHOLE_BYTES},
+    proxy_body::{ReplyBody, RequestBody, read_short},
+};
 use crate::{
     connection::pool::{AnswerBody, PoolPlace, SendError, TargetConnection},
     process::{entry::Entry, logging::EventLog},
@@ -428,6 +431,13 @@
     response
 }
 
+/// Reads the rest of a body in the background, so that its caller sees the answer.
+fn discard(body: Incoming) {
+    if !body.is_end_stream() {
+        tokio::spawn(body::discard(body));
+    }
+}
+
 /// Takes out what concerns one connection alone.
 fn strip(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
--- a/node/src/request/proxy_body.rs
+++ b/node/src/request/proxy_body.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests and answers that an entry passes between callers and targets.
 
+use super::body::WHOLE_BYTES;
 use crate::connection::pool::AnswerBody;
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
@@ -8,16 +9,7 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
-    time::Duration,
 };
-use tokio::time::timeout;
-
-/// Bodies up to this size are read whole, so that they can be sent again.
-pub const WHOLE_BYTES: u64 = 64 << 10;
-/// Time for which the rest of a body is read whose request is answered already.
-const DISCARD_TIME: Duration = Duration::from_secs(2);
-/// Bytes that are read for that at most.
-const DISCARD_BYTES: u64 = 8 << 20;
 
 /// Body of a request on its way to a target.
 #[derive(Debug)]
@@ -125,20 +117,3 @@
     }
     Ok(ReplyBody::Whole(Some(bytes.freeze())))
 }
-
-/// Reads the rest of a body in the background. A connection that is closed with bytes unread is
-/// reset, and the caller may never see the answer that was sent before.
-pub fn discard(mut body: Incoming) {
-    if body.is_end_stream() {
-        return;
-    }
-    tokio::spawn(timeout(DISCARD_TIME, async move {
-        let mut bytes = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
-            if bytes > DISCARD_BYTES {
-                return;
-            }
-        }
-    }));
-}
