raft: a seed that does not lead names the leader to a stranger

Cause: test_membership::a_host_that_is_replaced_leaves_the_quorum failed: a newcomer greets the seeds alone, and only the leader admits members. Where the leader was no seed, nobody was admitted, and neither was a wiped seed.

Change: a follower answers a stranger's greeting with the leader's number.

--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -86,11 +86,33 @@
             at: now,
         };
         self.greetings.insert(sender.node, greeting);
+        self.redirect(sender);
         if known != Some(sender.identity) && self.log.is_empty() {
             self.send(sender, Body::Hello { empty: true });
         }
     }
 
+    /// Tells a stranger who leads: seeds need not lead, and only the leader admits members.
+    fn redirect(&mut self, sender: Member) {
+        let stranger = !self.membership().contains(sender);
+        let leader = self.leader.filter(|node| *node != self.config.node);
+        if let (Joining::Seeded { .. }, true, Some(leader)) =
+            (self.config.joining, stranger, leader)
+        {
+            self.send(sender, Body::Redirect { leader });
+        }
+    }
+
+    /// Greets the leader that a seed named.
+    pub(super) fn take_redirect(&mut self, leader: Node) {
+        let identity = Identity::ANY;
+        let empty = self.log.is_empty();
+        if leader != self.config.node && self.leader.is_none() {
+            let node = leader;
+            self.send(Member { node, identity }, Body::Hello { empty });
+        }
+    }
+
     /// All listed nodes, if each of them said of late that its folder is empty, as this one's is.
     pub(super) fn founders(&self, now: Moment) -> Option<Membership> {
         let exists = !self.log.is_empty() || !self.membership().voters.is_empty();
--- a/lib/src/process/raft/message.rs
+++ b/lib/src/process/raft/message.rs
@@ -1,6 +1,7 @@
 //! What voters say to each other and what the log holds.
 
 use super::membership::{Identity, Member, Membership};
+use crate::name::Node;
 use serde::{Deserialize, Serialize};
 
 /// Content of a log entry.
@@ -143,6 +144,11 @@
         /// Whether the whole snapshot is on disk.
         done: bool,
     },
+    /// Answers the greeting of a stranger: who to greet instead.
+    Redirect {
+        /// The leader.
+        leader: Node,
+    },
 }
 
 /// What became of an [`Body::Append`].
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -171,6 +171,7 @@
         let term = message.term;
         match message.body {
             Body::Hello { empty } => self.take_hello(now, sender, empty),
+            Body::Redirect { leader } => self.take_redirect(leader),
             Body::Vote { ballot, .. } => self.take_vote(now, sender, ballot, &message),
             Body::VoteReply { ballot, granted } => {
                 self.take_vote_reply(now, sender, term, ballot, granted);
--- a/lib/src/process/raft/replication.rs
+++ b/lib/src/process/raft/replication.rs
@@ -68,7 +68,7 @@
                 stamp
             }
             Body::Hello { .. } | Body::Vote { .. } | Body::VoteReply { .. } => 0,
-            Body::Append { .. } | Body::Install { .. } => 0,
+            Body::Append { .. } | Body::Install { .. } | Body::Redirect { .. } => 0,
         }
     }
 
--- a/lib/tests/raft_cluster/mod.rs
+++ b/lib/tests/raft_cluster/mod.rs
@@ -35,6 +35,8 @@
     pub disk: Restored,
     pub identity: Identity,
     pub frozen: bool,
+    /// Whether its process ran before, so that it founds no fleet.
+    pub started: bool,
     pub applied: u64,
     clock: (u64, u64),
     writes: VecDeque<(u64, Batch)>,
@@ -57,6 +59,8 @@
     pub sync_ms: u64,
     pub invariants: Invariants,
     pub listed: u64,
+    /// Whether the listed machines are seeds, by which any other one joins.
+    pub seeded: bool,
     wire: Vec<Parcel>,
     rng: ChaCha8Rng,
 }
@@ -73,6 +77,7 @@
             sync_ms: 2,
             invariants: Invariants::default(),
             listed,
+            seeded: false,
             wire: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
@@ -84,6 +89,7 @@
                 disk: Restored::default(),
                 identity,
                 frozen: false,
+                started: false,
                 applied: 0,
                 clock: (node * 777_777, 1000 - spread / 2 + (node * 37) % spread),
                 writes: VecDeque::new(),
@@ -96,6 +102,14 @@
         cluster
     }
 
+    /// Machines 1 to `count`, none of them started, of which the first `seeds` are seeds.
+    pub fn seeded(count: u64, seeds: u64, seed: u64) -> Self {
+        let mut cluster = Cluster::new(count, 0, seed);
+        cluster.listed = seeds;
+        cluster.seeded = true;
+        cluster
+    }
+
     pub fn machine(&mut self, node: u64) -> &mut Machine {
         &mut self.machines[node as usize - 1]
     }
@@ -114,8 +128,16 @@
         let config = RaftConfig {
             node: Node(node),
             identity: self.machine(node).identity,
-            listed: (1..=self.listed.max(node)).map(Node).collect(),
-            joining: Joining::Listed,
+            listed: match self.seeded {
+                true => (1..=self.listed).map(Node).collect(),
+                false => (1..=self.listed.max(node)).map(Node).collect(),
+            },
+            joining: match self.seeded {
+                true => Joining::Seeded {
+                    found: !self.machine(node).started,
+                },
+                false => Joining::Listed,
+            },
             election: Duration::from_millis(ELECTION_MS),
             heartbeat: Duration::from_millis(HEARTBEAT_MS),
             drift: Duration::from_millis(DRIFT_MS),
@@ -126,6 +148,7 @@
         let machine = self.machine(node);
         if machine.raft.is_none() {
             machine.frozen = false;
+            machine.started = true;
             machine.applied = 0;
             machine.raft = Some(Raft::new(config, machine.disk.clone(), now));
             self.carry_out(node);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_health;
 mod test_key;
 mod test_lease;
+mod test_membership;
 mod test_note;
 mod test_once;
 mod test_operator_api;
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,135 @@
+//! Core hosts find each other by their seeds, and the quorum follows those that are there.
+
+use crate::raft_cluster::Cluster;
+
+const CORE: u64 = 5;
+const SEEDS: u64 = 3;
+/// Time for founding and for all others to join, in model milliseconds.
+const MEETING_MS: u64 = 4_000;
+
+fn voters(cluster: &Cluster) -> Vec<u64> {
+    let Some(leader) = cluster.leader() else {
+        return Vec::new();
+    };
+    let raft = cluster.machines[leader as usize - 1].raft.as_ref().unwrap();
+    let voters = raft.membership().voters.iter();
+    voters.map(|member| member.node.0).collect()
+}
+
+fn met(seed: u64) -> Cluster {
+    let mut cluster = Cluster::seeded(CORE, SEEDS, seed);
+    for node in 1..=CORE {
+        cluster.start(node);
+    }
+    cluster.run(MEETING_MS);
+    cluster
+}
+
+fn propose(cluster: &mut Cluster, command: u8) {
+    let leader = cluster.leader().expect("a leader");
+    assert!(cluster.propose(leader, vec![command]));
+    cluster.run(500);
+}
+
+#[test]
+fn all_core_hosts_vote_whatever_order_they_start_in() {
+    let orders = [
+        [1, 2, 3, 4, 5],
+        [5, 4, 3, 2, 1],
+        [4, 1, 5, 3, 2],
+        [2, 5, 1, 4, 3],
+    ];
+    for (seed, order) in orders.into_iter().enumerate() {
+        let mut cluster = Cluster::seeded(CORE, SEEDS, seed as u64);
+        for node in order {
+            cluster.start(node);
+            cluster.run(90);
+        }
+        cluster.run(MEETING_MS);
+
+        assert_eq!(voters(&cluster), [1, 2, 3, 4, 5], "{order:?}");
+    }
+}
+
+#[test]
+fn nobody_founds_while_a_seed_is_absent() {
+    let mut cluster = Cluster::seeded(CORE, SEEDS, 1);
+    for node in [1, 2, 4, 5] {
+        cluster.start(node);
+    }
+    cluster.run(MEETING_MS);
+    let before = cluster.leader();
+
+    cluster.start(3);
+    cluster.run(MEETING_MS);
+
+    assert_eq!(before, None);
+    assert_eq!(voters(&cluster), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_seed_whose_disk_was_emptied_joins_again_and_keeps_what_was_committed() {
+    let mut cluster = met(2);
+    propose(&mut cluster, 7);
+
+    cluster.crash(1);
+    cluster.wipe(1);
+    cluster.start(1);
+    cluster.run(MEETING_MS);
+    propose(&mut cluster, 8);
+
+    assert_eq!(voters(&cluster), [1, 2, 3, 4, 5]);
+    assert!(cluster.machine(1).applied >= cluster.machine(2).applied);
+}
+
+#[test]
+fn seeds_that_were_emptied_found_no_second_fleet() {
+    let mut cluster = met(3);
+    for node in 1..=CORE {
+        cluster.crash(node);
+    }
+    // More disks are lost than the quorum bears: nothing may be served, least of all a new fleet.
+    for node in 1..=SEEDS {
+        cluster.wipe(node);
+    }
+    for node in 1..=SEEDS {
+        cluster.start(node);
+    }
+
+    cluster.run(MEETING_MS);
+
+    assert_eq!(cluster.leader(), None);
+}
+
+#[test]
+fn a_host_that_is_replaced_leaves_the_quorum() {
+    let mut cluster = Cluster::seeded(CORE + 1, SEEDS, 4);
+    for node in 1..=CORE {
+        cluster.start(node);
+    }
+    cluster.run(MEETING_MS);
+
+    cluster.crash(1);
+    cluster.start(CORE + 1);
+    cluster.run(2 * MEETING_MS);
+
+    assert_eq!(voters(&cluster), [2, 3, 4, 5, 6]);
+}
+
+#[test]
+fn two_may_be_lost_after_a_replacement() {
+    let mut cluster = Cluster::seeded(CORE + 1, SEEDS, 5);
+    for node in 1..=CORE {
+        cluster.start(node);
+    }
+    cluster.run(MEETING_MS);
+    cluster.crash(2);
+    cluster.start(CORE + 1);
+    cluster.run(2 * MEETING_MS);
+
+    cluster.crash(3);
+    cluster.crash(4);
+    cluster.run(MEETING_MS);
+
+    assert!(cluster.leader().is_some());
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_operator;
 mod test_processes;
 mod test_program;
+mod test_seeded;
 mod test_store;
 mod test_streams;
 mod test_voter;
