entry: a request waits for its key on the way instead of being sent away

Change: such a request waits for up to 60 % of the time left. A taker is preferred whose heartbeat follows soon after the release.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -35,6 +35,8 @@
 const CLOSING_SHARE: f64 = 0.7;
 /// Pause before a key is tried again whose owner said that it does not hold it.
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(60);
+/// Part of the time left for which a request waits for the owner of its key.
+const HOLD_SHARE: f64 = 0.6;
 /// Pause named to a caller whose key nobody serves.
 const NO_OWNER_PAUSE: Duration = Duration::from_millis(500);
 
@@ -465,12 +467,12 @@
         }
     }
 
-    /// Holds a request until its key is served, if it can still be of use then.
+    /// Holds a request until its key is served, if there is time enough left then. A caller that is
+    /// sent away instead would come back later than that, with one try less.
     fn hold(&self, wish: Wish<'_>, wait: Duration) -> Place {
-        let work = Duration::from_millis(20);
-        match judge(wish.ask, wait, work) {
-            Verdict::Send => Place::Wait(wait),
-            Verdict::Refuse(_) => Place::Refuse(Turned::Unowned, wait),
+        match wait <= wish.ask.left.mul_f64(HOLD_SHARE) {
+            true => Place::Wait(wait),
+            false => Place::Refuse(Turned::Unowned, wait),
         }
     }
 
--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -26,9 +26,9 @@
 /// A giver's heartbeat is due within this span: longer than the pause between two plans.
 const DUE_WITHIN: Duration = Duration::from_millis(250);
 /// Time between the giver's heartbeat and the one that shows that it let the keys go.
-const RELEASE_TIME: Duration = Duration::from_millis(120);
+const RELEASE_TIME: Duration = Duration::from_millis(170);
 /// Demand that a second of waiting for the taker's heartbeat weighs.
-const WAIT_WEIGHT: f64 = 0.15;
+const WAIT_WEIGHT: f64 = 1.0;
 /// Part of the load that would even the two out, so that a late report does not swing back.
 const CAUTION: f64 = 0.85;
 /// Time of a request at a target that answered nothing of late, in seconds.
