choose: an upload leaves its zone only where it would wait there

Change: another zone costs 1.3 ms for each KiB of the body, 120 ms at most. Rates of keys fade by one factor instead of 32,768 multiplications ten times a second.

--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -1,14 +1,21 @@
 //! Which target of a pool gets a request.
 //!
 //! Load pattern: targets of different speed whose neighbours slow them for moments. The one that is
-//! expected to answer first gets the request; another zone costs its way there and back.
+//! expected to answer first gets the request. Another zone costs its way there and back, and what a
+//! large body takes from the links between zones: an upload leaves its zone only where it would
+//! wait there.
 
 use super::target::TargetModel;
 use crate::{moment::Moment, version::catalog::TargetId};
 use std::time::Duration;
 
-/// Time that an answer from another zone takes longer, with what its bytes cost.
+/// Time that an answer from another zone takes longer.
 const ZONE_COST: Duration = Duration::from_millis(6);
+/// Time that a KiB between zones is worth waiting for: a body of 60 KiB waits for one of its own
+/// zone's targets for about as long as it runs.
+const KIB_COST: Duration = Duration::from_micros(1_300);
+/// Longest wait for the sake of the links.
+const MOST_COST: Duration = Duration::from_millis(120);
 
 /// A target that may get the request.
 #[derive(Debug, Clone, Copy)]
@@ -21,15 +28,17 @@
     pub near: bool,
 }
 
-/// The target that is expected to answer first. One that failed of late comes last.
-pub fn choose<'a>(now: Moment, choices: impl Iterator<Item = Choice<'a>>) -> Option<Choice<'a>> {
+/// The target that is expected to answer a request of so many bytes first. One that failed of late comes last.
+pub fn choose<'a>(
+    now: Moment,
+    bytes: u64,
+    choices: impl Iterator<Item = Choice<'a>>,
+) -> Option<Choice<'a>> {
+    let body = KIB_COST * u32::try_from(bytes >> 10).unwrap_or(u32::MAX).min(1 << 10);
+    let zone = ZONE_COST + body.min(MOST_COST);
     let cost = |choice: &Choice<'_>| {
         let end = choice.model.wait(now) + choice.model.work(now);
-        let far = if choice.near {
-            Duration::ZERO
-        } else {
-            ZONE_COST
-        };
+        let far = if choice.near { Duration::ZERO } else { zone };
         (choice.model.is_paused(now), end + far)
     };
     choices.min_by_key(cost)
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -96,6 +96,8 @@
     pub key: Option<u16>,
     /// Its bounds in time.
     pub ask: Ask,
+    /// Bytes of its body, as far as its head tells.
+    pub bytes: u64,
     /// Targets that it was sent to already.
     pub tried: &'a [TargetId],
 }
@@ -421,7 +423,7 @@
                     near: *near,
                 })
             });
-            let Some(id) = choose(now, choices).map(|choice| choice.id) else {
+            let Some(id) = choose(now, wish.bytes, choices).map(|choice| choice.id) else {
                 break;
             };
             match self.send(now, wish, id) {
--- a/lib/src/version/sharding/load.rs
+++ b/lib/src/version/sharding/load.rs
@@ -12,6 +12,8 @@
 const BUCKETS: usize = (1 << 16) / BUCKET_KEYS as usize;
 /// Span over which the means decay to a third: long enough for a few requests of each target.
 const MEMORY: Duration = Duration::from_millis(2_000);
+/// Unit at which the rates are written anew, far above what a number cannot hold.
+const LEAST_UNIT: f64 = 1e-60;
 /// Weight of a key that was not asked for, in requests a second, so that quiet keys count too.
 const QUIET_KEY: f64 = 0.000_5;
 
@@ -35,6 +37,8 @@
 #[derive(Debug, Clone)]
 pub struct KeyLoad {
     rates: Vec<f64>,
+    /// What one unit of `rates` is worth now: the rates fade by this alone.
+    unit: f64,
     targets: BTreeMap<TargetId, TargetLoad>,
 }
 
@@ -42,6 +46,7 @@
     fn default() -> Self {
         KeyLoad {
             rates: vec![0.0; BUCKETS],
+            unit: 1.0,
             targets: BTreeMap::new(),
         }
     }
@@ -56,7 +61,11 @@
     /// Lets the past fade by the time that went by.
     pub fn fade(&mut self, span: Duration) {
         let left = (-span.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        self.rates.iter_mut().for_each(|rate| *rate *= left);
+        self.unit *= left;
+        if self.unit < LEAST_UNIT {
+            let unit = std::mem::replace(&mut self.unit, 1.0);
+            self.rates.iter_mut().for_each(|rate| *rate *= unit);
+        }
         for load in self.targets.values_mut() {
             load.rate *= left;
             load.open *= left;
@@ -66,7 +75,7 @@
     /// Counts requests for a bucket.
     pub fn count_keys(&mut self, bucket: u16, requests: u32) {
         if let Some(rate) = self.rates.get_mut(usize::from(bucket)) {
-            *rate += f64::from(requests) / MEMORY.as_secs_f64();
+            *rate += f64::from(requests) / MEMORY.as_secs_f64() / self.unit;
         }
     }
 
@@ -101,7 +110,7 @@
         let measured: f64 = buckets
             .map(|bucket| self.rates[bucket] * overlap(span, bucket))
             .sum();
-        measured + QUIET_KEY * f64::from(span.width())
+        measured * self.unit + QUIET_KEY * f64::from(span.width())
     }
 
     /// Weight of all keys.
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -134,6 +134,19 @@
         service: &service,
         key,
         ask: ask(),
+        bytes: 0,
+        tried: &[],
+    };
+    router.place(now, wish)
+}
+
+fn place_upload(router: &mut Router, now: Moment, bytes: u64) -> Place {
+    let service = Service::from("pool");
+    let wish = Wish {
+        service: &service,
+        key: None,
+        ask: ask(),
+        bytes,
         tried: &[],
     };
     router.place(now, wish)
@@ -312,6 +325,33 @@
     assert_eq!(sent_to(&next), Some(TargetId(4)));
 }
 
+#[test]
+fn an_upload_waits_a_little_for_its_own_zone() {
+    let mut router = router();
+    let report = |waiting| Pulse {
+        loads: vec![(
+            TargetId(3),
+            LoadReport {
+                running: 4,
+                waiting,
+                slots: 4,
+                pace: 100,
+            },
+        )],
+        ..pulse()
+    };
+
+    router.pulse(at(1), report(2));
+    let short = place(&mut router, at(2), "pool", None);
+    let upload = place_upload(&mut router, at(2), 60 << 10);
+    router.pulse(at(3), report(12));
+    let long = place_upload(&mut router, at(4), 60 << 10);
+
+    assert_eq!(sent_to(&short), Some(TargetId(4)));
+    assert_eq!(sent_to(&upload), Some(TargetId(3)));
+    assert_eq!(sent_to(&long), Some(TargetId(4)));
+}
+
 #[test]
 fn a_target_that_failed_gets_no_pool_request_for_a_while() {
     let mut router = router();
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -77,6 +77,7 @@
     head: CallerHead,
     routed: Routed,
     parts: http::request::Parts,
+    length: u64,
     since: Moment,
     until: Instant,
     tried: Vec<TargetId>,
@@ -158,6 +159,7 @@
         head,
         routed,
         parts,
+        length: length.unwrap_or_default(),
         since,
         until: Instant::now() + left,
         tried: Vec::new(),
@@ -267,6 +269,7 @@
                 left: self.until.saturating_duration_since(Instant::now()),
                 last: self.routed.last,
             },
+            bytes: self.length,
             tried: &self.tried,
         }
     }
