sharding: the first keys go out in stripes, moves of one plan are one command

Change: each target gets 32 stripes that go round by slots; no target gets more rows than the answer to a heartbeat has room for; the moves of one plan are one command.

--- a/lib/src/version/catalog/mod.rs
+++ b/lib/src/version/catalog/mod.rs
@@ -82,11 +82,7 @@
             Update::Join(record) => self.join(record),
             Update::Leave(id) => self.leave(*id),
             Update::Remove(id) => self.remove(*id),
-            Update::Move {
-                service,
-                span,
-                next,
-            } => self.begin_move(service, *span, *next),
+            Update::Move { service, spans } => self.begin_moves(service, spans),
             Update::Assign { service, grants } => self.assign(service, grants),
         }
     }
@@ -164,15 +160,18 @@
         Applied::Changed { items: 1 }
     }
 
-    fn begin_move(&mut self, service: &Service, span: KeySpan, next: TargetId) -> Applied {
-        let fits = self
-            .targets
-            .get(&next)
-            .is_some_and(|t| t.service == *service);
-        let Some(table) = self.shards.get_mut(service).filter(|_| fits) else {
+    fn begin_moves(&mut self, service: &Service, spans: &[(KeySpan, TargetId)]) -> Applied {
+        let Some(table) = self.shards.get_mut(service) else {
             return Applied::Unchanged;
         };
-        changed(table.begin_move(span, next))
+        let targets = &self.targets;
+        let fits = |next: &TargetId| targets.get(next).is_some_and(|t| t.service == *service);
+        let begun = spans.iter().filter(|(_, next)| fits(next));
+        let begun = begun.filter(|(span, next)| table.begin_move(*span, *next));
+        match begun.count() {
+            0 => Applied::Unchanged,
+            items => Applied::Changed { items },
+        }
     }
 
     /// Gives spans to new owners, each under a fence that was never used before.
--- a/lib/src/version/catalog/update.rs
+++ b/lib/src/version/catalog/update.rs
@@ -35,14 +35,12 @@
     Leave(TargetId),
     /// A life of a target is over.
     Remove(TargetId),
-    /// A span is about to change its owner; the present one is asked for it.
+    /// Spans are about to change their owners; the present ones are asked for them.
     Move {
         /// The service.
         service: Service,
-        /// The keys.
-        span: KeySpan,
-        /// Who gets them.
-        next: TargetId,
+        /// The spans, and who gets each.
+        spans: Vec<(KeySpan, TargetId)>,
     },
     /// Spans that nobody holds any more get owners.
     Assign {
--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -9,11 +9,10 @@
 //! giver moves just before its heartbeat is due, and a taker is preferred whose heartbeat follows
 //! soon.
 
-use super::{Candidate, Candidates, KeyLoad, load::bucket_range};
+use super::{Candidate, Candidates, KeyLoad, ROWS_MOST, load::bucket_range};
 use crate::{
     moment::Moment,
-    name::Service,
-    version::catalog::{KeySpan, Row, ShardTable, TargetId, Update},
+    version::catalog::{KeySpan, Row, ShardTable, TargetId},
 };
 use std::time::Duration;
 
@@ -46,16 +45,16 @@
     /// Part of a slot's time that one request a second takes, over all slots.
     cost: f64,
     demand: f64,
+    rows: usize,
 }
 
 /// Moves that pay for themselves.
 pub(super) fn moves(
     now: Moment,
-    service: &Service,
     table: &ShardTable,
     candidates: &Candidates,
     load: &KeyLoad,
-) -> Vec<Update> {
+) -> Vec<(KeySpan, TargetId)> {
     let moving = table.rows().iter().filter(|row| row.next.is_some());
     let mut room = MOVES_AT_ONCE.saturating_sub(moving.count());
     let mut loaded = loads(table, candidates, load);
@@ -63,7 +62,7 @@
     let mut givers = loaded.clone();
     givers.retain(|one| one.candidate.due.since(now) <= DUE_WITHIN && one.demand > BUSY);
     givers.sort_by(|a, b| b.demand.total_cmp(&a.demand));
-    let mut updates = Vec::new();
+    let mut moves = Vec::new();
     for mut giver in givers {
         // One that takes keys in this plan gives none.
         let changed = loaded
@@ -78,17 +77,14 @@
             loaded[at].demand += rate * loaded[at].cost;
             given.push(span);
             room -= 1;
-            updates.push(Update::Move {
-                service: service.clone(),
-                span,
-                next: loaded[at].id,
-            });
+            loaded[at].rows += 1;
+            moves.push((span, loaded[at].id));
         }
         if !given.is_empty() {
             loaded.retain(|one| one.id != giver.id);
         }
     }
-    updates
+    moves
 }
 
 /// Place of the taker, the span and its requests a second, if a move pays.
@@ -101,7 +97,8 @@
 ) -> Option<(usize, KeySpan, f64)> {
     let cost = |one: &Loaded| one.demand + wait(giver, one).as_secs_f64() * WAIT_WEIGHT;
     let free = loaded.iter().enumerate();
-    let free = free.filter(|(_, one)| one.id != giver.id && one.candidate.cold.is_zero());
+    let free = free.filter(|(_, one)| one.id != giver.id && one.rows < ROWS_MOST);
+    let free = free.filter(|(_, one)| one.candidate.cold.is_zero());
     let (at, taker) = free.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))?;
     let gap = giver.demand - taker.demand;
     if gap < LEAST_GAP {
@@ -127,13 +124,14 @@
     open.map(|(id, candidate)| {
         let slots = f64::from(candidate.slots.max(1));
         let work = load.work(*id, candidate.slots).unwrap_or(UNKNOWN_WORK);
-        let mine = table.rows().iter().filter(|row| row.owner == Some(*id));
-        let rate: f64 = mine.map(|row| load.weight(row.span)).sum();
+        let mine = || table.rows().iter().filter(|row| row.owner == Some(*id));
+        let rate: f64 = mine().map(|row| load.weight(row.span)).sum();
         Loaded {
             id: *id,
             candidate: *candidate,
             cost: work / slots,
             demand: rate * work / slots,
+            rows: mine().count(),
         }
     })
     .collect()
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -20,6 +20,13 @@
 const COLD_SHARE: f64 = 0.5;
 /// Keys of a lost target are spread in pieces of at most this share of the mean target's keys.
 const PIECE_SHARE: f64 = 0.5;
+/// Stripes of keys that each target gets at first: with 21 targets, 97 keys each.
+const STRIPES_EACH: usize = 32;
+/// Stripes of all targets together.
+const STRIPES_MOST: usize = 2_048;
+/// Rows of one target beyond which it gets no more: an answer to a heartbeat has room for 4 KiB, and
+/// a row with a handover takes up to 42 bytes.
+const ROWS_MOST: usize = 80;
 
 /// What the leader knows of a target beside the catalog.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -57,16 +64,23 @@
     }
     let mut shares = Shares::new(table, candidates, load);
     let grants = adopt(table, candidates, &mut shares, load);
-    let mut updates = empty_closed(service, table, candidates, &mut shares, load);
+    let mut spans = empty_closed(table, candidates, &mut shares, load);
+    if spans.is_empty() && grants.is_empty() {
+        spans = balance::moves(now, table, candidates, load);
+    }
+    let mut updates = Vec::new();
+    if !spans.is_empty() {
+        updates.push(Update::Move {
+            service: service.clone(),
+            spans,
+        });
+    }
     if !grants.is_empty() {
         updates.push(Update::Assign {
             service: service.clone(),
             grants,
         });
     }
-    if updates.is_empty() {
-        updates.extend(balance::moves(now, service, table, candidates, load));
-    }
     updates
 }
 
@@ -75,6 +89,7 @@
 struct Shares {
     weights: BTreeMap<TargetId, f64>,
     loads: BTreeMap<TargetId, f64>,
+    rows: BTreeMap<TargetId, usize>,
 }
 
 impl Shares {
@@ -88,12 +103,18 @@
             })
             .collect();
         let mut loads: BTreeMap<TargetId, f64> = BTreeMap::new();
+        let mut rows: BTreeMap<TargetId, usize> = BTreeMap::new();
         for row in table.rows() {
             if let Some(owner) = row.next.or(row.owner) {
+                *rows.entry(owner).or_default() += 1;
                 *loads.entry(owner).or_default() += load.weight(row.span);
             }
         }
-        Shares { weights, loads }
+        Shares {
+            weights,
+            loads,
+            rows,
+        }
     }
 
     fn total_weight(&self) -> f64 {
@@ -106,11 +127,15 @@
         let after = |id: &TargetId, capacity: f64| {
             (loads.get(id).copied().unwrap_or_default() + weight) / capacity
         };
-        let (id, _) = self
-            .weights
-            .iter()
-            .min_by(|a, b| after(a.0, *a.1).total_cmp(&after(b.0, *b.1)))?;
+        let rows = |id: &TargetId| self.rows.get(id).copied().unwrap_or_default();
+        // Keys must be served by somebody, so a full target is only the last choice.
+        let rank = |id: &TargetId, capacity: f64| (rows(id) >= ROWS_MOST, after(id, capacity));
+        let (id, _) = self.weights.iter().min_by(|a, b| {
+            let (one, other) = (rank(a.0, *a.1), rank(b.0, *b.1));
+            one.0.cmp(&other.0).then(one.1.total_cmp(&other.1))
+        })?;
         let id = *id;
+        *self.rows.entry(id).or_default() += 1;
         *self.loads.entry(id).or_default() += weight;
         Some(id)
     }
@@ -150,26 +175,37 @@
     grants
 }
 
-/// All keys in spans that follow the slots, one for each open target.
+/// All keys in stripes that go round the open targets by their slots. Busy keys are neighbours, so
+/// whole spans would give the busiest part of the day to one target before any load is known.
 fn divide(candidates: &Candidates) -> Vec<Grant> {
-    let open: Vec<(TargetId, u64)> = candidates
+    let open: Vec<(TargetId, i64)> = candidates
         .iter()
         .filter(|(_, c)| c.open)
-        .map(|(id, c)| (*id, u64::from(c.slots.max(1))))
+        .map(|(id, c)| (*id, i64::from(c.slots.max(1))))
         .collect();
-    let total: u64 = open.iter().map(|(_, slots)| slots).sum();
+    let total: i64 = open.iter().map(|(_, slots)| slots).sum();
+    let count = (open.len() * STRIPES_EACH)
+        .min(STRIPES_MOST)
+        .max(open.len()) as u64;
     let keys = u64::from(KeySpan::FULL.width());
-    let mut before = 0;
+    let mut credits = vec![0; open.len()];
     let mut grants = Vec::new();
-    for (owner, slots) in open {
-        let first = keys * before / total;
-        before += slots;
-        let last = keys * before / total;
-        if let Some(span) = KeySpan::new(first as u16, (last.max(1) - 1) as u16) {
+    for stripe in 0..count {
+        let first = keys * stripe / count;
+        let last = keys * (stripe + 1) / count - 1;
+        for (credit, (_, slots)) in credits.iter_mut().zip(&open) {
+            *credit += slots;
+        }
+        let most = (0..open.len()).max_by_key(|at| (credits[*at], std::cmp::Reverse(*at)));
+        let Some(at) = most else {
+            break;
+        };
+        credits[at] -= total;
+        if let Some(span) = KeySpan::new(first as u16, last as u16) {
             grants.push(Grant {
                 span,
                 former: None,
-                owner,
+                owner: open[at].0,
                 handover: String::new(),
             });
         }
@@ -179,17 +215,16 @@
 
 /// Moves off the targets that may get no keys but still hold some.
 fn empty_closed(
-    service: &Service,
     table: &ShardTable,
     candidates: &Candidates,
     shares: &mut Shares,
     load: &KeyLoad,
-) -> Vec<Update> {
+) -> Vec<(KeySpan, TargetId)> {
     let closed = |id: TargetId| {
         let candidate = candidates.get(&id);
         candidate.is_some_and(|c| !c.open && (c.holding || c.heard))
     };
-    let mut updates = Vec::new();
+    let mut spans = Vec::new();
     for row in table.rows() {
         let lost = row
             .next
@@ -200,15 +235,11 @@
         }
         for span in pieces(row.span, shares, load) {
             if let Some(next) = shares.take(load.weight(span)) {
-                updates.push(Update::Move {
-                    service: service.clone(),
-                    span,
-                    next,
-                });
+                spans.push((span, next));
             }
         }
     }
-    updates
+    spans
 }
 
 /// Cuts a span so that no piece is a large part of what one target carries.
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -39,6 +39,8 @@
 const BURST: usize = 128;
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
+/// Spans that one line of the log names.
+const SPANS_LOGGED: usize = 8;
 /// Commands applied between two snapshots.
 const SNAPSHOT_COMMANDS: u64 = 400;
 /// Messages that wait for one entry; one that is further behind has to follow anew.
@@ -493,22 +495,20 @@
         )),
         (Update::Leave(id), _) => Event::TargetLeaving.log(format_args!("index={index} id={id}")),
         (Update::Remove(id), _) => Event::TargetLost.log(format_args!("index={index} id={id}")),
-        (
-            Update::Move {
-                service,
-                span,
-                next,
-            },
-            Applied::Changed { .. },
-        ) => Event::MoveBegun.log(format_args!(
-            "index={index} service={service} keys={span} next={next}"
-        )),
+        (Update::Move { service, spans }, Applied::Changed { items }) => {
+            let spans = spans.iter().map(|(span, next)| format!("{span}:{next}"));
+            let spans: Vec<_> = spans.take(SPANS_LOGGED).collect();
+            Event::MoveBegun.log(format_args!(
+                "index={index} service={service} spans={items} first={}",
+                spans.join(",")
+            ));
+        }
         (Update::Assign { service, grants }, Applied::Changed { items }) => {
+            let spans = grants.iter().map(|g| format!("{}:{}", g.span, g.owner));
+            let spans: Vec<_> = spans.take(SPANS_LOGGED).collect();
             Event::MoveEnded.log(format_args!(
                 "index={index} service={service} spans={items} first={}",
-                grants
-                    .first()
-                    .map_or(String::new(), |g| format!("{}:{}", g.span, g.owner)),
+                spans.join(",")
             ));
         }
         _ => {}
