leader: a target that joins an old leader is not taken for lost

The leader counted its silence from its own start, and noted it at its second heartbeat only. Ruled out: a lost lease and a change of leader; the removals were committed by the leader of the whole time.

--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -111,6 +111,12 @@
         Heard::Known { id, updates }
     }
 
+    /// Takes note of a target whose heartbeat is being answered. The one by which it joined was heard
+    /// before it had a number.
+    pub fn note(&mut self, now: Moment, id: TargetId) {
+        self.entry(now, id);
+    }
+
     /// Lease of a target as of now, to be sent in the answer to its heartbeat.
     pub fn grant(&mut self, now: Moment, catalog: &Catalog, id: TargetId) -> Lease {
         let rows = catalog.rows_of(id);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_fleet;
 mod test_health;
 mod test_key;
+mod test_leader;
 mod test_lease;
 mod test_membership;
 mod test_note;
--- /dev/null
+++ b/lib/tests/test_leader.rs
@@ -0,0 +1,102 @@
+//! What a leader does with the targets that come and go.
+
+use cornelrail_lib::{
+    connection::{
+        heartbeat::Heartbeat,
+        pull_lease::{Heard, LeaseConfig},
+    },
+    moment::Moment,
+    name::{Incarnation, Service, Target, Zone},
+    version::{
+        catalog::{Catalog, Update},
+        desired::{Change, Item, ItemVersion, ServiceSpec},
+        leader::Leader,
+    },
+};
+use std::time::Duration;
+
+fn catalog(keyed: bool) -> Catalog {
+    let spec = ServiceSpec {
+        health: "/health".to_owned(),
+        connections: 100,
+        cold_span: Duration::ZERO,
+        cold_rate: 1_000,
+        keyed,
+        warmup: Duration::ZERO,
+    };
+    let item = Item {
+        version: ItemVersion(1),
+        value: Some(spec),
+        source: String::new(),
+    };
+    let mut change = Change::default();
+    change.services.insert(Service::from("s"), item);
+    let mut catalog = Catalog::default();
+    catalog.apply(&Update::Desired(change));
+    catalog
+}
+
+fn leader() -> Leader {
+    let config = LeaseConfig {
+        length: Duration::from_secs(4),
+        heartbeat: Duration::from_millis(870),
+    };
+    Leader::new(config, Moment::ZERO)
+}
+
+fn beat(serial: u64) -> Heartbeat {
+    Heartbeat {
+        name: Target::from("w"),
+        life: Incarnation(1),
+        service: Service::from("s"),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        zone: Zone::from("a"),
+        slots: 4,
+        leaving: false,
+        cold: Duration::ZERO,
+        serial,
+        holds: Vec::new(),
+        released: Vec::new(),
+    }
+}
+
+/// Lets the target join at a time, as the first heartbeat of its life does.
+fn join(leader: &mut Leader, catalog: &mut Catalog, now: Moment) {
+    let heard = leader.heartbeat(now, catalog, &beat(1));
+    assert_eq!(heard, Heard::New);
+    catalog.apply(&Update::Join(beat(1).record()));
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    leader.grant(now, catalog, id);
+}
+
+fn removes(leader: &mut Leader, catalog: &Catalog, now: Moment) -> bool {
+    let planned = leader.plan(now, catalog);
+    planned
+        .iter()
+        .any(|p| matches!(p.update, Update::Remove(_)))
+}
+
+#[test]
+fn a_target_that_joins_an_old_leader_stays() {
+    for keyed in [false, true] {
+        let (mut leader, mut catalog) = (leader(), catalog(keyed));
+        let now = Moment::from_millis(60_000);
+
+        join(&mut leader, &mut catalog, now);
+
+        let soon = now + Duration::from_millis(500);
+        assert!(!removes(&mut leader, &catalog, soon), "keyed: {keyed}");
+    }
+}
+
+#[test]
+fn a_target_that_falls_silent_is_removed_in_the_end() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+
+    let early = removes(&mut leader, &catalog, now + Duration::from_secs(19));
+    let late = removes(&mut leader, &catalog, now + Duration::from_secs(21));
+
+    assert_eq!((early, late), (false, true));
+}
