cold: a target that joins is known as cold from its first heartbeat

The leader recorded coldness only for lives that it knew already, so a newcomer passed for warm until its second heartbeat.

Change: the coldness of a first heartbeat is kept until the life has a number; an entry takes a target that joins for cold until a pulse tells more. test_leader and test_router were red before.

--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -12,8 +12,8 @@
 use super::heartbeat::{Granted, Heartbeat, Lease};
 use crate::{
     moment::Moment,
-    name::{Fence, Service},
-    version::catalog::{Catalog, Grant, Row, TargetId, Update},
+    name::{Fence, Incarnation, Service, Target},
+    version::catalog::{Catalog, Grant, Row, TargetId, TargetRecord, Update},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -79,6 +79,8 @@
     config: LeaseConfig,
     since: Moment,
     tracked: BTreeMap<TargetId, Tracked>,
+    /// Until when the targets are cold that were heard before they had a number.
+    newcomers: BTreeMap<(Target, Incarnation), Moment>,
 }
 
 impl PullLeases {
@@ -88,6 +90,7 @@
             config,
             since: now,
             tracked: BTreeMap::new(),
+            newcomers: BTreeMap::new(),
         }
     }
 
@@ -99,7 +102,12 @@
                 .targets
                 .values()
                 .any(|t| t.address == beat.address && t.life >= beat.life);
-            return if newer { Heard::Late } else { Heard::New };
+            if newer {
+                return Heard::Late;
+            }
+            let life = (beat.name.clone(), beat.life);
+            self.newcomers.insert(life, now + beat.cold);
+            return Heard::New;
         };
         if record.life > beat.life || !self.take(now, id, beat) {
             return Heard::Late;
@@ -113,8 +121,11 @@
 
     /// Takes note of a target whose heartbeat is being answered. The one by which it joined was heard
     /// before it had a number.
-    pub fn note(&mut self, now: Moment, id: TargetId) {
-        self.entry(now, id);
+    pub fn note(&mut self, now: Moment, id: TargetId, record: &TargetRecord) {
+        let life = (record.name.clone(), record.life);
+        let cold = self.newcomers.remove(&life);
+        let tracked = self.entry(now, id);
+        tracked.cold = tracked.cold.max(cold.unwrap_or(Moment::ZERO));
     }
 
     /// Lease of a target as of now, to be sent in the answer to its heartbeat.
@@ -183,6 +194,9 @@
     pub fn retain(&mut self, catalog: &Catalog) {
         let targets = &catalog.targets;
         self.tracked.retain(|id, _| targets.contains_key(id));
+        let usual = self.config.length;
+        let now = self.latest();
+        self.newcomers.retain(|_, cold| now.since(*cold) < usual);
     }
 
     /// Grants that are due since the lease of the present owner is over, for moves under way.
@@ -200,6 +214,12 @@
         due
     }
 
+    /// Time of the latest heartbeat of all.
+    fn latest(&self) -> Moment {
+        let heard = self.tracked.values().map(|tracked| tracked.last);
+        heard.max().unwrap_or(self.since)
+    }
+
     /// End of the last lease that the target may have.
     fn ends(&self, id: TargetId) -> Moment {
         match self.tracked.get(&id) {
--- a/lib/src/request/balance/cold.rs
+++ b/lib/src/request/balance/cold.rs
@@ -20,10 +20,12 @@
 }
 
 impl ColdRate {
-    /// Rate for a target that is cold as of now. A part of a request is saved up already.
-    pub fn new(now: Moment) -> Self {
+    /// Rate for a target that is cold as of now. The part of a request that is saved up already has
+    /// to be drawn evenly from 0 to 1: all entries hear of the target at one moment, and equal parts
+    /// would let all of them send their first request at one moment too.
+    pub fn new(now: Moment, saved: f64) -> Self {
         ColdRate {
-            tokens: 0.5,
+            tokens: saved.clamp(0.0, 1.0),
             at: now,
         }
     }
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -22,6 +22,10 @@
         sharding::KeyLoad,
     },
 };
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{RngCore, SeedableRng},
+};
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
@@ -43,6 +47,8 @@
 /// Settings of the decisions.
 #[derive(Debug, Clone)]
 pub struct RouterConfig {
+    /// Seed of what is drawn; another one on each entry.
+    pub seed: u64,
     /// Zone of this entry.
     pub zone: Zone,
     /// Time from a target's farewell to its last new request.
@@ -158,6 +164,7 @@
 /// Copy of the fleet at one entry with what it has seen itself.
 #[derive(Debug)]
 pub struct Router {
+    rng: ChaCha8Rng,
     config: RouterConfig,
     catalog: Catalog,
     routing: Routing,
@@ -177,6 +184,7 @@
     /// Entry without a copy.
     pub fn new(config: RouterConfig) -> Self {
         Router {
+            rng: ChaCha8Rng::seed_from_u64(config.seed),
             config,
             catalog: Catalog::default(),
             routing: Routing::default(),
@@ -212,6 +220,9 @@
         let mut routes = false;
         for update in updates {
             let applied = self.catalog.apply(update);
+            if let (Update::Join(record), Applied::Joined(id)) = (update, &applied) {
+                self.expect_cold(now, *id, &record.service);
+            }
             let is_order = matches!(update, Update::Desired(_));
             routes |= is_order && matches!(applied, Applied::Changed { .. });
         }
@@ -222,6 +233,15 @@
         }
     }
 
+    /// Takes a target that has just joined for cold until a pulse tells more.
+    fn expect_cold(&mut self, now: Moment, id: TargetId, service: &Service) {
+        let spec = self.catalog.desired.service(service.as_str());
+        let span = spec.map_or(Duration::ZERO, |spec| spec.cold_span);
+        let saved = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        self.colds
+            .insert(id, (now + span, ColdRate::new(now, saved)));
+    }
+
     /// Takes a pulse of the leader.
     pub fn pulse(&mut self, now: Moment, pulse: Pulse) {
         for (id, load) in &pulse.loads {
@@ -233,8 +253,10 @@
             }
         }
         for (id, left) in &pulse.cold {
+            let rng = &mut self.rng;
             let cold = self.colds.entry(*id);
-            cold.or_insert_with(|| (now, ColdRate::new(now))).0 = now + *left;
+            let mut draw = || f64::from(rng.next_u32()) / f64::from(u32::MAX);
+            cold.or_insert_with(|| (now, ColdRate::new(now, draw()))).0 = now + *left;
         }
         self.colds.retain(|_, (until, _)| now < *until);
         self.heard = Some(now);
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -89,7 +89,7 @@
     /// some are on their way to others.
     pub fn grant(&mut self, now: Moment, catalog: &Catalog, id: TargetId) -> Option<Lease> {
         let record = catalog.targets.get(&id)?;
-        self.leases.note(now, id);
+        self.leases.note(now, id, record);
         let spec = catalog.desired.service(record.service.as_str())?;
         if !spec.keyed || self.is_barred(id) {
             return None;
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -100,3 +100,21 @@
 
     assert_eq!((early, late), (false, true));
 }
+
+#[test]
+fn a_target_that_joins_cold_is_announced_as_cold_at_once() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    let cold = Heartbeat {
+        cold: Duration::from_secs(3),
+        ..beat(1)
+    };
+    leader.heartbeat(now, &catalog, &cold);
+    catalog.apply(&Update::Join(cold.record()));
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    leader.grant(now, &catalog, id);
+
+    let pulse = leader.pulse(now, 1, 1, &catalog).unwrap();
+
+    assert_eq!(pulse.cold, vec![(id, Duration::from_secs(3))]);
+}
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -13,6 +13,10 @@
         feed::{Pending, Pulse},
     },
 };
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{RngCore, SeedableRng},
+};
 use std::time::Duration;
 
 const AIM: Duration = Duration::from_millis(200);
@@ -99,6 +103,7 @@
 
 fn router() -> Router {
     let mut router = Router::new(RouterConfig {
+        seed: 1,
         zone: Zone::from("a"),
         drain: Duration::from_secs(2),
         evacuate: Duration::from_secs(5),
@@ -217,6 +222,7 @@
 #[test]
 fn an_entry_without_a_copy_denies_nothing() {
     let config = RouterConfig {
+        seed: 1,
         zone: Zone::from("a"),
         drain: Duration::from_secs(2),
         evacuate: Duration::from_secs(5),
@@ -375,7 +381,9 @@
 #[test]
 fn eight_entries_together_keep_to_the_rate_of_a_cold_target() {
     let rate = 18_000;
-    let mut entries: Vec<ColdRate> = (0..8).map(|_| ColdRate::new(at(0))).collect();
+    let mut entries: Vec<ColdRate> = (0..8)
+        .map(|n| ColdRate::new(at(0), f64::from(n) / 8.0))
+        .collect();
     let mut arrivals: Vec<u64> = Vec::new();
     for millis in 0..3_000 {
         for entry in &mut entries {
@@ -398,6 +406,41 @@
     assert!(arrivals.len() >= 40, "{}", arrivals.len());
 }
 
+/// Most requests in any second that a target gets in the three seconds for which it is cold, from
+/// `count` entries that have one for it at any time.
+fn most_while_cold(count: u32, rate: u32, seed: u64) -> usize {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut draw = || f64::from(rng.next_u32()) / f64::from(u32::MAX);
+    let mut entries: Vec<ColdRate> = (0..count).map(|_| ColdRate::new(at(0), draw())).collect();
+    let mut arrivals: Vec<u64> = Vec::new();
+    for millis in (0..3_000).step_by(5) {
+        let sent = entries
+            .iter_mut()
+            .filter_map(|e| e.take(at(millis), rate, count).ok());
+        arrivals.extend(sent.map(|()| millis));
+    }
+    let windows = (0..2_000).step_by(5);
+    let counts = windows.map(|from| {
+        let inside = arrivals
+            .iter()
+            .filter(|at| (from..from + 1_000).contains(*at));
+        inside.count()
+    });
+    counts.max().unwrap_or_default()
+}
+
+#[test]
+fn entries_that_hear_of_a_cold_target_at_once_do_not_all_send_at_once() {
+    // Bounds of the platform: 1.5 times the rate and 5, or 8 for 83 entries, in any second.
+    for seed in 0..200 {
+        let few = most_while_cold(11, 3_400, seed);
+        let many = most_while_cold(83, 3_400, seed);
+
+        assert!(few <= 10, "{few} of 11 entries, seed {seed}");
+        assert!(many <= 13, "{many} of 83 entries, seed {seed}");
+    }
+}
+
 #[test]
 fn retries_of_all_entries_keep_to_their_share() {
     let mut entries: Vec<RetryBudget> = (0..8)
@@ -467,3 +510,16 @@
 
     assert!(matches!(verdict, Verdict::Refuse(_)));
 }
+
+#[test]
+fn a_target_that_joins_counts_as_cold_before_any_pulse_says_so() {
+    let mut router = router();
+    let record = target(9, "pool", "a");
+    let leave = [Update::Leave(TargetId(3)), Update::Leave(TargetId(4))];
+    router.update(at(0), 11, &leave);
+    router.update(at(0), 12, &[Update::Join(record)]);
+
+    let sent = (0..20).filter(|_| sent_to(&place(&mut router, at(1), "pool", None)).is_some());
+
+    assert!(sent.count() <= 1);
+}
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -70,6 +70,7 @@
 impl Entry {
     fn new(settings: &SeededSettings) -> Self {
         let config = RouterConfig {
+            seed: rand::random(),
             zone: settings.zone.clone(),
             drain: settings.drain,
             evacuate: settings.evacuate,
