--- a/lib/src/request/balance/admit.rs
+++ b/lib/src/request/balance/admit.rs
@@ -10,7 +10,7 @@
 
 /// Aims within which a request must be expected to end. Twice as much gave the same means on loaded
 /// days, with more late answers.
-const URGENT_SHARE: f64 = 1.5;
+const URGENT_SHARE: f64 = 1.4;
 /// The same for the least urgent one.
 const LAST_SHARE: f64 = 1.1;
 /// Part of the time left that an answer may be expected to take.
