router: a shed request may go to its owner again

Only an answer that the key is not held there is a reason to wait for another owner.

The test failed before.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -104,8 +104,10 @@
     pub ask: Ask,
     /// Bytes of its body, as far as its head tells.
     pub bytes: u64,
-    /// Targets that it was sent to already.
+    /// Targets that it was sent to already; those of a pool get it once.
     pub tried: &'a [TargetId],
+    /// Those of them that said that they do not hold its key.
+    pub strayed: &'a [TargetId],
 }
 
 /// Why a request is turned away.
@@ -414,7 +416,7 @@
         let Some(id) = table.and_then(|table| table.row(key).owner) else {
             return self.hold(wish, NO_OWNER_PAUSE);
         };
-        if wish.tried.contains(&id) {
+        if wish.strayed.contains(&id) {
             return self.hold(wish, MISDIRECTED_PAUSE);
         }
         if !self.takes_keys(now, id) {
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -141,6 +141,7 @@
         ask: ask(),
         bytes: 0,
         tried: &[],
+        strayed: &[],
     };
     router.place(now, wish)
 }
@@ -153,6 +154,7 @@
         ask: ask(),
         bytes,
         tried: &[],
+        strayed: &[],
     };
     router.place(now, wish)
 }
@@ -523,3 +525,24 @@
 
     assert!(sent.count() <= 1);
 }
+
+#[test]
+fn an_owner_that_shed_a_request_may_get_it_again_and_one_without_the_key_not() {
+    let mut router = router();
+    let service = Service::from("keyed");
+    let owner = [TargetId(1)];
+    let wish = |tried, strayed| Wish {
+        service: &service,
+        key: Some(5),
+        ask: ask(),
+        bytes: 0,
+        tried,
+        strayed,
+    };
+
+    let shed = router.place(at(1), wish(&owner, &[]));
+    let strayed = router.place(at(1), wish(&owner, &owner));
+
+    assert_eq!(sent_to(&shed), Some(TargetId(1)));
+    assert!(matches!(strayed, Place::Wait(_)), "{strayed:?}");
+}
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -81,6 +81,7 @@
     since: Moment,
     until: Instant,
     tried: Vec<TargetId>,
+    strayed: Vec<TargetId>,
     arrivals: u32,
     unknown: bool,
 }
@@ -163,6 +164,7 @@
         since,
         until: Instant::now() + left,
         tried: Vec::new(),
+        strayed: Vec::new(),
         arrivals: 0,
         unknown: false,
     })
@@ -194,6 +196,9 @@
                 Tried::Answer(response) => return self.answer(entry, response),
                 Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
                 Tried::NotRun { misdirected } => {
+                    if misdirected {
+                        self.strayed.push(target);
+                    }
                     Refusal::not_run(if misdirected { "misdirected" } else { "shed" }, SHED_PAUSE)
                 }
                 Tried::Broken => {
@@ -271,6 +276,7 @@
             },
             bytes: self.length,
             tried: &self.tried,
+            strayed: &self.strayed,
         }
     }
 
