feed: a long message on a slow link is no silence, and entries get no operator's words

A peer counted as silent unless a whole message came within a second, and the copy carried each item twice, once as the operator wrote it. The same rule ended links between core hosts.

Now silence is counted by bytes (tokio-io-timeout), both ways; entries get items without their source; a copy is encoded once for all who follow at one index.

Both tests failed before.

--- a/lib/src/version/desired/item.rs
+++ b/lib/src/version/desired/item.rs
@@ -24,7 +24,8 @@
     pub version: ItemVersion,
     /// What stands, or `None` if this version drops the item.
     pub value: Option<T>,
-    /// The item as the operator wrote it, for reading it back unchanged.
+    /// The item as the operator wrote it, for reading it back unchanged; empty in the copies of
+    /// entries.
     pub source: String,
 }
 
--- a/lib/src/version/desired/mod.rs
+++ b/lib/src/version/desired/mod.rs
@@ -42,6 +42,11 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    /// Drops the words of the operator, which are most of its size.
+    pub fn drop_sources(&mut self) {
+        drop_sources(&mut self.routes, &mut self.services, &mut self.limits);
+    }
 }
 
 /// All items, those that were dropped included.
@@ -76,6 +81,11 @@
         Ok(routes + services + limits)
     }
 
+    /// Drops the words of the operators; what is in force stays the same.
+    pub fn drop_sources(&mut self) {
+        drop_sources(&mut self.routes, &mut self.services, &mut self.limits);
+    }
+
     /// Whether no order was ever put in force.
     pub fn is_empty(&self) -> bool {
         self.routes.is_empty() && self.services.is_empty() && self.limits.is_none()
@@ -93,6 +103,19 @@
     }
 }
 
+fn drop_sources(
+    routes: &mut BTreeMap<String, Item<Route>>,
+    services: &mut BTreeMap<Service, Item<ServiceSpec>>,
+    limits: &mut Option<Item<RequestLimits>>,
+) {
+    let routes = routes.values_mut().map(|item| &mut item.source);
+    let services = services.values_mut().map(|item| &mut item.source);
+    let limits = limits.iter_mut().map(|item| &mut item.source);
+    for source in routes.chain(services).chain(limits) {
+        *source = String::new();
+    }
+}
+
 /// Takes over the items of a higher version; gives their number.
 fn merge<K, T>(held: &mut BTreeMap<K, Item<T>>, sent: &BTreeMap<K, Item<T>>) -> usize
 where
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -58,9 +58,9 @@
     },
     /// Answer to a call of this number.
     Reply(u64, ControlReply),
-    /// The whole catalog as of a log index.
+    /// The whole catalog as of a log index; made by [`Downward::copy`].
     Copy(u64, Box<Catalog>),
-    /// Updates up to and with a log index.
+    /// Updates up to and with a log index; made by [`Downward::updates`].
     Updates(u64, Vec<Update>),
     /// What the log does not keep.
     Pulse(Pulse),
@@ -68,6 +68,25 @@
     Pong,
 }
 
+impl Downward {
+    /// A copy for an entry, without what only core hosts need.
+    pub fn copy(index: u64, catalog: &Catalog) -> Self {
+        let mut catalog = Box::new(catalog.clone());
+        catalog.desired.drop_sources();
+        Downward::Copy(index, catalog)
+    }
+
+    /// Updates for entries, without what only core hosts need.
+    pub fn updates(index: u64, mut updates: Vec<Update>) -> Self {
+        for update in &mut updates {
+            if let Update::Desired(change) = update {
+                change.drop_sources();
+            }
+        }
+        Downward::Updates(index, updates)
+    }
+}
+
 /// What the leader knows beside the catalog; each pulse replaces the one before.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Pulse {
--- a/lib/tests/test_desired.rs
+++ b/lib/tests/test_desired.rs
@@ -2,9 +2,13 @@
 
 use cornelrail_lib::{
     name::Service,
-    version::desired::{
-        Backend, Change, ChangeError, DesiredState, Item, ItemVersion, Route, RouteKind, Routing,
-        ServiceSpec, WEIGHT_UNIT,
+    version::{
+        catalog::{Catalog, Update},
+        desired::{
+            Backend, Change, ChangeError, DesiredState, Item, ItemVersion, Route, RouteKind,
+            Routing, ServiceSpec, WEIGHT_UNIT,
+        },
+        feed::Downward,
     },
 };
 use std::time::Duration;
@@ -170,3 +174,27 @@
     assert_eq!(name("h", "/c"), None);
     assert_eq!(name("other", "/a/c"), None);
 }
+
+#[test]
+fn entries_get_what_is_in_force_without_the_words_of_the_operator() {
+    let words = "as the operator wrote it ".repeat(100);
+    let mut change = Change::default();
+    let mut sent = item(7, Some(service()));
+    sent.source = words.clone();
+    change.services.insert(Service::from("s"), sent);
+    let mut catalog = Catalog::default();
+    let update = Update::Desired(change);
+    catalog.apply(&update);
+
+    let copy = Downward::copy(3, &catalog);
+    let updates = Downward::updates(3, vec![update]);
+
+    for message in [&copy, &updates] {
+        let bytes = postcard::to_stdvec(message).unwrap();
+        assert!(bytes.len() < words.len() / 4, "{} bytes", bytes.len());
+    }
+    let Downward::Copy(3, copy) = copy else {
+        panic!("{copy:?}");
+    };
+    assert_eq!(copy.desired.service("s"), Some(&service()));
+}
--- a/node/src/connection/core_link.rs
+++ b/node/src/connection/core_link.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep},
 };
 
 /// Messages that wait for the link.
@@ -56,7 +56,7 @@
     inbox: mpsc::Sender<Downward>,
 ) {
     while !rx.is_closed() || !rx.is_empty() {
-        if let Ok(mut stream) = MessageStream::connect(address).await {
+        if let Ok(mut stream) = MessageStream::connect(address, SILENCE).await {
             // The next connection begins anew, whatever ended this one.
             let ended = serve(&mut stream, &greeting, &mut rx, &inbox).await;
             if ended.is_ok() {
@@ -77,7 +77,6 @@
 ) -> Result<(), MessageError> {
     stream.send([encode(greeting)?]).await?;
     let mut burst = Vec::with_capacity(BURST);
-    let mut heard = Instant::now();
     let mut ping = Instant::now() + PING_PAUSE;
     loop {
         tokio::select! {
@@ -88,9 +87,8 @@
                 let messages: Result<Vec<Bytes>, _> = burst.drain(..).map(|m| encode(&m)).collect();
                 stream.send(messages?).await?;
             }
-            message = timeout_at(heard + SILENCE, stream.receive::<Downward>()) => {
-                let message = message.map_err(|_| MessageError::Silent)??;
-                heard = Instant::now();
+            message = stream.receive::<Downward>() => {
+                let message = message?;
                 if !matches!(message, Downward::Pong) && inbox.send(message).await.is_err() {
                     return Ok(());
                 }
--- a/node/src/connection/message.rs
+++ b/node/src/connection/message.rs
@@ -1,22 +1,24 @@
 //! Messages over TCP between the processes of a seeded fleet.
 //!
 //! A message is a length and its postcard encoding. Reading one can be cancelled between messages,
-//! so one task can serve both directions of a connection. The network between the processes is
+//! so one task can serve both directions of a connection. A peer counts as silent once no byte
+//! passes; a long message may take its time on a slow link. The network between the processes is
 //! trusted: nobody hands out keys there (see `docs/design/platform.md`).
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, pin::Pin, time::Duration};
 use thiserror::Error;
 use tokio::{net::TcpStream, time::timeout};
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Longest message: a catalog of a large fleet.
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 /// Time to connect; a host without power does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for a peer to take a message; a peer that reads nothing for so long is stuck.
+/// A peer that reads nothing for so long is stuck.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Why a connection is over.
@@ -24,7 +26,7 @@
 pub enum MessageError {
     /// The connection broke, or could not be made.
     #[error("the connection to the peer broke: {0}")]
-    Io(#[from] io::Error),
+    Io(io::Error),
     /// The peer sent what this build does not understand.
     #[error("a message could not be decoded; run the same release on all hosts: {0}")]
     Decode(#[from] postcard::Error),
@@ -36,28 +38,40 @@
     Silent,
 }
 
+impl From<io::Error> for MessageError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::TimedOut => MessageError::Silent,
+            _ => MessageError::Io(error),
+        }
+    }
+}
+
 /// One connection.
 #[derive(Debug)]
 pub struct MessageStream {
-    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    framed: Framed<Pin<Box<TimeoutStream<TcpStream>>>, LengthDelimitedCodec>,
 }
 
 impl MessageStream {
-    /// Connects to a peer.
-    pub async fn connect(address: SocketAddr) -> Result<Self, MessageError> {
+    /// Connects to a peer, which is left if it sends nothing for the time given.
+    pub async fn connect(address: SocketAddr, silence: Duration) -> Result<Self, MessageError> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| MessageError::Silent)??;
-        Self::new(stream)
+        Self::new(stream, silence)
     }
 
-    /// Takes a connection over.
-    pub fn new(stream: TcpStream) -> Result<Self, MessageError> {
+    /// Takes a connection over; its peer is left if it sends nothing for the time given.
+    pub fn new(stream: TcpStream, silence: Duration) -> Result<Self, MessageError> {
         stream.set_nodelay(true)?;
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_read_timeout(Some(silence));
+        stream.set_write_timeout(Some(WRITE_TIMEOUT));
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_MESSAGE_BYTES)
             .new_codec();
         Ok(MessageStream {
-            framed: Framed::new(stream, codec),
+            framed: Framed::new(Box::pin(stream), codec),
         })
     }
 
@@ -72,14 +86,10 @@
         &mut self,
         messages: impl IntoIterator<Item = Bytes>,
     ) -> Result<(), MessageError> {
-        let sending = async {
-            for message in messages {
-                self.framed.feed(message).await?;
-            }
-            SinkExt::<Bytes>::flush(&mut self.framed).await
-        };
-        let sent = timeout(WRITE_TIMEOUT, sending).await;
-        Ok(sent.map_err(|_| MessageError::Silent)??)
+        for message in messages {
+            self.framed.feed(message).await?;
+        }
+        Ok(SinkExt::<Bytes>::flush(&mut self.framed).await?)
     }
 }
 
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -15,7 +15,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 /// Time for the first message, and for the next one: entries report several times a second.
@@ -42,15 +42,13 @@
 
 async fn admit(stream: TcpStream, voter: VoterHandle, core: CoreHandle) {
     let address = stream.peer_addr();
-    let Ok(mut stream) = MessageStream::new(stream) else {
+    let Ok(mut stream) = MessageStream::new(stream, SILENCE) else {
         return;
     };
-    let greeting = timeout(SILENCE, stream.receive::<Greeting>()).await;
-    let ended = match greeting {
-        Ok(Ok(Greeting::Core { node })) => serve_core(stream, node, &voter, &core).await,
-        Ok(Ok(Greeting::Entry { name, .. })) => serve_entry(stream, name, &core).await,
-        Ok(Err(error)) => Err(error),
-        Err(_) => Err(MessageError::Silent),
+    let ended = match stream.receive().await {
+        Ok(Greeting::Core { node }) => serve_core(stream, node, &voter, &core).await,
+        Ok(Greeting::Entry { name, .. }) => serve_entry(stream, name, &core).await,
+        Err(error) => Err(error),
     };
     if let (Err(error @ MessageError::Decode(_)), Ok(address)) = (ended, address) {
         Event::PeerRefused.log(format_args!("address={address} why={error}"));
@@ -67,8 +65,8 @@
     let (replies_tx, mut replies) = mpsc::channel::<(u64, ControlReply)>(REPLIES_HELD);
     loop {
         tokio::select! {
-            message = timeout(SILENCE, stream.receive::<Upward>()) => {
-                match message.map_err(|_| MessageError::Silent)?? {
+            message = stream.receive::<Upward>() => {
+                match message? {
                     Upward::Raft(message) => voter.receive(node, message),
                     Upward::Call(number, call) => {
                         let (core, replies) = (core.clone(), replies_tx.clone());
@@ -105,8 +103,8 @@
                 }
                 stream.send(burst.drain(..)).await?;
             }
-            message = timeout(SILENCE, stream.receive::<Upward>()) => {
-                match message.map_err(|_| MessageError::Silent)?? {
+            message = stream.receive::<Upward>() => {
+                match message? {
                     Upward::Report(report) => core.report(report).await,
                     Upward::Ping => stream.send([encode(&Downward::Pong)?]).await?,
                     Upward::Raft(_) | Upward::Call(..) => {}
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -144,6 +144,7 @@
     number: u64,
     snapshot: u64,
     fresh: Vec<Update>,
+    copy: Option<(u64, Bytes)>,
 }
 
 /// Starts the task.
@@ -174,6 +175,7 @@
         number: rand::random::<u64>() >> 1,
         snapshot: 0,
         fresh: Vec::new(),
+        copy: None,
     };
     tokio::spawn(task.run(rx, replies, voter_events));
     CoreHandle { tx }
@@ -425,7 +427,7 @@
         }
         let updates = std::mem::take(&mut self.fresh);
         if !self.subscribers.is_empty() {
-            self.broadcast(&Downward::Updates(self.index, updates));
+            self.broadcast(&Downward::updates(self.index, updates));
         }
     }
 
@@ -442,18 +444,31 @@
         }
     }
 
+    /// The catalog for an entry. It is encoded once for all that follow at the same index, as they
+    /// do after a change of leaders.
+    fn encoded_copy(&mut self) -> Result<Bytes, postcard::Error> {
+        if let Some((index, bytes)) = &self.copy
+            && *index == self.index
+        {
+            return Ok(bytes.clone());
+        }
+        let bytes = encode(&Downward::copy(self.index, &self.catalog))?;
+        self.copy = Some((self.index, bytes.clone()));
+        Ok(bytes)
+    }
+
     fn take_follower(&mut self, subscriber: Subscriber) {
         self.spread();
         let members = Downward::Members {
             leader: self.leader,
             nodes: self.members.clone(),
         };
-        let mut messages = vec![members];
+        let mut messages = vec![encode(&members)];
         if self.leading.is_some() {
-            messages.push(Downward::Copy(self.index, Box::new(self.catalog.clone())));
+            messages.push(self.encoded_copy());
         }
-        for message in &messages {
-            let sent = encode(message).map(|bytes| subscriber.feed.try_send(bytes));
+        for message in messages {
+            let sent = message.map(|bytes| subscriber.feed.try_send(bytes));
             if !matches!(sent, Ok(Ok(()))) {
                 return;
             }
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -21,7 +21,7 @@
 };
 use tokio::{
     sync::watch,
-    time::{Instant, MissedTickBehavior, interval, sleep, timeout_at},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 /// Pause between two reports.
@@ -93,22 +93,18 @@
     greeting: &Greeting,
     directory: &mut Directory,
 ) -> Result<std::convert::Infallible, MessageError> {
-    let mut stream = MessageStream::connect(address).await?;
+    let mut stream = MessageStream::connect(address, SILENCE).await?;
     stream.send([encode(greeting)?]).await?;
     let mut follower = Follower {
         entry,
         address,
         following: false,
     };
-    let mut heard = Instant::now();
     let mut report = interval(REPORT_PAUSE);
     report.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            message = timeout_at(heard + SILENCE, stream.receive::<Downward>()) => {
-                heard = Instant::now();
-                follower.take(message.map_err(|_| MessageError::Silent)??, directory);
-            }
+            message = stream.receive::<Downward>() => follower.take(message?, directory),
             _ = report.tick(), if follower.following => {
                 let report = entry.router().take_report();
                 stream.send([encode(&Upward::Report(report))?]).await?;
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_hostile;
 mod test_intent;
 mod test_logging;
+mod test_message;
 mod test_operator;
 mod test_processes;
 mod test_program;
