pool: the time to connect follows the time left of the request

A log by the second shows bursts at one entry towards many targets: its link of 5.3 Mbit/s was full of uploads, and 250 ms did not connect.

Now a third of the time left may go by, at most a second. A connection that the target closes before anything was sent counts as a full target, not as a failed one.

Ruled out: resets at the cap (only connecting failed, not sending).

--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -27,8 +27,11 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, time::Instant, time::timeout};
 
-/// Time to connect to a target in another zone, several times over.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time to connect to a target: a host whose link is full of uploads needs several hundred
+/// milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Part of the time left for a request that may go by before it is connected.
+const CONNECT_SHARE: f64 = 0.33;
 /// Idle time after which a connection is not used again, unless the target says less: targets may
 /// drop idle connections sooner than they say.
 const IDLE_TIME: Duration = Duration::from_secs(4);
@@ -64,8 +67,9 @@
 }
 
 impl TargetConnection {
-    async fn open(address: SocketAddr) -> Result<Self, SendError> {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    async fn open(address: SocketAddr, left: Duration) -> Result<Self, SendError> {
+        let limit = CONNECT_TIMEOUT.min(left.mul_f64(CONNECT_SHARE));
+        let connecting = timeout(limit, TcpStream::connect(address)).await;
         let stream = connecting
             .ok()
             .and_then(Result::ok)
@@ -135,11 +139,12 @@
 }
 
 impl Pool {
-    /// An idle connection, or a new one.
+    /// An idle connection, or a new one, for a request that has so much time left.
     pub async fn take(
         &self,
         id: TargetId,
         address: SocketAddr,
+        left: Duration,
     ) -> Result<TargetConnection, SendError> {
         while let Some(mut idle) = self.pop(id) {
             if Instant::now() < idle.until && idle.connection.is_idle() {
@@ -147,13 +152,17 @@
                 return Ok(idle.connection);
             }
         }
-        self.open(address).await
+        self.open(address, left).await
     }
 
     /// A new connection.
-    pub async fn open(&self, address: SocketAddr) -> Result<TargetConnection, SendError> {
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        left: Duration,
+    ) -> Result<TargetConnection, SendError> {
         metrics::counter!("cornelrail_target_connections_total").increment(1);
-        TargetConnection::open(address).await
+        TargetConnection::open(address, left).await
     }
 
     /// Closes what has been idle for too long, and all that leads to targets that are gone.
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -92,6 +92,8 @@
     Answer(Response<ReplyBody>),
     /// Nothing was sent.
     Unreachable,
+    /// The target closed the connection before anything was sent.
+    Closed,
     /// The target said that it has not run it.
     NotRun {
         misdirected: bool,
@@ -195,6 +197,7 @@
             let refusal = match tried {
                 Tried::Answer(response) => return self.answer(entry, response),
                 Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
+                Tried::Closed => Refusal::not_run("closed", SHED_PAUSE),
                 Tried::NotRun { misdirected } => {
                     if misdirected {
                         self.strayed.push(target);
@@ -210,8 +213,10 @@
                     Refusal::denied(StatusCode::GATEWAY_TIMEOUT, "late")
                 }
             };
-            let more = matches!(refusal.reason, "unreachable" | "misdirected" | "shed")
-                || (refusal.reason == "broken" && self.routed.kind.is_idempotent());
+            let more = matches!(
+                refusal.reason,
+                "unreachable" | "closed" | "misdirected" | "shed"
+            ) || (refusal.reason == "broken" && self.routed.kind.is_idempotent());
             match again {
                 Some(next) if more && self.may_go_on(entry) => body = next,
                 _ => return self.refuse(entry, refusal),
@@ -299,7 +304,8 @@
         body: RequestBody,
     ) -> Tried {
         let flight = Flight::begin(entry, id);
-        let taking = timeout_at(self.until, entry.pool.take(id, address)).await;
+        let left = self.until.saturating_duration_since(Instant::now());
+        let taking = timeout_at(self.until, entry.pool.take(id, address, left)).await;
         let connection = match taking {
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) => {
@@ -346,8 +352,8 @@
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(SendError::NotSent) => {
-                flight.end(Outcome::Unreachable, None);
-                return Tried::Unreachable;
+                flight.end(Outcome::Shed, None);
+                return Tried::Closed;
             }
             Err(SendError::Broken) => {
                 flight.end(Outcome::Broken, None);
