balance: all entries know how long requests take, how old a queue is, and do not crowd

Cause: with 77 entries and 302 targets an entry sends each target a request in ten seconds. It took the time of a request for 60 ms where it was 370, and a queue seen a second ago for one of now; and as all heard of the same idle target of a pool, all sent there until the next news: 4,046 of 9,777 uploads were shed.

Now the leader tells the time that requests take at each target, of those that did not wait; an estimate without news fades to the usual one of the service, so a target that was too slow is tried again; a queue comes with its age; and each entry looks at fewer targets of a pool the more entries there are.

The tests failed before.

--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -4,6 +4,9 @@
 //! expected to answer first gets the request. Another zone costs its way there and back, and what a
 //! large body takes from the links between zones: an upload leaves its zone only where it would
 //! wait there.
+//!
+//! Many entries that hear the same news would all send to the same target until the next news, so
+//! each looks at fewer targets the more entries there are: at two at least, drawn anew each time.
 
 use super::target::TargetModel;
 use crate::{moment::Moment, version::catalog::TargetId};
@@ -17,6 +20,20 @@
 /// Longest wait for the sake of the links.
 const MOST_COST: Duration = Duration::from_millis(120);
 
+/// Entries that can look at all targets and do not crowd one: the requests that they send before the
+/// next news fill the slots of a few targets.
+const CROWD: usize = 8;
+/// Fewest targets looked at; two take most of the unevenness away.
+const FEWEST: usize = 2;
+
+/// Targets out of `targets` that one of `entries` looks at.
+pub fn sample(targets: usize, entries: u32) -> usize {
+    let entries = usize::try_from(entries).unwrap_or(usize::MAX);
+    (targets * CROWD / entries.max(CROWD))
+        .max(FEWEST)
+        .min(targets)
+}
+
 /// A target that may get the request.
 #[derive(Debug, Clone, Copy)]
 pub struct Choice<'a> {
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -7,7 +7,7 @@
 use super::{
     admit::{Ask, Verdict, judge},
     budget::RetryBudget,
-    choose::{Choice, choose},
+    choose::{Choice, choose, sample},
     cold::ColdRate,
     split::Splitter,
     target::{LoadReport, Outcome, TargetModel},
@@ -156,11 +156,14 @@
     Refuse(Turned, Duration),
 }
 
+/// What was seen of a target since the last report.
 #[derive(Debug, Default)]
 struct Seen {
     answers: u32,
     busy: Duration,
-    load: Option<LoadReport>,
+    quick: u32,
+    quick_busy: Duration,
+    load: Option<(LoadReport, Moment)>,
 }
 
 /// Copy of the fleet at one entry with what it has seen itself.
@@ -174,6 +177,7 @@
     pulse: Pulse,
     heard: Option<Moment>,
     models: HashMap<TargetId, TargetModel>,
+    usual: HashMap<Service, Duration>,
     colds: HashMap<TargetId, (Moment, ColdRate)>,
     closing: BTreeMap<TargetId, Moment>,
     splits: HashMap<String, Splitter>,
@@ -194,6 +198,7 @@
             pulse: Pulse::default(),
             heard: None,
             models: HashMap::new(),
+            usual: HashMap::new(),
             colds: HashMap::new(),
             closing: BTreeMap::new(),
             splits: HashMap::new(),
@@ -246,12 +251,11 @@
 
     /// Takes a pulse of the leader.
     pub fn pulse(&mut self, now: Moment, pulse: Pulse) {
-        for (id, load) in &pulse.loads {
-            if let Some(record) = self.catalog.targets.get(id) {
-                let model = self.models.entry(*id);
-                model
-                    .or_insert_with(|| TargetModel::new(record.slots))
-                    .reported(now, *load);
+        self.learn_works(now, &pulse.works);
+        for (id, load, age) in &pulse.loads {
+            let seen = now - Duration::from_millis(u64::from(*age));
+            if let Some(model) = self.model(*id) {
+                model.reported(seen, *load);
             }
         }
         for (id, left) in &pulse.cold {
@@ -265,6 +269,39 @@
         self.pulse = pulse;
     }
 
+    /// Takes in how long requests take, at each target and usually at those of its service.
+    fn learn_works(&mut self, now: Moment, works: &[(TargetId, u16)]) {
+        let mut sums: HashMap<&Service, (Duration, u32)> = HashMap::new();
+        for (id, millis) in works {
+            if let Some(record) = self.catalog.targets.get(id) {
+                let (sum, count) = sums.entry(&record.service).or_default();
+                *sum += Duration::from_millis(u64::from(*millis));
+                *count += 1;
+            }
+        }
+        for (service, (sum, count)) in sums {
+            self.usual.insert(service.clone(), sum / count);
+        }
+        for (id, millis) in works {
+            let work = Duration::from_millis(u64::from(*millis));
+            if let Some(model) = self.model(*id) {
+                model.learn(now, work);
+            }
+        }
+    }
+
+    /// What is believed of a target of the copy.
+    fn model(&mut self, id: TargetId) -> Option<&mut TargetModel> {
+        let record = self.catalog.targets.get(&id)?;
+        let usual = self.usual.get(&record.service).copied();
+        let model = self.models.entry(id);
+        let model = model.or_insert_with(|| TargetModel::new(record.slots));
+        if let Some(usual) = usual {
+            model.usual(usual);
+        }
+        Some(model)
+    }
+
     /// Whether the copy is as young as an order needs it to be.
     pub fn is_fresh(&self, now: Moment) -> bool {
         let heard = self.heard.is_some_and(|at| now.since(at) < FRESH);
@@ -367,9 +404,15 @@
             model.reported(now, load);
         }
         let seen = self.seen.entry(id).or_default();
-        seen.busy += time;
-        seen.answers += u32::from(outcome == Outcome::Answered);
-        seen.load = load.or(seen.load);
+        if outcome == Outcome::Answered {
+            seen.busy += time;
+            seen.answers += 1;
+        }
+        if outcome == Outcome::Answered && load.is_some_and(|load| load.waiting == 0) {
+            seen.quick_busy += time;
+            seen.quick += 1;
+        }
+        seen.load = load.map(|load| (load, now)).or(seen.load);
     }
 
     /// Takes one more sending from the budget of a service.
@@ -379,7 +422,7 @@
     }
 
     /// What was seen since the last report.
-    pub fn take_report(&mut self) -> Report {
+    pub fn take_report(&mut self, now: Moment) -> Report {
         let keys = self
             .keys
             .drain()
@@ -392,7 +435,12 @@
             id,
             answers: seen.answers,
             busy: seen.busy,
-            load: seen.load,
+            quick: seen.quick,
+            quick_busy: seen.quick_busy,
+            load: seen.load.map(|(load, at)| {
+                let age = now.since(at).as_millis();
+                (load, u16::try_from(age).unwrap_or(u16::MAX))
+            }),
         });
         Report {
             keys: keys.collect(),
@@ -427,20 +475,25 @@
 
     fn place_pool(&mut self, now: Moment, wish: Wish<'_>) -> Place {
         let targets = self.catalog.targets_of(wish.service);
-        let open: Vec<(TargetId, bool, u32)> = targets
+        let open: Vec<(TargetId, bool)> = targets
             .filter(|(id, record)| self.catalog.is_open(record) && !wish.tried.contains(id))
             .filter(|(id, _)| !self.pulse.silent.contains(id))
-            .map(|(id, record)| (id, record.zone == self.config.zone, record.slots))
+            .map(|(id, record)| (id, record.zone == self.config.zone))
             .collect();
-        for (id, _, slots) in &open {
-            let model = self.models.entry(*id);
-            model.or_insert_with(|| TargetModel::new(*slots));
+        for (id, _) in &open {
+            self.model(*id);
         }
+        // The others stay in the hand for when the drawn ones bear no more.
         let mut left = open;
+        let drawn = sample(left.len(), self.entries());
+        for at in 0..drawn {
+            let other = at + self.rng.next_u32() as usize % (left.len() - at);
+            left.swap(at, other);
+        }
         let mut refused = Place::Refuse(Turned::Unowned, NO_OWNER_PAUSE);
         // A cold target that bears no more leaves the request to the next best one.
         while !left.is_empty() {
-            let choices = left.iter().filter_map(|(id, near, _)| {
+            let choices = left.iter().take(drawn.max(1)).filter_map(|(id, near)| {
                 Some(Choice {
                     id: *id,
                     model: self.models.get(id)?,
@@ -453,7 +506,7 @@
             match self.send(now, wish, id) {
                 Place::Refuse(Turned::Cold, pause) => {
                     refused = Place::Refuse(Turned::Cold, pause);
-                    left.retain(|(other, ..)| *other != id);
+                    left.retain(|(other, _)| *other != id);
                 }
                 other => return other,
             }
@@ -463,12 +516,9 @@
 
     /// Sends a request to a target if that serves it in time.
     fn send(&mut self, now: Moment, wish: Wish<'_>, id: TargetId) -> Place {
-        let Some(record) = self.catalog.targets.get(&id) else {
+        let Some(model) = self.model(id) else {
             return Place::Refuse(Turned::Unowned, NO_OWNER_PAUSE);
         };
-        let slots = record.slots;
-        let model = self.models.entry(id);
-        let model = model.or_insert_with(|| TargetModel::new(slots));
         if model.is_paused(now) {
             let pause = model.paused_until().since(now);
             return Place::Refuse(Turned::Failing, pause);
@@ -486,10 +536,13 @@
         {
             return Place::Refuse(Turned::Cold, pause.min(until.since(now)));
         }
-        Place::Send {
-            id,
-            name: record.name.clone(),
-            address: record.address,
+        match self.catalog.targets.get(&id) {
+            Some(record) => Place::Send {
+                id,
+                name: record.name.clone(),
+                address: record.address,
+            },
+            None => Place::Refuse(Turned::Unowned, NO_OWNER_PAUSE),
         }
     }
 
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -4,12 +4,18 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Service time taken for a target that has answered nothing yet.
+/// Service time taken for a target while nothing is known of any of its service.
 const FIRST_WORK: Duration = Duration::from_millis(60);
 /// Weight of the latest service time in the mean, in 8.
 const WORK_WEIGHT: u32 = 1;
+/// Age at which a service time has lost two thirds of its weight to the usual one of the service: a
+/// target that was slow is tried again some seconds later.
+const WORK_LIFE: Duration = Duration::from_secs(3);
 /// Age at which a report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Age at which the pace in a report says nothing any more: neighbours come and go several times a
+/// second.
+const PACE_LIFE: Duration = Duration::from_millis(300);
 /// Pause after the first failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after failures.
@@ -50,7 +56,9 @@
 pub struct TargetModel {
     slots: u32,
     open: u32,
+    usual: Duration,
     work: Duration,
+    learned: Option<Moment>,
     report: Option<(LoadReport, Moment)>,
     sent: u32,
     failures: u32,
@@ -63,7 +71,9 @@
         TargetModel {
             slots: slots.max(1),
             open: 0,
+            usual: FIRST_WORK,
             work: FIRST_WORK,
+            learned: None,
             report: None,
             sent: 0,
             failures: 0,
@@ -85,7 +95,7 @@
                 self.failures = 0;
                 if self.was_idle(now) {
                     let weight = WORK_WEIGHT;
-                    self.work = (self.work * (8 - weight) + time * weight) / 8;
+                    self.learn(now, (self.base(now) * (8 - weight) + time * weight) / 8);
                 }
             }
             Outcome::Unreachable | Outcome::Broken => {
@@ -97,15 +107,29 @@
         }
     }
 
-    /// Takes a report in that the target gave to this entry or another one.
-    pub fn reported(&mut self, now: Moment, report: LoadReport) {
-        self.report = Some((report, now));
+    /// Takes a report in that the target gave to this entry or another one at a time.
+    pub fn reported(&mut self, seen: Moment, report: LoadReport) {
+        if self.report.is_some_and(|(_, held)| seen < held) {
+            return;
+        }
+        self.report = Some((report, seen));
         self.sent = 0;
         if report.slots > 0 {
             self.slots = report.slots;
         }
     }
 
+    /// Takes in how long requests usually take at the targets of its service.
+    pub fn usual(&mut self, work: Duration) {
+        self.usual = work;
+    }
+
+    /// Takes in how long requests take there of late.
+    pub fn learn(&mut self, now: Moment, work: Duration) {
+        self.work = work;
+        self.learned = Some(now);
+    }
+
     /// Requests of this entry under way there.
     pub fn open(&self) -> u32 {
         self.open
@@ -133,11 +157,24 @@
 
     /// Time that a request takes there once it runs.
     pub fn work(&self, now: Moment) -> Duration {
-        let pace = self
-            .fresh(now)
-            .map_or(USUAL_PACE, |(report, _)| report.pace);
+        let report = self.fresh(now);
+        let young = report.filter(|(_, at)| now.since(*at) < PACE_LIFE);
+        let Some((report, _)) = young else {
+            return self.base(now);
+        };
+        let pace = report.pace;
         // The mean holds past paces already, so the present one counts by half.
-        self.work * (USUAL_PACE + pace.clamp(25, 1_000)) / (2 * USUAL_PACE)
+        self.base(now) * (USUAL_PACE + pace.clamp(25, 1_000)) / (2 * USUAL_PACE)
+    }
+
+    /// Time that a request takes, the more like the usual one the older what is known.
+    fn base(&self, now: Moment) -> Duration {
+        let Some(learned) = self.learned else {
+            return self.usual;
+        };
+        let age = now.since(learned).as_secs_f64() / WORK_LIFE.as_secs_f64();
+        let kept = (-age).exp();
+        self.work.mul_f64(kept) + self.usual.mul_f64(1.0 - kept)
     }
 
     /// Requests there, running and waiting, by the latest report and what was sent since.
@@ -150,7 +187,7 @@
         // Since the report the target has worked some of it off, and others have sent more: the
         // running ones are taken to be replaced, the waiting ones to shrink.
         let age = now.since(at).as_secs_f64();
-        let rate = f64::from(self.slots) / self.work.as_secs_f64().max(0.001);
+        let rate = f64::from(self.slots) / self.base(now).as_secs_f64().max(0.001);
         let waiting = (f64::from(report.waiting) - rate * age).max(0.0);
         let running = f64::from(report.running);
         (running + waiting + f64::from(self.sent.min(self.open)))
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -100,8 +100,10 @@
     pub cold: Vec<(TargetId, Duration)>,
     /// Targets that have not been heard for the length of a lease.
     pub silent: Vec<TargetId>,
-    /// Loads that entries reported since the last pulse.
-    pub loads: Vec<(TargetId, LoadReport)>,
+    /// Loads that entries reported since the last pulse, and their ages in ms.
+    pub loads: Vec<(TargetId, LoadReport, u16)>,
+    /// Time that requests take of late at each target, as all entries together saw it, in ms.
+    pub works: Vec<(TargetId, u16)>,
 }
 
 /// Keys on their way to an owner.
@@ -136,14 +138,18 @@
 }
 
 /// Answers of a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetCount {
     /// The target.
     pub id: TargetId,
     /// Answers that came.
     pub answers: u32,
-    /// Sum of the times from sending to answer.
+    /// Sum of the times from sending to answer of those that were answered.
     pub busy: Duration,
-    /// What the target said of its load last.
-    pub load: Option<LoadReport>,
+    /// Answers among them that came from a target where nothing waited.
+    pub quick: u32,
+    /// Sum of their times.
+    pub quick_busy: Duration,
+    /// What the target said of its load last, and the age of that in ms.
+    pub load: Option<(LoadReport, u16)>,
 }
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -6,7 +6,7 @@
 use super::{
     catalog::{Catalog, Row, TargetId, TargetRecord, Update},
     feed::{Pending, Pulse, Report},
-    sharding::{self, Candidate, Candidates, KeyLoad},
+    sharding::{self, Candidate, Candidates, KeyLoad, TargetLoads},
 };
 use crate::{
     connection::{
@@ -34,6 +34,8 @@
 const PULSE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two pulses with the loads of targets.
 const LOADS_PAUSE: Duration = Duration::from_millis(450);
+/// Answers a second of a target from which on their mean time says something: two of late.
+const KNOWN_RATE: f64 = 0.8;
 /// Pause between two plans.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 /// Time that keys without a known next owner are expected to go unserved.
@@ -54,8 +56,9 @@
 #[derive(Debug)]
 pub struct Leader {
     leases: PullLeases,
-    loads: BTreeMap<TargetId, LoadReport>,
+    loads: BTreeMap<TargetId, (LoadReport, Moment)>,
     key_loads: BTreeMap<Service, KeyLoad>,
+    target_loads: TargetLoads,
     settled: BTreeMap<Service, Moment>,
     planning: BTreeMap<Service, BTreeSet<TargetId>>,
     planned: Moment,
@@ -71,6 +74,7 @@
             leases: PullLeases::new(config, now),
             loads: BTreeMap::new(),
             key_loads: BTreeMap::new(),
+            target_loads: TargetLoads::default(),
             settled: BTreeMap::new(),
             planning: BTreeMap::new(),
             planned: now,
@@ -99,18 +103,19 @@
     }
 
     /// Takes what an entry saw.
-    pub fn report(&mut self, report: Report) {
+    pub fn report(&mut self, now: Moment, report: Report) {
         for count in report.keys {
             let load = self.key_loads.entry(count.service).or_default();
             load.count_keys(count.bucket, count.requests);
         }
         for count in report.targets {
-            if let Some(load) = count.load {
-                self.loads.insert(count.id, load);
-            }
-            // Numbers of targets are unique, so a load that keeps another service's does no harm.
-            for load in self.key_loads.values_mut() {
-                load.count_target(count.id, count.answers, count.busy);
+            self.target_loads.count(&count);
+            if let Some((load, age)) = count.load {
+                let seen = now - Duration::from_millis(u64::from(age));
+                let held = self.loads.entry(count.id).or_insert((load, seen));
+                if held.1 <= seen {
+                    *held = (load, seen);
+                }
             }
         }
     }
@@ -134,6 +139,9 @@
         self.planned = now;
         self.leases.retain(catalog);
         self.key_loads.values_mut().for_each(|load| load.fade(span));
+        self.target_loads.fade(span);
+        self.target_loads
+            .retain(|id| catalog.targets.contains_key(&id));
         let mut updates: Vec<Planned> = Vec::new();
         let gone = self.gone(now, catalog).into_iter().map(Update::Remove);
         updates.extend(gone.map(Planned::alone));
@@ -179,14 +187,30 @@
                 .filter(|id| !self.leases.is_heard(now, *id))
                 .collect(),
             loads: Vec::new(),
+            works: Vec::new(),
         };
         if now.since(self.loads_sent) >= LOADS_PAUSE {
             self.loads_sent = now;
-            pulse.loads = std::mem::take(&mut self.loads).into_iter().collect();
+            let loads = std::mem::take(&mut self.loads).into_iter();
+            pulse.loads = loads
+                .map(|(id, (load, seen))| (id, load, millis(now.since(seen))))
+                .collect();
+            pulse.works = self.works(catalog);
         }
         Some(pulse)
     }
 
+    /// Time that requests take at the targets that answered some of late.
+    fn works(&self, catalog: &Catalog) -> Vec<(TargetId, u16)> {
+        let busy = catalog.targets.iter();
+        let busy = busy.filter(|(id, _)| self.target_loads.get(**id).rate >= KNOWN_RATE);
+        busy.filter_map(|(id, record)| {
+            let work = self.target_loads.work(*id, record.slots)?;
+            Some((*id, millis(Duration::from_secs_f64(work))))
+        })
+        .collect()
+    }
+
     fn pending(&self, now: Moment, catalog: &Catalog) -> Vec<Pending> {
         let mut pending = Vec::new();
         for (service, table) in &catalog.shards {
@@ -229,8 +253,8 @@
             return Vec::new();
         }
         let load = self.key_loads.entry(service.clone()).or_default();
-        load.retain(|id| catalog.targets.contains_key(&id));
-        let updates = sharding::plan(now, service, catalog, &candidates, load);
+        let targets = &self.target_loads;
+        let updates = sharding::plan(now, service, catalog, &candidates, load, targets);
         if !updates.is_empty() {
             self.planning.insert(service.clone(), losers(&updates));
         }
@@ -282,6 +306,11 @@
     }
 }
 
+/// Whole milliseconds, as far as the number goes.
+fn millis(span: Duration) -> u16 {
+    u16::try_from(span.as_millis()).unwrap_or(u16::MAX)
+}
+
 /// Owners that lose keys by the updates.
 fn losers(updates: &[Update]) -> BTreeSet<TargetId> {
     let grants = updates.iter().flat_map(|update| match update {
--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -9,7 +9,7 @@
 //! giver moves just before its heartbeat is due, and a taker is preferred whose heartbeat follows
 //! soon.
 
-use super::{Candidate, Candidates, KeyLoad, ROWS_MOST, load::bucket_range};
+use super::{Candidate, Candidates, KeyLoad, ROWS_MOST, TargetLoads, load::bucket_range};
 use crate::{
     moment::Moment,
     version::catalog::{KeySpan, Row, ShardTable, TargetId},
@@ -54,10 +54,11 @@
     table: &ShardTable,
     candidates: &Candidates,
     load: &KeyLoad,
+    targets: &TargetLoads,
 ) -> Vec<(KeySpan, TargetId)> {
     let moving = table.rows().iter().filter(|row| row.next.is_some());
     let mut room = MOVES_AT_ONCE.saturating_sub(moving.count());
-    let mut loaded = loads(table, candidates, load);
+    let mut loaded = loads(table, candidates, load, targets);
     loaded.retain(|one| !is_moving(table, one.id));
     let mut givers = loaded.clone();
     givers.retain(|one| one.candidate.due.since(now) <= DUE_WITHIN && one.demand > BUSY);
@@ -119,11 +120,16 @@
     }
 }
 
-fn loads(table: &ShardTable, candidates: &Candidates, load: &KeyLoad) -> Vec<Loaded> {
+fn loads(
+    table: &ShardTable,
+    candidates: &Candidates,
+    load: &KeyLoad,
+    targets: &TargetLoads,
+) -> Vec<Loaded> {
     let open = candidates.iter().filter(|(_, c)| c.open && c.holding);
     open.map(|(id, candidate)| {
         let slots = f64::from(candidate.slots.max(1));
-        let work = load.work(*id, candidate.slots).unwrap_or(UNKNOWN_WORK);
+        let work = targets.work(*id, candidate.slots).unwrap_or(UNKNOWN_WORK);
         let mine = || table.rows().iter().filter(|row| row.owner == Some(*id));
         let rate: f64 = mine().map(|row| load.weight(row.span)).sum();
         Loaded {
--- a/lib/src/version/sharding/load.rs
+++ b/lib/src/version/sharding/load.rs
@@ -3,7 +3,10 @@
 //! Keys are counted in buckets of neighbours: busy keys lie side by side, and the state must not
 //! follow the number of keys. Entries report what they saw, the leader keeps decaying means.
 
-use crate::version::catalog::{KeySpan, TargetId};
+use crate::version::{
+    catalog::{KeySpan, TargetId},
+    feed::TargetCount,
+};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -14,6 +17,8 @@
 const MEMORY: Duration = Duration::from_millis(2_000);
 /// Unit at which the rates are written anew, far above what a number cannot hold.
 const LEAST_UNIT: f64 = 1e-60;
+/// Answers a second without a wait from which on they tell the time of a request alone: two of late.
+const QUICK_RATE: f64 = 0.8;
 /// Weight of a key that was not asked for, in requests a second, so that quiet keys count too.
 const QUIET_KEY: f64 = 0.000_5;
 
@@ -24,22 +29,28 @@
     pub rate: f64,
     /// Requests under way at a time, waiting ones included.
     pub open: f64,
+    /// Requests answered in a second that did not wait.
+    pub quick_rate: f64,
+    /// Those of them that run at a time.
+    pub quick_open: f64,
 }
 
 impl TargetLoad {
-    /// Mean time of a request, in seconds.
+    /// Mean time of a request, in seconds; of those that did not wait, if there are some.
     pub fn latency(&self) -> Option<f64> {
+        if self.quick_rate >= QUICK_RATE {
+            return Some(self.quick_open / self.quick_rate);
+        }
         (self.rate > 0.0).then(|| self.open / self.rate)
     }
 }
 
-/// Load of the keys and targets of one service.
+/// Load of the keys of one service.
 #[derive(Debug, Clone)]
 pub struct KeyLoad {
     rates: Vec<f64>,
     /// What one unit of `rates` is worth now: the rates fade by this alone.
     unit: f64,
-    targets: BTreeMap<TargetId, TargetLoad>,
 }
 
 impl Default for KeyLoad {
@@ -47,7 +58,6 @@
         KeyLoad {
             rates: vec![0.0; BUCKETS],
             unit: 1.0,
-            targets: BTreeMap::new(),
         }
     }
 }
@@ -60,16 +70,11 @@
 
     /// Lets the past fade by the time that went by.
     pub fn fade(&mut self, span: Duration) {
-        let left = (-span.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        self.unit *= left;
+        self.unit *= left_after(span);
         if self.unit < LEAST_UNIT {
             let unit = std::mem::replace(&mut self.unit, 1.0);
             self.rates.iter_mut().for_each(|rate| *rate *= unit);
         }
-        for load in self.targets.values_mut() {
-            load.rate *= left;
-            load.open *= left;
-        }
     }
 
     /// Counts requests for a bucket.
@@ -79,31 +84,6 @@
         }
     }
 
-    /// Counts what an entry saw of a target: answers, and the sum of their times.
-    pub fn count_target(&mut self, id: TargetId, answers: u32, busy: Duration) {
-        let load = self.targets.entry(id).or_default();
-        load.rate += f64::from(answers) / MEMORY.as_secs_f64();
-        load.open += busy.as_secs_f64() / MEMORY.as_secs_f64();
-    }
-
-    /// Load of a target.
-    pub fn target(&self, id: TargetId) -> TargetLoad {
-        self.targets.get(&id).copied().unwrap_or_default()
-    }
-
-    /// Time that a request takes at a target once it runs, in seconds. Where requests wait, its slots
-    /// are all busy, and the rate of the answers tells.
-    pub fn work(&self, id: TargetId, slots: u32) -> Option<f64> {
-        let load = self.target(id);
-        let latency = load.latency()?;
-        Some(latency.min(f64::from(slots.max(1)) / load.rate))
-    }
-
-    /// Forgets the targets that are gone.
-    pub fn retain(&mut self, mut lives: impl FnMut(TargetId) -> bool) {
-        self.targets.retain(|id, _| lives(*id));
-    }
-
     /// Requests a second for the keys of a span, with a little for quiet ones.
     pub fn weight(&self, span: KeySpan) -> f64 {
         let buckets = bucket_range(span);
@@ -149,6 +129,58 @@
     }
 }
 
+/// Load of the targets of all services.
+#[derive(Debug, Clone, Default)]
+pub struct TargetLoads {
+    loads: BTreeMap<TargetId, TargetLoad>,
+}
+
+impl TargetLoads {
+    /// Lets the past fade by the time that went by.
+    pub fn fade(&mut self, span: Duration) {
+        let left = left_after(span);
+        for load in self.loads.values_mut() {
+            load.rate *= left;
+            load.open *= left;
+            load.quick_rate *= left;
+            load.quick_open *= left;
+        }
+    }
+
+    /// Counts what an entry saw of a target.
+    pub fn count(&mut self, count: &TargetCount) {
+        let load = self.loads.entry(count.id).or_default();
+        let span = MEMORY.as_secs_f64();
+        load.rate += f64::from(count.answers) / span;
+        load.open += count.busy.as_secs_f64() / span;
+        load.quick_rate += f64::from(count.quick) / span;
+        load.quick_open += count.quick_busy.as_secs_f64() / span;
+    }
+
+    /// Load of a target.
+    pub fn get(&self, id: TargetId) -> TargetLoad {
+        self.loads.get(&id).copied().unwrap_or_default()
+    }
+
+    /// Time that a request takes at a target once it runs, in seconds. Where requests wait, its slots
+    /// are all busy, and the rate of the answers tells.
+    pub fn work(&self, id: TargetId, slots: u32) -> Option<f64> {
+        let load = self.get(id);
+        let latency = load.latency()?;
+        Some(latency.min(f64::from(slots.max(1)) / load.rate))
+    }
+
+    /// Forgets the targets that are gone.
+    pub fn retain(&mut self, mut lives: impl FnMut(TargetId) -> bool) {
+        self.loads.retain(|id, _| lives(*id));
+    }
+}
+
+/// Part of a mean that is left after a time without news.
+fn left_after(span: Duration) -> f64 {
+    (-span.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+}
+
 /// Buckets that share a key with a span.
 pub(super) fn bucket_range(span: KeySpan) -> std::ops::RangeInclusive<usize> {
     let of = |key: u16| usize::from(KeyLoad::bucket(key));
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -7,7 +7,7 @@
 mod balance;
 mod load;
 
-pub use self::load::{BUCKET_KEYS, KeyLoad, TargetLoad};
+pub use self::load::{BUCKET_KEYS, KeyLoad, TargetLoad, TargetLoads};
 
 use crate::{
     moment::Moment,
@@ -56,6 +56,7 @@
     catalog: &Catalog,
     candidates: &Candidates,
     load: &KeyLoad,
+    targets: &TargetLoads,
 ) -> Vec<Update> {
     let fresh = ShardTable::default();
     let table = catalog.shards.get(service).unwrap_or(&fresh);
@@ -67,7 +68,7 @@
     let grants = adopt(table, candidates, &mut shares, load);
     let mut spans = empty_closed(table, candidates, &mut shares, load);
     if spans.is_empty() && grants.is_empty() {
-        spans = balance::moves(now, table, candidates, load);
+        spans = balance::moves(now, table, candidates, load, targets);
     }
     let mut updates = Vec::new();
     if !spans.is_empty() {
--- a/lib/tests/test_pull_lease.rs
+++ b/lib/tests/test_pull_lease.rs
@@ -340,7 +340,7 @@
         }
         let hot = self.draw(4_096) as u16;
         if let Some(leader) = &mut self.leader {
-            leader.report(report(hot, &self.catalog));
+            leader.report(now, report(hot, &self.catalog));
             for planned in leader.plan(now, &self.catalog) {
                 self.propose(planned.update, planned.last, None);
             }
@@ -429,7 +429,7 @@
             id: *id,
             answers: 1,
             busy: Duration::from_millis(4 + 12 * (at as u64 % 3)),
-            load: None,
+            ..TargetCount::default()
         });
     Report {
         keys,
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -17,7 +17,7 @@
     ChaCha8Rng,
     rand_core::{RngCore, SeedableRng},
 };
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 const AIM: Duration = Duration::from_millis(200);
 
@@ -102,8 +102,12 @@
 }
 
 fn router() -> Router {
+    router_of(1, catalog())
+}
+
+fn router_of(seed: u64, catalog: Catalog) -> Router {
     let mut router = Router::new(RouterConfig {
-        seed: 1,
+        seed,
         zone: Zone::from("a"),
         drain: Duration::from_secs(2),
         evacuate: Duration::from_secs(5),
@@ -111,7 +115,7 @@
         retry_floor: 56.0,
         retry_window: Duration::from_secs(10),
     });
-    assert!(router.copy(at(0), 10, catalog()));
+    assert!(router.copy(at(0), 10, catalog));
     router.pulse(at(0), pulse());
     router
 }
@@ -318,7 +322,7 @@
     router.pulse(
         at(1),
         Pulse {
-            loads: vec![(TargetId(3), busy)],
+            loads: vec![(TargetId(3), busy, 0)],
             ..pulse()
         },
     );
@@ -345,6 +349,7 @@
                 slots: 4,
                 pace: 100,
             },
+            0,
         )],
         ..pulse()
     };
@@ -546,3 +551,126 @@
     assert_eq!(sent_to(&shed), Some(TargetId(1)));
     assert!(matches!(strayed, Place::Wait(_)), "{strayed:?}");
 }
+
+/// A queue of eight behind four that run, at the first target.
+fn queue() -> (TargetId, LoadReport, u16) {
+    let load = LoadReport {
+        running: 4,
+        waiting: 8,
+        slots: 4,
+        pace: 100,
+    };
+    (TargetId(1), load, 0)
+}
+
+#[test]
+fn a_queue_is_judged_by_the_times_that_all_entries_saw() {
+    let mut router = router();
+    router.pulse(
+        at(1),
+        Pulse {
+            loads: vec![queue()],
+            works: vec![(TargetId(1), 200)],
+            ..pulse()
+        },
+    );
+
+    let place = place(&mut router, at(2), "keyed", Some(5));
+
+    assert!(matches!(place, Place::Refuse(Turned::Busy, _)), "{place:?}");
+}
+
+#[test]
+fn a_target_without_news_is_judged_by_the_others_of_its_service() {
+    let mut router = router();
+    router.pulse(
+        at(1),
+        Pulse {
+            loads: vec![queue()],
+            works: vec![(TargetId(2), 200)],
+            ..pulse()
+        },
+    );
+
+    let place = place(&mut router, at(2), "keyed", Some(5));
+
+    assert!(matches!(place, Place::Refuse(Turned::Busy, _)), "{place:?}");
+}
+
+#[test]
+fn a_target_that_was_too_slow_is_tried_again_some_seconds_later() {
+    let mut router = router();
+    let slow = Pulse {
+        works: vec![(TargetId(1), 3_000), (TargetId(2), 100)],
+        ..pulse()
+    };
+    let usual = Pulse {
+        works: vec![(TargetId(2), 100)],
+        ..pulse()
+    };
+    router.pulse(at(1), slow);
+    let soon = place(&mut router, at(10), "keyed", Some(5));
+    router.pulse(at(500), usual.clone());
+
+    router.pulse(at(8_000), usual);
+    let later = place(&mut router, at(8_001), "keyed", Some(5));
+
+    assert!(matches!(soon, Place::Refuse(Turned::Busy, _)), "{soon:?}");
+    assert_eq!(sent_to(&later), Some(TargetId(1)));
+}
+
+#[test]
+fn a_queue_that_was_seen_long_ago_has_shrunk() {
+    let (id, load, _) = queue();
+    let place_after = |age| {
+        let mut router = router();
+        let pulse = Pulse {
+            loads: vec![(id, load, age)],
+            works: vec![(id, 200)],
+            ..pulse()
+        };
+        router.pulse(at(1_000), pulse);
+        place(&mut router, at(1_001), "keyed", Some(5))
+    };
+
+    let young = place_after(0);
+    let old = place_after(600);
+
+    assert!(matches!(young, Place::Refuse(Turned::Busy, _)), "{young:?}");
+    assert_eq!(sent_to(&old), Some(id));
+}
+
+#[test]
+fn many_entries_with_the_same_news_do_not_crowd_one_target() {
+    let entries = 80;
+    let news = |targets: u32| Pulse {
+        entries,
+        loads: (1..=targets)
+            .map(|id| {
+                let load = LoadReport {
+                    running: if id == 5 { 0 } else { 4 },
+                    waiting: 0,
+                    slots: 4,
+                    pace: 100,
+                };
+                (TargetId(id), load, 0)
+            })
+            .collect(),
+        ..pulse()
+    };
+    let mut catalog = catalog();
+    for number in 5..=40 {
+        catalog.apply(&Update::Join(target(number, "pool", "a")));
+    }
+    let mut sent: BTreeMap<TargetId, u32> = BTreeMap::new();
+
+    for seed in 0..entries {
+        let mut router = router_of(u64::from(seed), catalog.clone());
+        router.pulse(at(1), news(40));
+        let id = sent_to(&place(&mut router, at(2), "pool", None)).expect("a target");
+        *sent.entry(id).or_default() += 1;
+    }
+
+    // Four run at once there and sixteen may wait.
+    assert!(sent.values().all(|count| *count <= 20), "{sent:?}");
+}
--- a/lib/tests/test_sharding.rs
+++ b/lib/tests/test_sharding.rs
@@ -5,7 +5,8 @@
     name::{Incarnation, Service, Target, Zone},
     version::{
         catalog::{Catalog, Grant, KeySpan, TargetId, TargetRecord, Update},
-        sharding::{self, Candidate, Candidates, KeyLoad},
+        feed::TargetCount,
+        sharding::{self, Candidate, Candidates, KeyLoad, TargetLoads},
     },
 };
 use std::time::Duration;
@@ -48,12 +49,21 @@
     (1..=TARGETS).map(|id| (TargetId(id), candidate)).collect()
 }
 
-fn plan(catalog: &Catalog, candidates: &Candidates, load: &KeyLoad) -> Vec<Update> {
-    sharding::plan(now(), &Service::from(SERVICE), catalog, candidates, load)
+/// Load of keys and targets.
+#[derive(Debug, Default)]
+struct Loads {
+    keys: KeyLoad,
+    targets: TargetLoads,
+}
+
+fn plan(catalog: &Catalog, candidates: &Candidates, load: &Loads) -> Vec<Update> {
+    let service = Service::from(SERVICE);
+    let (keys, targets) = (&load.keys, &load.targets);
+    sharding::plan(now(), &service, catalog, candidates, keys, targets)
 }
 
 /// Applies plans and ends each move at once, until nothing is planned or `most` rounds are over.
-fn settle(catalog: &mut Catalog, candidates: &Candidates, load: &KeyLoad, most: usize) {
+fn settle(catalog: &mut Catalog, candidates: &Candidates, load: &Loads, most: usize) {
     for _ in 0..most {
         let updates = plan(catalog, candidates, load);
         if updates.is_empty() {
@@ -81,26 +91,31 @@
 }
 
 /// Load of 300 requests a second over all keys and `hot` more for each of `keys`.
-fn load(catalog: &Catalog, keys: std::ops::Range<u16>, hot: u32) -> KeyLoad {
-    let mut load = KeyLoad::default();
+fn load(catalog: &Catalog, keys: std::ops::Range<u16>, hot: u32) -> Loads {
+    let mut load = Loads::default();
     for bucket in (0..=u16::MAX).step_by(218) {
-        load.count_keys(KeyLoad::bucket(bucket), 2);
+        load.keys.count_keys(KeyLoad::bucket(bucket), 2);
     }
     for key in keys {
-        load.count_keys(KeyLoad::bucket(key), 2 * hot);
+        load.keys.count_keys(KeyLoad::bucket(key), 2 * hot);
     }
     for id in catalog.targets.keys() {
-        load.count_target(*id, 60, Duration::from_secs_f64(60.0 * WORK));
+        load.targets.count(&TargetCount {
+            id: *id,
+            answers: 60,
+            busy: Duration::from_secs_f64(60.0 * WORK),
+            ..TargetCount::default()
+        });
     }
     load
 }
 
 /// Demand of each target over what its slots can do.
-fn demands(catalog: &Catalog, load: &KeyLoad) -> Vec<f64> {
+fn demands(catalog: &Catalog, load: &Loads) -> Vec<f64> {
     let rows = catalog.shards[SERVICE].rows();
     let demand = |id: &TargetId| {
         let mine = rows.iter().filter(|row| row.owner == Some(*id));
-        mine.map(|row| load.weight(row.span)).sum::<f64>() * WORK / f64::from(SLOTS)
+        mine.map(|row| load.keys.weight(row.span)).sum::<f64>() * WORK / f64::from(SLOTS)
     };
     catalog.targets.keys().map(demand).collect()
 }
@@ -115,7 +130,7 @@
 fn the_first_plan_gives_every_key_to_somebody_evenly() {
     let mut catalog = catalog();
 
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
 
     assert_eq!(owned(&catalog), KeySpan::FULL.width());
     let widths = |id| {
@@ -133,7 +148,7 @@
 #[test]
 fn busy_neighbours_lie_on_several_targets_from_the_start() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
 
     for first in (0..64_000).step_by(997) {
         let span = KeySpan {
@@ -149,14 +164,14 @@
 #[test]
 fn no_target_gets_more_rows_than_an_answer_holds() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let mut candidates = candidates();
     for id in [1, 2] {
         let lost = candidates.get_mut(&TargetId(id)).unwrap();
         (lost.open, lost.heard, lost.holding) = (false, false, false);
     }
 
-    settle(&mut catalog, &candidates, &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates, &Loads::default(), 1);
 
     for id in catalog.targets.keys() {
         assert!(catalog.rows_of(*id).len() <= 80, "{id}");
@@ -166,7 +181,7 @@
 #[test]
 fn twenty_busy_neighbours_are_spread_over_several_targets() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let load = load(&catalog, 5_000..5_020, 8);
     let before = demands(&catalog, &load).into_iter().fold(0.0, f64::max);
 
@@ -182,7 +197,7 @@
 #[test]
 fn an_even_load_moves_nothing() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let load = load(&catalog, 0..0, 0);
 
     assert_eq!(plan(&catalog, &candidates(), &load), Vec::new());
@@ -191,12 +206,12 @@
 #[test]
 fn keys_of_a_lost_target_go_to_several_others() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let mut candidates = candidates();
     let lost = candidates.get_mut(&TargetId(3)).unwrap();
     (lost.open, lost.heard, lost.holding) = (false, false, false);
 
-    let updates = plan(&catalog, &candidates, &KeyLoad::default());
+    let updates = plan(&catalog, &candidates, &Loads::default());
     updates
         .iter()
         .for_each(|update| drop(catalog.apply(update)));
@@ -213,12 +228,12 @@
 #[test]
 fn a_silent_target_keeps_its_keys_while_its_lease_may_run() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let mut candidates = candidates();
     let silent = candidates.get_mut(&TargetId(3)).unwrap();
     (silent.open, silent.heard) = (false, false);
 
-    let updates = plan(&catalog, &candidates, &KeyLoad::default());
+    let updates = plan(&catalog, &candidates, &Loads::default());
 
     let assigns = updates.iter().any(|u| matches!(u, Update::Assign { .. }));
     assert!(!assigns, "{updates:?}");
@@ -227,21 +242,21 @@
 #[test]
 fn an_owner_that_was_not_yet_granted_keeps_its_keys() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let mut candidates = candidates();
     candidates.get_mut(&TargetId(3)).unwrap().holding = false;
 
-    assert_eq!(plan(&catalog, &candidates, &KeyLoad::default()), Vec::new());
+    assert_eq!(plan(&catalog, &candidates, &Loads::default()), Vec::new());
 }
 
 #[test]
 fn a_leaving_target_is_emptied() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let mut candidates = candidates();
     candidates.get_mut(&TargetId(3)).unwrap().open = false;
 
-    settle(&mut catalog, &candidates, &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates, &Loads::default(), 1);
 
     let rows = catalog.shards[SERVICE].rows();
     assert!(rows.iter().all(|row| row.owner != Some(TargetId(3))));
@@ -250,7 +265,7 @@
 #[test]
 fn a_giver_waits_for_its_heartbeat() {
     let mut catalog = catalog();
-    settle(&mut catalog, &candidates(), &KeyLoad::default(), 1);
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
     let load = load(&catalog, 5_000..5_020, 8);
     let mut candidates = candidates();
     for candidate in candidates.values_mut() {
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -235,8 +235,9 @@
             CoreEvent::Call(call, reply, relayed) => self.take_call(call, reply, relayed).await,
             CoreEvent::Follow(subscriber) => self.take_follower(subscriber),
             CoreEvent::Report(report) => {
+                let now = self.now();
                 if let Some(leading) = &mut self.leading {
-                    leading.leader.report(report);
+                    leading.leader.report(now, report);
                 }
             }
             CoreEvent::Failed(number, error) => self.fail(number, error),
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -106,7 +106,7 @@
         tokio::select! {
             message = stream.receive::<Downward>() => follower.take(message?, directory),
             _ = report.tick(), if follower.following => {
-                let report = entry.router().take_report();
+                let report = entry.router().take_report(entry.clock.now());
                 stream.send([encode(&Upward::Report(report))?]).await?;
             }
         }
