--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -35,6 +35,9 @@
 /// Idle time after which a connection is not used again, unless the target says less: targets may
 /// drop idle connections sooner than they say.
 const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Idle connections to all targets together. Each holds 16 KiB of buffers, and with hundreds of
+/// targets most of them would be closed unused.
+const IDLE_MOST: usize = 96;
 /// Part of the target's own idle time that is used.
 const KEEP_SHARE: f64 = 0.6;
 
@@ -165,6 +168,11 @@
         TargetConnection::open(address, left).await
     }
 
+    /// Connections that are idle now.
+    pub fn idle(&self) -> usize {
+        self.with(|idle| idle.values().map(Vec::len).sum())
+    }
+
     /// Closes what has been idle for too long, and all that leads to targets that are gone.
     pub fn sweep(&self, is_known: impl Fn(TargetId) -> bool) {
         let now = Instant::now();
@@ -188,6 +196,9 @@
             if list.len() < lease.room {
                 list.push(Idle { connection, until });
             }
+            if idle.values().map(Vec::len).sum::<usize>() > IDLE_MOST {
+                close_oldest(idle);
+            }
         });
     }
 
@@ -198,6 +209,22 @@
     }
 }
 
+/// Closes the connection that has been idle for longest.
+fn close_oldest(idle: &mut HashMap<TargetId, Vec<Idle>>) {
+    let oldest = idle
+        .iter()
+        .filter_map(|(id, list)| Some((*id, list.first()?.until)))
+        .min_by_key(|(_, until)| *until);
+    if let Some((id, _)) = oldest
+        && let Some(list) = idle.get_mut(&id)
+    {
+        list.remove(0);
+        if list.is_empty() {
+            idle.remove(&id);
+        }
+    }
+}
+
 /// Where a connection goes once its answer has ended.
 #[derive(Debug, Clone)]
 pub struct PoolPlace {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_logging;
 mod test_message;
 mod test_operator;
+mod test_pool;
 mod test_processes;
 mod test_program;
 mod test_seeded;
--- /dev/null
+++ b/node/tests/test_pool.rs
@@ -0,0 +1,78 @@
+//! Connections that an entry keeps to targets.
+
+use cornelrail_lib::version::catalog::TargetId;
+use cornelrail_node::{
+    connection::pool::{AnswerBody, Pool, PoolPlace},
+    request::proxy_body::RequestBody,
+};
+use http::Request;
+use http_body_util::BodyExt;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const LEFT: Duration = Duration::from_secs(5);
+
+/// Answers every request, whoever asks.
+async fn target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer(stream));
+        }
+    });
+    address
+}
+
+async fn answer(mut stream: TcpStream) {
+    let mut buffer = [0; 1_024];
+    // Each request comes in one piece.
+    while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+        if stream.write_all(ANSWER).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn ask(pool: &Pool, id: TargetId, address: SocketAddr) {
+    let mut connection = pool.take(id, address, LEFT).await.expect("a connection");
+    let request = Request::new(RequestBody::Whole(None));
+    let response = connection.send(request).await.expect("an answer");
+    let place = PoolPlace {
+        pool: pool.clone(),
+        id,
+        room: 4,
+        keep: None,
+        reuse: true,
+    };
+    let body = AnswerBody::new(response.into_body(), connection, place);
+    body.collect().await.expect("the whole answer");
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again() {
+    let (pool, address) = (Pool::default(), target().await);
+
+    for _ in 0..3 {
+        ask(&pool, TargetId(1), address).await;
+    }
+
+    assert_eq!(pool.idle(), 1);
+}
+
+#[tokio::test]
+async fn connections_to_many_targets_stay_few() {
+    let (pool, address) = (Pool::default(), target().await);
+
+    for id in 0..300 {
+        ask(&pool, TargetId(id), address).await;
+    }
+
+    // At 16 KiB each, 2 MiB of the 12 that an entry may take.
+    assert!(pool.idle() <= 128, "{} idle", pool.idle());
+    assert!(pool.idle() > 0);
+}
