message: long messages are compressed, and a target is looked at again once connected

Now messages over 16 KiB are compressed (lz4), and a target that left or whose zone was taken out while a connection to it was made gets nothing.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -380,6 +380,15 @@
         }
     }
 
+    /// Whether a target that was found for a request may still get it; connecting takes time.
+    pub fn still_takes(&self, now: Moment, id: TargetId, keyed: bool) -> bool {
+        let record = self.catalog.targets.get(&id);
+        match keyed {
+            true => self.takes_keys(now, id),
+            false => record.is_some_and(|record| self.catalog.is_open(record)),
+        }
+    }
+
     /// Counts a sending.
     pub fn sent(&mut self, id: TargetId) {
         if let Some(model) = self.models.get_mut(&id) {
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -674,3 +674,24 @@
     // Four run at once there and sixteen may wait.
     assert!(sent.values().all(|count| *count <= 20), "{sent:?}");
 }
+
+#[test]
+fn a_target_that_left_while_a_connection_was_made_gets_nothing() {
+    let mut router = router();
+    let before = router.still_takes(at(1), TargetId(3), false);
+
+    router.update(at(2), 11, &[Update::Leave(TargetId(3))]);
+
+    assert!(before);
+    assert!(!router.still_takes(at(3), TargetId(3), false));
+}
+
+#[test]
+fn an_owner_that_left_gets_its_keys_for_a_part_of_its_time() {
+    let mut router = router();
+
+    router.update(at(2), 11, &[Update::Leave(TargetId(1))]);
+
+    assert!(router.still_takes(at(500), TargetId(1), true));
+    assert!(!router.still_takes(at(1_900), TargetId(1), true));
+}
--- a/node/src/connection/message.rs
+++ b/node/src/connection/message.rs
@@ -1,6 +1,7 @@
 //! Messages over TCP between the processes of a seeded fleet.
 //!
-//! A message is a length and its postcard encoding. Reading one can be cancelled between messages,
+//! A message is a length and its postcard encoding, compressed where it is long: a large desired
+//! state repeats the same few words, and entries may have slow links. Reading one can be cancelled between messages,
 //! so one task can serve both directions of a connection. A peer counts as silent once no byte
 //! passes; a long message may take its time on a slow link. The network between the processes is
 //! trusted: nobody hands out keys there (see `docs/design/platform.md`).
@@ -18,6 +19,12 @@
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 /// Time to connect; a host without power does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Messages longer than this are compressed; pulses are shorter.
+const COMPRESS_BYTES: usize = 16 << 10;
+/// First byte of a message that is sent as it is.
+const PLAIN: u8 = 0;
+/// First byte of a compressed message; the length of the whole follows.
+const COMPRESSED: u8 = 1;
 /// A peer that reads nothing for so long is stuck.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -30,6 +37,9 @@
     /// The peer sent what this build does not understand.
     #[error("a message could not be decoded; run the same release on all hosts: {0}")]
     Decode(#[from] postcard::Error),
+    /// The peer sent a message that cannot be read, or one that is too long.
+    #[error("a message is damaged or longer than 64 MiB; run the same release on all hosts")]
+    Damaged,
     /// The peer closed the connection.
     #[error("the peer closed the connection")]
     Closed,
@@ -78,7 +88,11 @@
     /// Waits for the next message.
     pub async fn receive<M: DeserializeOwned>(&mut self) -> Result<M, MessageError> {
         let frame = self.framed.next().await.ok_or(MessageError::Closed)??;
-        Ok(postcard::from_bytes(&frame)?)
+        match frame.split_first() {
+            Some((&PLAIN, body)) => Ok(postcard::from_bytes(body)?),
+            Some((&COMPRESSED, body)) => Ok(postcard::from_bytes(&expand(body)?)?),
+            _ => Err(MessageError::Damaged),
+        }
     }
 
     /// Sends messages that are encoded already, in one go.
@@ -95,5 +109,20 @@
 
 /// Encodes a message.
 pub fn encode<M: Serialize>(message: &M) -> Result<Bytes, postcard::Error> {
-    postcard::to_stdvec(message).map(Bytes::from)
+    let mut bytes = postcard::to_extend(message, vec![PLAIN])?;
+    if bytes.len() > COMPRESS_BYTES {
+        let packed = lz4_flex::compress_prepend_size(&bytes[1..]);
+        bytes.clear();
+        bytes.push(COMPRESSED);
+        bytes.extend(packed);
+    }
+    Ok(Bytes::from(bytes))
+}
+
+fn expand(packed: &[u8]) -> Result<Vec<u8>, MessageError> {
+    let length = packed.first_chunk().map(|head| u32::from_le_bytes(*head));
+    if length.is_none_or(|length| length as usize > MAX_MESSAGE_BYTES) {
+        return Err(MessageError::Damaged);
+    }
+    lz4_flex::decompress_size_prepended(packed).map_err(|_| MessageError::Damaged)
 }
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -50,7 +50,9 @@
         Ok(Greeting::Entry { name, .. }) => serve_entry(stream, name, &core).await,
         Err(error) => Err(error),
     };
-    if let (Err(error @ MessageError::Decode(_)), Ok(address)) = (ended, address) {
+    if let (Err(error @ (MessageError::Decode(_) | MessageError::Damaged)), Ok(address)) =
+        (ended, address)
+    {
         Event::PeerRefused.log(format_args!("address={address} why={error}"));
     }
 }
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -78,7 +78,7 @@
                     round.push_front(leader);
                 }
             }
-            if let MessageError::Decode(error) = error {
+            if let MessageError::Decode(_) | MessageError::Damaged = error {
                 Event::PeerRefused.log(format_args!("address={address} why={error}"));
             }
         }
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -315,7 +315,9 @@
             Err(_) => return Tried::Unreachable,
         };
         let left = self.until.saturating_duration_since(Instant::now());
-        if left < LEAST_LEFT {
+        let now = entry.clock.now();
+        if left < LEAST_LEFT || !entry.router().still_takes(now, id, self.routed.keyed) {
+            flight.end(Outcome::Cancelled, None);
             return Tried::Unreachable;
         }
         let request = self.target_request(name, left, body);
--- a/node/tests/test_message.rs
+++ b/node/tests/test_message.rs
@@ -23,9 +23,12 @@
 
 /// A message as it passes the wire.
 fn framed(text: &str) -> Vec<u8> {
-    let body = encode(&text.to_owned()).expect("an encoding");
+    frame(&encode(&text.to_owned()).expect("an encoding"))
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
     let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
-    bytes.extend_from_slice(&body);
+    bytes.extend_from_slice(body);
     bytes
 }
 
@@ -77,3 +80,37 @@
     sent.expect("sent");
     assert!(reader.await.expect("read") >= length);
 }
+
+#[tokio::test]
+async fn a_long_message_of_few_words_is_short_on_the_wire() {
+    let (mut stream, mut peer) = pair().await;
+    let routes: Vec<String> = (0..2_000).map(|n| format!("/path/{n}/ to pool")).collect();
+    let body = encode(&routes).expect("an encoding");
+    let plain: usize = routes.iter().map(String::len).sum();
+
+    peer.write_all(&frame(&body)).await.expect("written");
+    let received = stream.receive::<Vec<String>>().await;
+
+    assert!(body.len() < plain / 2, "{} of {plain}", body.len());
+    assert_eq!(received.expect("a message"), routes);
+}
+
+#[tokio::test]
+async fn a_damaged_message_is_refused() {
+    for body in [
+        &[][..],
+        &[1, 0xff, 0xff, 0xff, 0xff, 0],
+        &[1, 9, 0, 0, 0, 0xf0],
+        &[2, 0],
+    ] {
+        let (mut stream, mut peer) = pair().await;
+        peer.write_all(&frame(body)).await.expect("written");
+
+        let received = stream.receive::<String>().await;
+
+        assert!(
+            matches!(received, Err(MessageError::Damaged)),
+            "{received:?}"
+        );
+    }
+}
