router: a path is denied only by a copy that the leader has confirmed

Now an entry asks twice a second, and the leader, while it holds its lease of the log, answers behind all that it has sent; a copy is fresh for 1.5 s from the asking.

A pool request that finds no room at the targets drawn for it goes on to the others, so none is refused while one is free; before, a busy draw refused it.

Ruled out: a shorter life of pulses, since their arrival proves nothing. The tests failed before (the first could not be written without the new message).

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -32,9 +32,11 @@
     time::Duration,
 };
 
-/// Age of the latest pulse up to which the copy counts as fresh: four pulses, and less than the
-/// time within which an order is in force everywhere.
-const FRESH: Duration = Duration::from_millis(1_000);
+/// Age of the latest pulse up to which its times hold: four pulses.
+const PULSE_LIFE: Duration = Duration::from_millis(1_000);
+/// Time since the leader confirmed the copy up to which it counts as fresh: three confirmations, and
+/// less than the two seconds within which an order is in force everywhere.
+const FRESH: Duration = Duration::from_millis(1_500);
 /// Part of the time to drain or to evacuate for which keys still go to their old owner.
 const CLOSING_SHARE: f64 = 0.7;
 /// Pause before a key is tried again whose owner said that it does not hold it.
@@ -176,6 +178,7 @@
     index: Option<u64>,
     pulse: Pulse,
     heard: Option<Moment>,
+    confirmed: Option<Moment>,
     models: HashMap<TargetId, TargetModel>,
     usual: HashMap<Service, Duration>,
     colds: HashMap<TargetId, (Moment, ColdRate)>,
@@ -197,6 +200,7 @@
             index: None,
             pulse: Pulse::default(),
             heard: None,
+            confirmed: None,
             models: HashMap::new(),
             usual: HashMap::new(),
             colds: HashMap::new(),
@@ -302,10 +306,16 @@
         Some(model)
     }
 
+    /// Takes the leader's word that the copy holds all that was acknowledged at a time. A message
+    /// that came just now may have been under way for long, so its arrival proves nothing.
+    pub fn confirm(&mut self, at: Moment) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
     /// Whether the copy is as young as an order needs it to be.
     pub fn is_fresh(&self, now: Moment) -> bool {
-        let heard = self.heard.is_some_and(|at| now.since(at) < FRESH);
-        heard && self.index.is_some()
+        let young = |at| now.since(at) < FRESH;
+        self.confirmed.is_some_and(young) && self.index.is_some()
     }
 
     /// Age of the latest pulse.
@@ -492,15 +502,15 @@
         for (id, _) in &open {
             self.model(*id);
         }
-        // The others stay in the hand for when the drawn ones bear no more.
         let mut left = open;
         let drawn = sample(left.len(), self.entries());
         for at in 0..drawn {
             let other = at + self.rng.next_u32() as usize % (left.len() - at);
             left.swap(at, other);
         }
-        let mut refused = Place::Refuse(Turned::Unowned, NO_OWNER_PAUSE);
-        // A cold target that bears no more leaves the request to the next best one.
+        let mut refused: Option<(Turned, Duration)> = None;
+        // A target that has no room leaves the request to the next best one, in the end to one that
+        // was not drawn.
         while !left.is_empty() {
             let choices = left.iter().take(drawn.max(1)).filter_map(|(id, near)| {
                 Some(Choice {
@@ -513,14 +523,17 @@
                 break;
             };
             match self.send(now, wish, id) {
-                Place::Refuse(Turned::Cold, pause) => {
-                    refused = Place::Refuse(Turned::Cold, pause);
+                Place::Refuse(turned, pause) => {
+                    if refused.is_none_or(|(_, shortest)| pause < shortest) {
+                        refused = Some((turned, pause));
+                    }
                     left.retain(|(other, _)| *other != id);
                 }
                 other => return other,
             }
         }
-        refused
+        let (turned, pause) = refused.unwrap_or((Turned::Unowned, NO_OWNER_PAUSE));
+        Place::Refuse(turned, pause)
     }
 
     /// Sends a request to a target if that serves it in time.
@@ -570,7 +583,7 @@
         let pending = self.pulse.pending.iter().find(is_it)?;
         let heard = self.heard?;
         // By an old pulse nothing is known: the owner of the copy is asked.
-        let fresh = now.since(heard) < FRESH;
+        let fresh = now.since(heard) < PULSE_LIFE;
         fresh.then(|| {
             (heard + pending.wait)
                 .since(now)
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -6,6 +6,7 @@
 
 use super::catalog::{Catalog, KeySpan, TargetId, Update};
 use crate::{
+    moment::Moment,
     name::{Node, Service, Zone},
     process::{
         control_call::{ControlCall, ControlReply},
@@ -44,6 +45,8 @@
     Report(Report),
     /// Asks for a sign of life.
     Ping,
+    /// Asks the leader to say when this was sent, by the entry's clock, behind all that it has sent.
+    Confirm(Moment),
 }
 
 /// From a core host to the host that dialled.
@@ -66,6 +69,8 @@
     Pulse(Pulse),
     /// A sign of life.
     Pong,
+    /// All that was acknowledged when the entry asked, at this time of its clock, came before.
+    Confirmed(Moment),
 }
 
 impl Downward {
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -117,6 +117,7 @@
     });
     assert!(router.copy(at(0), 10, catalog));
     router.pulse(at(0), pulse());
+    router.confirm(at(0));
     router
 }
 
@@ -225,6 +226,25 @@
     assert!(known.is_ok(), "an old copy still serves");
 }
 
+#[test]
+fn news_that_were_long_under_way_do_not_make_a_copy_fresh() {
+    let mut router = router();
+    router.pulse(at(2_500), pulse());
+    router.update(at(2_500), 11, &[Update::ZoneOut(Zone::from("b"))]);
+
+    let unconfirmed = router.route(at(2_500), "h", "/nothing/");
+    router.confirm(at(2_000));
+    let confirmed = router.route(at(2_500), "h", "/nothing/");
+    router.confirm(at(900));
+
+    assert_eq!(unconfirmed, Err(Denial::Stale));
+    assert_eq!(confirmed, Err(Denial::NoRoute));
+    assert!(
+        router.is_fresh(at(2_500)),
+        "an older word takes nothing back"
+    );
+}
+
 #[test]
 fn an_entry_without_a_copy_denies_nothing() {
     let config = RouterConfig {
@@ -695,3 +715,35 @@
     assert!(router.still_takes(at(500), TargetId(1), true));
     assert!(!router.still_takes(at(1_900), TargetId(1), true));
 }
+
+#[test]
+fn a_pool_request_finds_the_one_target_with_room_whatever_is_drawn() {
+    let mut catalog = catalog();
+    for number in 5..=40 {
+        catalog.apply(&Update::Join(target(number, "pool", "a")));
+    }
+    let news = Pulse {
+        entries: 80,
+        loads: (3..=40)
+            .map(|id| {
+                let load = LoadReport {
+                    running: if id == 17 { 0 } else { 4 },
+                    waiting: if id == 17 { 0 } else { 60 },
+                    slots: 4,
+                    pace: 100,
+                };
+                (TargetId(id), load, 0)
+            })
+            .collect(),
+        ..pulse()
+    };
+
+    for seed in 0..20 {
+        let mut router = router_of(seed, catalog.clone());
+        router.pulse(at(1), news.clone());
+
+        let place = place(&mut router, at(2), "pool", None);
+
+        assert_eq!(sent_to(&place), Some(TargetId(17)), "seed {seed}");
+    }
+}
--- a/node/src/connection/message.rs
+++ b/node/src/connection/message.rs
@@ -1,10 +1,10 @@
 //! Messages over TCP between the processes of a seeded fleet.
 //!
 //! A message is a length and its postcard encoding, compressed where it is long: a large desired
-//! state repeats the same few words, and entries may have slow links. Reading one can be cancelled between messages,
-//! so one task can serve both directions of a connection. A peer counts as silent once no byte
-//! passes; a long message may take its time on a slow link. The network between the processes is
-//! trusted: nobody hands out keys there (see `docs/design/platform.md`).
+//! state repeats the same few words, and entries may have slow links. Reading one can be cancelled
+//! between messages, so one task can serve both directions of a connection. A peer counts as silent
+//! once no byte passes; a long message may take its time on a slow link. The network between the
+//! processes is trusted: nobody hands out keys there (see `docs/design/platform.md`).
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -79,7 +79,7 @@
                         });
                     }
                     Upward::Ping => stream.send([encode(&Downward::Pong)?]).await?,
-                    Upward::Report(_) => {}
+                    Upward::Report(_) | Upward::Confirm(_) => {}
                 }
             }
             Some((number, reply)) = replies.recv() => {
@@ -95,7 +95,7 @@
     name: String,
     core: &CoreHandle,
 ) -> Result<(), MessageError> {
-    let mut feed = core.follow(name).await;
+    let mut feed = core.follow(name.clone()).await;
     let mut burst: Vec<Bytes> = Vec::with_capacity(BURST);
     loop {
         tokio::select! {
@@ -108,6 +108,7 @@
             message = stream.receive::<Upward>() => {
                 match message? {
                     Upward::Report(report) => core.report(report).await,
+                    Upward::Confirm(at) => core.confirm(name.clone(), at).await,
                     Upward::Ping => stream.send([encode(&Downward::Pong)?]).await?,
                     Upward::Raft(_) | Upward::Call(..) => {}
                 }
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -55,6 +55,8 @@
     Follow(Subscriber),
     /// What an entry saw.
     Report(Report),
+    /// An entry of this name wants to know that its copy is not behind.
+    Confirm(String, Moment),
     /// A command was not taken into the log, or its outcome is not known.
     Failed(u64, ProposeError),
     /// The process is to end.
@@ -97,6 +99,11 @@
         self.send(CoreEvent::Report(report)).await;
     }
 
+    /// Confirms to an entry, behind all that it was sent, what it has asked.
+    pub async fn confirm(&self, entry: String, at: Moment) {
+        self.send(CoreEvent::Confirm(entry, at)).await;
+    }
+
     /// Ends the task and frees the data folder.
     pub async fn stop(&self) {
         let (tx, rx) = oneshot::channel();
@@ -240,6 +247,7 @@
                     leading.leader.report(now, report);
                 }
             }
+            CoreEvent::Confirm(entry, at) => self.confirm(&entry, at).await,
             CoreEvent::Failed(number, error) => self.fail(number, error),
             CoreEvent::Stop(_) => {}
         }
@@ -458,6 +466,23 @@
         Ok(bytes)
     }
 
+    /// Tells an entry that its copy holds all that was acknowledged when it asked. A host that may
+    /// lead no more cannot know that.
+    async fn confirm(&mut self, entry: &str, at: Moment) {
+        if self.leading.is_none() || !self.has_lease().await {
+            return;
+        }
+        self.spread();
+        let Ok(bytes) = encode(&Downward::Confirmed(at)) else {
+            return;
+        };
+        let mine = self.subscribers.iter().filter(|s| s.name == entry);
+        for subscriber in mine {
+            // A full feed ends with the next message to all.
+            let _ = subscriber.feed.try_send(bytes.clone());
+        }
+    }
+
     fn take_follower(&mut self, subscriber: Subscriber) {
         self.spread();
         let members = Downward::Members {
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -106,8 +106,10 @@
         tokio::select! {
             message = stream.receive::<Downward>() => follower.take(message?, directory),
             _ = report.tick(), if follower.following => {
-                let report = entry.router().take_report(entry.clock.now());
-                stream.send([encode(&Upward::Report(report))?]).await?;
+                let now = entry.clock.now();
+                let report = entry.router().take_report(now);
+                let messages = [encode(&Upward::Report(report))?, encode(&Upward::Confirm(now))?];
+                stream.send(messages).await?;
             }
         }
     }
@@ -139,8 +141,9 @@
             Downward::Updates(index, updates) => {
                 self.entry.router().update(now, index, &updates);
             }
+            Downward::Confirmed(at) if self.following => self.entry.router().confirm(at),
             Downward::Pulse(pulse) if self.following => self.entry.router().pulse(now, pulse),
-            Downward::Pulse(_) | Downward::Pong | Downward::Reply(..) => {}
+            Downward::Pulse(_) | Downward::Confirmed(_) | Downward::Pong | Downward::Reply(..) => {}
         }
         self.entry.changes.notify_waiters();
     }
