entry: what hangs is answered before the process ends

Now everything still open 300 ms before the end gets its final answer: 504 where it may have run, 503 where it has not. Ruled out: the balancer, which had been told; the request came before SIGTERM. The test failed before: the answer came with the route's limit, after the end.

--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -53,6 +53,8 @@
 const LAST_MARGIN: Duration = Duration::from_millis(300);
 /// Pause between two looks whether the last request has ended.
 const END_PAUSE: Duration = Duration::from_millis(50);
+/// Time that the last answers take to their callers.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
 
 /// What the tasks of an entry share.
 #[derive(Debug)]
@@ -64,6 +66,7 @@
     router: Mutex<Router>,
     changes: Arc<Notify>,
     stopping: AtomicBool,
+    ending: watch::Sender<bool>,
     connections: AtomicUsize,
 }
 
@@ -84,6 +87,7 @@
             router: Mutex::new(Router::new(config)),
             changes: Arc::new(Notify::new()),
             stopping: AtomicBool::new(false),
+            ending: watch::Sender::new(false),
             connections: AtomicUsize::new(0),
         }
     }
@@ -105,6 +109,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Ends once what is still open has to be answered, since the process ends.
+    pub async fn given_up(&self) {
+        // The sender lives as long as the entry.
+        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+    }
+
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
         let router = self.router();
@@ -164,6 +174,9 @@
         self.closing.send_replace(true);
         while self.entry.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
             sleep(END_PAUSE).await;
+            if Instant::now() + ANSWER_TIME > end {
+                self.entry.ending.send_replace(true);
+            }
         }
         let open = self.entry.connections.load(Ordering::Relaxed);
         Event::Stopped.log(format_args!("connections={open}"));
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -263,6 +263,9 @@
                     tokio::select! {
                         () = sleep_until(wake) => {}
                         () = changed => {}
+                        () = entry.given_up() => {
+                            return Err(Refusal::not_run("ending", STALE_PAUSE));
+                        }
                     }
                 }
             }
@@ -323,9 +326,9 @@
         let request = self.target_request(name, left, body);
         self.arrivals += 1;
         let exchanging = self.exchange(entry, flight, connection, request);
-        match timeout_at(self.until, exchanging).await {
-            Ok(tried) => tried,
-            Err(_) => Tried::Late,
+        tokio::select! {
+            tried = timeout_at(self.until, exchanging) => tried.unwrap_or(Tried::Late),
+            () = entry.given_up() => Tried::Late,
         }
     }
 
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -157,6 +157,9 @@
         return Ok(response.expect("a response"));
     }
     seen.lock().expect("whole").push(id);
+    if path.ends_with("/hang") {
+        std::future::pending::<()>().await;
+    }
     if path.ends_with("/late") {
         response = response.header("request-id", "another");
     }
@@ -377,6 +380,32 @@
     fleet.core.stop().await;
 }
 
+#[tokio::test]
+async fn an_entry_that_ends_answers_what_hangs_before_its_grace_is_over() {
+    let fleet = fleet().await;
+    set_up(&fleet).await;
+    let order = call(fleet.control, "config.patch", &order(8, "20000ms")).await;
+    assert_eq!(order.map(|(status, _)| status), Some(200));
+    sleep(Duration::from_millis(200)).await;
+    let asking = tokio::spawn(exchange(
+        fleet.callers,
+        b"POST /w/hang HTTP/1.1\r\nHost: h.example\r\nRequest-Id: hang\r\n\
+          Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n",
+    ));
+    while fleet.target.runs("hang") == 0 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let begun = Instant::now();
+
+    let stopping = tokio::spawn(fleet.entry.stop());
+    let reply = timeout(PATIENCE, asking).await.expect("in time");
+
+    let reply = reply.expect("asked").expect("an answer");
+    assert!(begun.elapsed() < Duration::from_secs(4), "the grace");
+    assert_eq!(split(&reply).map(|(status, _)| status), Some(504));
+    stopping.await.expect("it ends");
+}
+
 #[test]
 fn settings_that_cannot_be_used_name_their_fault() {
     let good = "role: entry\nname: e\nzone: a\naddress: 10.0.0.1\nport: 1\n\
