routing: whether a route is last is found when routes change

Now Routing::of finds it once for each route; the answer is the same. A test of the ranks stands beside it; none was there before. No figure of load was taken: the decision does not change.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -17,7 +17,7 @@
     name::{Service, Target, Zone},
     version::{
         catalog::{Applied, Catalog, TargetId, Update},
-        desired::{RequestLimits, Route, RouteKind, Routing},
+        desired::{RequestLimits, RouteKind, Routing},
         feed::{KeyCount, Pending, Pulse, Report, TargetCount},
         sharding::KeyLoad,
     },
@@ -366,7 +366,7 @@
             timeout: route.timeout,
             aim: route.aim,
             attempts: route.attempts,
-            last: self.is_last(route),
+            last: found.last,
             service: service.clone(),
             keyed: spec.is_some_and(|spec| spec.keyed),
         })
@@ -607,19 +607,6 @@
         since.is_some_and(|since| now.since(*since) < span.mul_f64(CLOSING_SHARE))
     }
 
-    /// Whether more urgent routes lead to the services of this one.
-    fn is_last(&self, route: &Route) -> bool {
-        let routes = self.catalog.desired.routes.values();
-        let mut others = routes.filter_map(|item| item.value.as_ref());
-        others.any(|other| {
-            other.priority < route.priority
-                && other
-                    .backends
-                    .iter()
-                    .any(|b| route.backends.iter().any(|own| own.service == b.service))
-        })
-    }
-
     fn entries(&self) -> u32 {
         self.pulse.entries.max(1)
     }
--- a/lib/src/version/desired/routing.rs
+++ b/lib/src/version/desired/routing.rs
@@ -1,6 +1,7 @@
 //! The routes in force, arranged for looking one up.
 
 use super::{DesiredState, item::Route};
+use crate::name::Service;
 use std::collections::HashMap;
 
 /// Route that a request takes.
@@ -10,26 +11,41 @@
     pub name: &'a str,
     /// The route.
     pub route: &'a Route,
+    /// Whether more urgent routes lead to a service of this one.
+    pub last: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Placed {
+    name: String,
+    route: Route,
+    last: bool,
 }
 
 /// Routes of each host, the longest prefix first.
 #[derive(Debug, Clone, Default)]
 pub struct Routing {
-    hosts: HashMap<String, Vec<(String, Route)>>,
+    hosts: HashMap<String, Vec<Placed>>,
 }
 
 impl Routing {
     /// Arranges the routes that stand.
     pub fn of(desired: &DesiredState) -> Self {
-        let mut hosts: HashMap<String, Vec<(String, Route)>> = HashMap::new();
+        let first = most_urgent(desired);
+        let mut hosts: HashMap<String, Vec<Placed>> = HashMap::new();
         for (name, item) in &desired.routes {
             if let Some(route) = &item.value {
+                let mut backends = route.backends.iter();
                 let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
-                host.push((name.clone(), route.clone()));
+                host.push(Placed {
+                    name: name.clone(),
+                    route: route.clone(),
+                    last: backends.any(|b| first[&b.service] < route.priority),
+                });
             }
         }
         for routes in hosts.values_mut() {
-            routes.sort_by_key(|(_, route)| std::cmp::Reverse(route.prefix.len()));
+            routes.sort_by_key(|placed| std::cmp::Reverse(placed.route.prefix.len()));
         }
         Routing { hosts }
     }
@@ -42,10 +58,27 @@
         };
         let found = routes
             .iter()
-            .find(|(_, route)| path.starts_with(&route.prefix))?;
+            .find(|placed| path.starts_with(&placed.route.prefix))?;
         Some(RouteMatch {
-            name: &found.0,
-            route: &found.1,
+            name: &found.name,
+            route: &found.route,
+            last: found.last,
         })
     }
 }
+
+/// Rank of the most urgent route to each service.
+fn most_urgent(desired: &DesiredState) -> HashMap<&Service, u32> {
+    let mut first: HashMap<&Service, u32> = HashMap::new();
+    for route in desired
+        .routes
+        .values()
+        .filter_map(|item| item.value.as_ref())
+    {
+        for backend in &route.backends {
+            let rank = first.entry(&backend.service).or_insert(route.priority);
+            *rank = route.priority.min(*rank);
+        }
+    }
+    first
+}
--- a/lib/tests/test_desired.rs
+++ b/lib/tests/test_desired.rs
@@ -198,3 +198,48 @@
     };
     assert_eq!(copy.desired.service("s"), Some(&service()));
 }
+
+#[test]
+fn a_route_is_last_where_a_more_urgent_one_leads_to_a_service_of_it() {
+    let ranked = |host: &str, priority, services: &[&str]| {
+        let backends = services.iter().map(|name| Backend {
+            service: Service::from(*name),
+            weight: WEIGHT_UNIT,
+        });
+        Route {
+            host: host.to_owned(),
+            priority,
+            backends: backends.collect(),
+            ..route("/", 500, WEIGHT_UNIT)
+        }
+    };
+    let mut change = Change::default();
+    for name in ["s", "t", "u"] {
+        let item = item(7, Some(service()));
+        change.services.insert(Service::from(name), item);
+    }
+    for (name, priority, services) in [
+        ("first", 0, &["s"][..]),
+        ("second", 1, &["t", "s"]),
+        ("equal", 0, &["s"]),
+        ("apart", 9, &["u"]),
+        ("dropped", 0, &["u"]),
+    ] {
+        let route = ranked(name, priority, services);
+        change.routes.insert(name.to_owned(), item(7, Some(route)));
+    }
+    let mut desired = DesiredState::default();
+    desired.apply(&change).unwrap();
+    let mut drop = Change::default();
+    drop.routes.insert("dropped".to_owned(), item(8, None));
+    desired.apply(&drop).unwrap();
+
+    let routing = Routing::of(&desired);
+
+    let last = |host| routing.find(host, "/x").map(|found| found.last);
+    assert_eq!(last("first"), Some(false));
+    assert_eq!(last("second"), Some(true));
+    assert_eq!(last("equal"), Some(false));
+    assert_eq!(last("apart"), Some(false));
+    assert_eq!(last("dropped"), None);
+}
