balance, pool: dead parts out, twins made one

And twins: two ways to whole milliseconds, two constants for "two answers of late", what a whole body tells of itself, two counts of idle connections, and two pairs of tests that differed in one figure. Behaviour is as before; the tests keep their assertions, their common part is a function.

--- a/lib/src/request/balance/admit.rs
+++ b/lib/src/request/balance/admit.rs
@@ -21,10 +21,8 @@
 /// What a request wants.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
-    /// Time from now within which the answer is worth most; zero if that is past.
+    /// Time from its arrival within which the answer is worth most.
     pub aim: Duration,
-    /// The whole aim of its route.
-    pub whole: Duration,
     /// Time that its caller waits from now on.
     pub left: Duration,
     /// Whether requests more urgent than this one go to the same service.
@@ -51,7 +49,7 @@
     }
     let share = if ask.last { LAST_SHARE } else { URGENT_SHARE };
     // A request that comes back has used its aim up; it may still queue as a first one may.
-    let bound = ask.whole.mul_f64(share).max(work.mul_f64(1.5));
+    let bound = ask.aim.mul_f64(share).max(work.mul_f64(1.5));
     match end <= bound {
         true => Verdict::Send,
         false => refuse(end - bound),
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -18,7 +18,7 @@
     version::{
         catalog::{Applied, Catalog, TargetId, Update},
         desired::{RequestLimits, RouteKind, Routing},
-        feed::{KeyCount, Pending, Pulse, Report, TargetCount},
+        feed::{KeyCount, Pending, Pulse, Report, TargetCount, millis},
         sharding::KeyLoad,
     },
 };
@@ -456,10 +456,7 @@
             busy: seen.busy,
             quick: seen.quick,
             quick_busy: seen.quick_busy,
-            load: seen.load.map(|(load, at)| {
-                let age = now.since(at).as_millis();
-                (load, u16::try_from(age).unwrap_or(u16::MAX))
-            }),
+            load: seen.load.map(|(load, at)| (load, millis(now.since(at)))),
         });
         Report {
             keys: keys.collect(),
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -130,16 +130,6 @@
         self.learned = Some(now);
     }
 
-    /// Requests of this entry under way there.
-    pub fn open(&self) -> u32 {
-        self.open
-    }
-
-    /// Requests that it runs at once.
-    pub fn slots(&self) -> u32 {
-        self.slots
-    }
-
     /// Whether it failed of late and gets no request that could go elsewhere.
     pub fn is_paused(&self, now: Moment) -> bool {
         now < self.paused
@@ -150,11 +140,6 @@
         self.paused
     }
 
-    /// Failures in a row.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-
     /// Time that a request takes there once it runs.
     pub fn work(&self, now: Moment) -> Duration {
         let report = self.fresh(now);
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -92,6 +92,11 @@
     }
 }
 
+/// Whole milliseconds of a time, as messages carry it.
+pub fn millis(span: Duration) -> u16 {
+    u16::try_from(span.as_millis()).unwrap_or(u16::MAX)
+}
+
 /// What the leader knows beside the catalog; each pulse replaces the one before.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Pulse {
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -5,8 +5,8 @@
 
 use super::{
     catalog::{Catalog, Row, TargetId, TargetRecord, Update},
-    feed::{Pending, Pulse, Report},
-    sharding::{self, Candidate, Candidates, KeyLoad, TargetLoads},
+    feed::{Pending, Pulse, Report, millis},
+    sharding::{self, Candidate, Candidates, KNOWN_RATE, KeyLoad, TargetLoads},
 };
 use crate::{
     connection::{
@@ -34,8 +34,6 @@
 const PULSE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two pulses with the loads of targets.
 const LOADS_PAUSE: Duration = Duration::from_millis(450);
-/// Answers a second of a target from which on their mean time says something: two of late.
-const KNOWN_RATE: f64 = 0.8;
 /// Pause between two plans.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 /// Time that keys without a known next owner are expected to go unserved.
@@ -306,11 +304,6 @@
     }
 }
 
-/// Whole milliseconds, as far as the number goes.
-fn millis(span: Duration) -> u16 {
-    u16::try_from(span.as_millis()).unwrap_or(u16::MAX)
-}
-
 /// Owners that lose keys by the updates.
 fn losers(updates: &[Update]) -> BTreeSet<TargetId> {
     let grants = updates.iter().flat_map(|update| match update {
--- a/lib/src/version/sharding/load.rs
+++ b/lib/src/version/sharding/load.rs
@@ -17,8 +17,8 @@
 const MEMORY: Duration = Duration::from_millis(2_000);
 /// Unit at which the rates are written anew, far above what a number cannot hold.
 const LEAST_UNIT: f64 = 1e-60;
-/// Answers a second without a wait from which on they tell the time of a request alone: two of late.
-const QUICK_RATE: f64 = 0.8;
+/// Answers a second from which on their mean time says something: two of late.
+pub const KNOWN_RATE: f64 = 0.8;
 /// Weight of a key that was not asked for, in requests a second, so that quiet keys count too.
 const QUIET_KEY: f64 = 0.000_5;
 
@@ -38,7 +38,7 @@
 impl TargetLoad {
     /// Mean time of a request, in seconds; of those that did not wait, if there are some.
     pub fn latency(&self) -> Option<f64> {
-        if self.quick_rate >= QUICK_RATE {
+        if self.quick_rate >= KNOWN_RATE {
             return Some(self.quick_open / self.quick_rate);
         }
         (self.rate > 0.0).then(|| self.open / self.rate)
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -7,7 +7,7 @@
 mod balance;
 mod load;
 
-pub use self::load::{BUCKET_KEYS, KeyLoad, TargetLoad, TargetLoads};
+pub use self::load::{BUCKET_KEYS, KNOWN_RATE, KeyLoad, TargetLoad, TargetLoads};
 
 use crate::{
     moment::Moment,
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -120,54 +120,50 @@
     assert_eq!(pulse.cold, vec![(id, Duration::from_secs(3))]);
 }
 
-#[test]
-fn the_time_that_requests_take_is_told_as_all_entries_saw_it() {
+/// Times of requests in the pulse after the reports, each of an entry, of the one target.
+fn told_works(counts: &[TargetCount]) -> Option<Vec<u16>> {
     let (mut leader, mut catalog) = (leader(), catalog(true));
     let now = Moment::from_millis(60_000);
     join(&mut leader, &mut catalog, now);
     let (id, _) = catalog.find(&Target::from("w")).unwrap();
-    for busy in [300, 500, 400] {
+    for count in counts {
+        let count = TargetCount { id, ..*count };
+        let targets = vec![count];
         leader.report(
             now,
             Report {
-                keys: Vec::new(),
-                targets: vec![TargetCount {
-                    id,
-                    answers: 1,
-                    busy: Duration::from_millis(busy),
-                    ..TargetCount::default()
-                }],
+                targets,
+                ..Report::default()
             },
         );
     }
 
-    let pulse = leader.pulse(now + Duration::from_secs(1), 1, 2, &catalog);
+    let pulse = leader.pulse(now + Duration::from_secs(1), 1, 2, &catalog)?;
+
+    assert!(pulse.works.iter().all(|(of, _)| *of == id));
+    Some(pulse.works.iter().map(|(_, millis)| *millis).collect())
+}
+
+#[test]
+fn the_time_that_requests_take_is_told_as_all_entries_saw_it() {
+    let counts = [300, 500, 400].map(|busy| TargetCount {
+        answers: 1,
+        busy: Duration::from_millis(busy),
+        ..TargetCount::default()
+    });
 
-    assert_eq!(pulse.map(|pulse| pulse.works), Some(vec![(id, 400)]));
+    assert_eq!(told_works(&counts), Some(vec![400]));
 }
 
 #[test]
 fn answers_that_waited_do_not_make_the_work_look_long() {
-    let (mut leader, mut catalog) = (leader(), catalog(true));
-    let now = Moment::from_millis(60_000);
-    join(&mut leader, &mut catalog, now);
-    let (id, _) = catalog.find(&Target::from("w")).unwrap();
-    leader.report(
-        now,
-        Report {
-            keys: Vec::new(),
-            targets: vec![TargetCount {
-                id,
-                answers: 4,
-                busy: Duration::from_millis(2_000),
-                quick: 2,
-                quick_busy: Duration::from_millis(300),
-                load: None,
-            }],
-        },
-    );
-
-    let pulse = leader.pulse(now + Duration::from_secs(1), 1, 2, &catalog);
-
-    assert_eq!(pulse.map(|pulse| pulse.works), Some(vec![(id, 150)]));
+    let count = TargetCount {
+        answers: 4,
+        busy: Duration::from_millis(2_000),
+        quick: 2,
+        quick_busy: Duration::from_millis(300),
+        ..TargetCount::default()
+    };
+
+    assert_eq!(told_works(&[count]), Some(vec![150]));
 }
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -132,7 +132,6 @@
 fn ask() -> Ask {
     Ask {
         aim: AIM,
-        whole: AIM,
         left: Duration::from_millis(800),
         last: false,
     }
@@ -583,36 +582,30 @@
     (TargetId(1), load, 0)
 }
 
-#[test]
-fn a_queue_is_judged_by_the_times_that_all_entries_saw() {
+/// What becomes of a request for the target with the queue, by the times that the leader tells.
+fn place_behind_queue(works: Vec<(TargetId, u16)>) -> Place {
     let mut router = router();
     router.pulse(
         at(1),
         Pulse {
             loads: vec![queue()],
-            works: vec![(TargetId(1), 200)],
+            works,
             ..pulse()
         },
     );
+    place(&mut router, at(2), "keyed", Some(5))
+}
 
-    let place = place(&mut router, at(2), "keyed", Some(5));
+#[test]
+fn a_queue_is_judged_by_the_times_that_all_entries_saw() {
+    let place = place_behind_queue(vec![(TargetId(1), 200)]);
 
     assert!(matches!(place, Place::Refuse(Turned::Busy, _)), "{place:?}");
 }
 
 #[test]
 fn a_target_without_news_is_judged_by_the_others_of_its_service() {
-    let mut router = router();
-    router.pulse(
-        at(1),
-        Pulse {
-            loads: vec![queue()],
-            works: vec![(TargetId(2), 200)],
-            ..pulse()
-        },
-    );
-
-    let place = place(&mut router, at(2), "keyed", Some(5));
+    let place = place_behind_queue(vec![(TargetId(2), 200)]);
 
     assert!(matches!(place, Place::Refuse(Turned::Busy, _)), "{place:?}");
 }
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -57,14 +57,12 @@
     sender: SendRequest<RequestBody>,
     driver: Pin<Box<Connection<TokioIo<TcpStream>, RequestBody>>>,
     over: bool,
-    used: bool,
 }
 
 impl std::fmt::Debug for TargetConnection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("TargetConnection")
             .field("over", &self.over)
-            .field("used", &self.used)
             .finish_non_exhaustive()
     }
 }
@@ -84,15 +82,9 @@
             sender,
             driver: Box::pin(driver),
             over: false,
-            used: false,
         })
     }
 
-    /// Whether the connection had carried a request before this one.
-    pub fn is_used(&self) -> bool {
-        self.used
-    }
-
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &mut self,
@@ -151,26 +143,16 @@
     ) -> Result<TargetConnection, SendError> {
         while let Some(mut idle) = self.pop(id) {
             if Instant::now() < idle.until && idle.connection.is_idle() {
-                idle.connection.used = true;
                 return Ok(idle.connection);
             }
         }
-        self.open(address, left).await
-    }
-
-    /// A new connection.
-    pub async fn open(
-        &self,
-        address: SocketAddr,
-        left: Duration,
-    ) -> Result<TargetConnection, SendError> {
         metrics::counter!("cornelrail_target_connections_total").increment(1);
         TargetConnection::open(address, left).await
     }
 
     /// Connections that are idle now.
     pub fn idle(&self) -> usize {
-        self.with(|idle| idle.values().map(Vec::len).sum())
+        self.with(|idle| count(idle))
     }
 
     /// Closes what has been idle for too long, and all that leads to targets that are gone.
@@ -196,7 +178,7 @@
             if list.len() < lease.room {
                 list.push(Idle { connection, until });
             }
-            if idle.values().map(Vec::len).sum::<usize>() > IDLE_MOST {
+            if count(idle) > IDLE_MOST {
                 close_oldest(idle);
             }
         });
@@ -209,6 +191,10 @@
     }
 }
 
+fn count(idle: &HashMap<TargetId, Vec<Idle>>) -> usize {
+    idle.values().map(Vec::len).sum()
+}
+
 /// Closes the connection that has been idle for longest.
 fn close_oldest(idle: &mut HashMap<TargetId, Vec<Idle>>) {
     let oldest = idle
@@ -236,8 +222,6 @@
     pub room: usize,
     /// Idle time that the target names.
     pub keep: Option<Duration>,
-    /// Whether the connection may be used again.
-    pub reuse: bool,
 }
 
 /// Body of an answer, which drives its connection.
@@ -263,7 +247,7 @@
             return;
         };
         connection.drive(cx);
-        if self.place.reuse && !connection.over && connection.sender.is_ready() {
+        if !connection.over && connection.sender.is_ready() {
             self.place.pool.give_back(&self.place, connection);
         }
     }
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -49,7 +49,7 @@
 const READY_AGE: Duration = Duration::from_millis(2_500);
 /// Time for the balancer to learn that this entry ends: two of its questions and a bit.
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
-/// Time that is left of the grace when the last requests are given up.
+/// Time that is left of the grace when the process ends.
 const LAST_MARGIN: Duration = Duration::from_millis(300);
 /// Pause between two looks whether the last request has ended.
 const END_PAUSE: Duration = Duration::from_millis(50);
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -251,7 +251,7 @@
         loop {
             let changed = entry.changed();
             let now = entry.clock.now();
-            let placed = entry.router().place(now, self.wish(now));
+            let placed = entry.router().place(now, self.wish());
             match placed {
                 Place::Send { id, name, address } => return Ok((id, name, address)),
                 Place::Refuse(turned, pause) => return Err(Refusal::not_run(turned.name(), pause)),
@@ -272,13 +272,12 @@
         }
     }
 
-    fn wish(&self, now: Moment) -> Wish<'_> {
+    fn wish(&self) -> Wish<'_> {
         Wish {
             service: &self.routed.service,
             key: self.head.key,
             ask: Ask {
-                aim: self.routed.aim.saturating_sub(now.since(self.since)),
-                whole: self.routed.aim,
+                aim: self.routed.aim,
                 left: self.until.saturating_duration_since(Instant::now()),
                 last: self.routed.last,
             },
@@ -376,7 +375,6 @@
             id: flight.id,
             room: entry.router().connections(&self.routed.service),
             keep: head.keep,
-            reuse: true,
         };
         let body = read_short(AnswerBody::new(body, connection, place)).await;
         if head.not_run {
--- a/node/src/request/proxy_body.rs
+++ b/node/src/request/proxy_body.rs
@@ -11,6 +11,14 @@
     task::{Context, Poll},
 };
 
+fn is_spent(bytes: &Option<Bytes>) -> bool {
+    bytes.as_ref().is_none_or(Bytes::is_empty)
+}
+
+fn whole_size(bytes: &Option<Bytes>) -> SizeHint {
+    SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+}
+
 /// Body of a request on its way to a target.
 #[derive(Debug)]
 pub enum RequestBody {
@@ -39,16 +47,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RequestBody::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            RequestBody::Whole(bytes) => is_spent(bytes),
             RequestBody::Stream(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RequestBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            RequestBody::Whole(bytes) => whole_size(bytes),
             RequestBody::Stream(body) => body.size_hint(),
         }
     }
@@ -84,16 +90,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ReplyBody::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            ReplyBody::Whole(bytes) => is_spent(bytes),
             ReplyBody::Stream(..) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ReplyBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            ReplyBody::Whole(bytes) => whole_size(bytes),
             // The length stands in the head where the target named one.
             ReplyBody::Stream(..) => SizeHint::default(),
         }
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -47,7 +47,6 @@
         id,
         room: 4,
         keep: None,
-        reuse: true,
     };
     let body = AnswerBody::new(response.into_body(), connection, place);
     body.collect().await.expect("the whole answer");
