entry, core: metrics and events for the age of replicas and the volume of the feed

Cause: the logs of the incident could not tell which entries served by an old replica, how old it was, nor which kind of message filled the leader's link. Change: entries log when the leader no longer confirms their replica and when it does again (CR0028, CR0029), and export its index and age. The leader counts feed bytes by kind of message, exports the longest queue, and logs both once a second at most while messages wait (CR0033). Nothing blocks and no decision changes.

--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -103,12 +103,18 @@
     TargetReturned = 26, Info, "target-returned";
     /// A target asked to leave.
     TargetLeaving = 27, Info, "target-leaving";
+    /// The leader no longer confirms the catalog replica of this entry.
+    ReplicaBehind = 28, Warn, "replica-behind";
+    /// The leader confirms the catalog replica of this entry again.
+    ReplicaCurrent = 29, Info, "replica-current";
     /// The move of a range began.
     MoveBegun = 30, Info, "move-begun";
     /// The move of a range ended; it has its new owner.
     MoveEnded = 31, Info, "move-ended";
     /// A range was split.
     RangeSplit = 32, Info, "range-split";
+    /// Messages wait for entries: the leader sends more than a link carries.
+    FeedDelayed = 33, Warn, "feed-delayed";
     /// A release note was accepted.
     NoteAccepted = 40, Info, "note-accepted";
     /// A release note was refused.
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -321,6 +321,11 @@
         self.confirmed_at.is_some_and(is_recent) && self.index.is_some()
     }
 
+    /// Time since the replica was last confirmed.
+    pub fn confirmation_age(&self, now: Moment) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
     /// Age of the latest leader status.
     pub fn status_age(&self, now: Moment) -> Option<Duration> {
         self.status_at.map(|at| now.since(at))
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -5,6 +5,7 @@
 //! and the voter talk to it by messages.
 
 mod control;
+mod feed_meter;
 mod leading;
 mod peers;
 mod task;
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -1,6 +1,6 @@
 //! The task that owns the catalog of a core host.
 
-use super::{address_of, leading::Leading, node_of};
+use super::{address_of, feed_meter::FeedMeter, leading::Leading, node_of};
 use crate::{
     connection::{core_link::CoreLink, message::encode},
     process::{
@@ -152,6 +152,7 @@
     snapshot: u64,
     fresh: Vec<Update>,
     copy: Option<(u64, Bytes)>,
+    meter: FeedMeter,
 }
 
 /// Starts the task.
@@ -183,6 +184,7 @@
         snapshot: 0,
         fresh: Vec::new(),
         copy: None,
+        meter: FeedMeter::default(),
     };
     tokio::spawn(task.run(rx, replies, voter_events));
     CoreHandle { tx }
@@ -442,13 +444,20 @@
 
     pub(super) fn broadcast(&mut self, message: &FromCore) {
         match encode(message) {
-            Ok(bytes) => self.subscribers.retain(|subscriber| {
-                let sent = subscriber.feed.try_send(bytes.clone()).is_ok();
-                if !sent {
-                    Event::EntryLost.log(format_args!("entry={}", subscriber.name));
-                }
-                sent
-            }),
+            Ok(bytes) => {
+                let entries = self.subscribers.len();
+                self.meter.count(message.kind(), bytes.len(), entries);
+                self.subscribers.retain(|subscriber| {
+                    let sent = subscriber.feed.try_send(bytes.clone()).is_ok();
+                    if !sent {
+                        Event::EntryLost.log(format_args!("entry={}", subscriber.name));
+                    }
+                    sent
+                });
+                let queues = self.subscribers.iter();
+                let queues = queues.map(|s| s.feed.max_capacity() - s.feed.capacity());
+                self.meter.report(self.clock.now(), queues);
+            }
             Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
         }
     }
@@ -478,6 +487,7 @@
         };
         let mine = self.subscribers.iter().filter(|s| s.name == entry);
         for subscriber in mine {
+            self.meter.count("confirmed", bytes.len(), 1);
             // A full feed ends with the next message to all.
             let _ = subscriber.feed.try_send(bytes.clone());
         }
@@ -493,8 +503,11 @@
         if self.leading.is_some() {
             messages.push(self.encoded_copy());
         }
-        for message in messages {
-            let sent = message.map(|bytes| subscriber.feed.try_send(bytes));
+        for (kind, message) in ["members", "snapshot"].into_iter().zip(messages) {
+            let sent = message.map(|bytes| {
+                self.meter.count(kind, bytes.len(), 1);
+                subscriber.feed.try_send(bytes)
+            });
             if !matches!(sent, Ok(Ok(()))) {
                 return;
             }
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -7,6 +7,7 @@
 
 mod follow;
 mod front;
+mod watch_replica;
 
 use super::{
     clock::Clock,
@@ -151,6 +152,7 @@
     tokio::spawn(front::run(callers_listener, entry.clone(), closing_rx));
     tokio::spawn(serve_ready(ready_listener, entry.clone()));
     tokio::spawn(sweep(entry.clone()));
+    tokio::spawn(watch_replica::run(entry.clone()));
     Ok(EntryHandle {
         entry,
         seeds,
