node, lib: failing tests for a delayed feed and for an unconfirmed replica

Cause: a leader queues whole statuses in one order with changes, and an entry serves a route by a replica that its leader no longer confirms.

--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -250,6 +250,20 @@
     );
 }
 
+/// A replica that a live leader has not confirmed may lack a change that is in force elsewhere.
+#[test]
+fn a_route_is_not_served_by_a_replica_behind_its_live_leader() {
+    let mut router = router();
+    router.apply_status(at(2_000), leader_status());
+
+    let behind = router.resolve_route(at(2_000), "h", "/pool/x");
+    router.confirm(at(1_900));
+    let confirmed = router.resolve_route(at(2_000), "h", "/pool/x");
+
+    assert_eq!(behind, Err(RouteError::Stale));
+    assert!(confirmed.is_ok(), "{confirmed:?}");
+}
+
 #[test]
 fn an_entry_without_a_replica_reports_it_as_stale() {
     let config = RouterConfig {
--- /dev/null
+++ b/node/tests/test_feed.rs
@@ -0,0 +1,208 @@
+//! Feed of a seeded fleet's leader to an entry whose link is slow, while the keys of many targets
+//! have no holder and the leader has much to tell.
+
+use crate::test_seeded::{PATIENCE, StandIn, call, exchange, free, host, settings, split};
+use cornelrail_node::process::{
+    core::{self, CoreHandle},
+    entry::{self, EntryHandle},
+};
+use serde_json::{Value, json};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, copy},
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::{JoinHandle, JoinSet},
+    time::{Instant, sleep},
+};
+
+/// Time from the acknowledgement of a change to its effect at every entry.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Bytes per second that the link carries to the entry: an eighth of 4.2 Mbit/s.
+const LINK_RATE: u32 = 64 << 10;
+/// Bytes that the link passes on at a time.
+const CHUNK: usize = 2 << 10;
+/// Targets that own keys and then fall silent.
+const SILENT: usize = 20;
+/// Interval between heartbeats of the target that stays.
+const FAST_HEARTBEAT: Duration = Duration::from_millis(15);
+/// Time for the feed to fall behind, if it does.
+const LOADED: Duration = Duration::from_secs(3);
+
+/// A core host, and an entry that reaches it over a slow link.
+struct Fleet {
+    _folder: TempDir,
+    _core: CoreHandle,
+    _entry: EntryHandle,
+    _pool: StandIn,
+    _link: JoinHandle<()>,
+    _beats: JoinSet<()>,
+    control: SocketAddr,
+    callers: SocketAddr,
+}
+
+/// Starts the fleet and waits until the entry serves and most keys have no holder.
+async fn loaded_fleet() -> Fleet {
+    let folder = TempDir::new().expect("a folder");
+    let (host, near) = (host(), host());
+    let port = free(&host);
+    let address = || SocketAddr::new(host.parse().expect("an address"), free(&host));
+    let (control, callers, ready) = (address(), address(), address());
+    let listen = format!("control: \"{control}\"");
+    let mut leader = settings("core", &host, port, &listen, &folder.path().join("core"));
+    leader.lease = Duration::from_millis(600);
+    let core = core::start(leader).await.expect("a core host");
+    let link = slow_link(&near, SocketAddr::new(host.parse().unwrap(), port)).await;
+    let listen = format!("callers: \"{callers}\", ready: \"{ready}\"");
+    let mut follower = settings("entry", &host, port, &listen, &folder.path().join("none"));
+    follower.seeds = vec![near.parse::<IpAddr>().expect("an address")];
+    let pool = StandIn::start(&host, control).await;
+    order(control, 7, &["/r/"]).await;
+    leave_keys_unheld(control).await;
+    let entry = entry::start(follower).await.expect("an entry");
+    served_after(callers, "/r/up").await.expect("served");
+    let mut beats = JoinSet::new();
+    beats.spawn(beat(control, "busy", SILENT, FAST_HEARTBEAT));
+    sleep(LOADED).await;
+    Fleet {
+        _folder: folder,
+        _core: core,
+        _entry: entry,
+        _pool: pool,
+        _link: link,
+        _beats: beats,
+        control,
+        callers,
+    }
+}
+
+/// Relays connections to `far`; what comes back takes its time.
+async fn slow_link(near: &str, far: SocketAddr) -> JoinHandle<()> {
+    let listener = TcpListener::bind((near, far.port())).await.expect("bound");
+    tokio::spawn(async move {
+        let mut relays = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            relays.spawn(relay(stream, far));
+        }
+    })
+}
+
+async fn relay(near: TcpStream, far: SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // The link holds back what it does not carry.
+    socket.set_recv_buffer_size(CHUNK as u32).expect("set");
+    let far = socket.connect(far).await.expect("connected");
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    let upward = async { drop(copy(&mut near_read, &mut far_write).await) };
+    let downward = async {
+        let mut chunk = [0; CHUNK];
+        let mut due = Instant::now();
+        while let Ok(length @ 1..) = far_read.read(&mut chunk).await {
+            if near_write.write_all(&chunk[..length]).await.is_err() {
+                return;
+            }
+            due = due.max(Instant::now()) + Duration::from_secs(length as u64) / LINK_RATE;
+            tokio::time::sleep_until(due).await;
+        }
+    };
+    tokio::select! {
+        () = upward => {}
+        () = downward => {}
+    }
+}
+
+/// Puts one route for each prefix in force, and two services whose keys have owners.
+async fn order(control: SocketAddr, version: u32, prefixes: &[&str]) -> Instant {
+    let version = format!("{version:08x}");
+    let service = |keyed: bool| {
+        json!({"healthPath": "/health", "maxConns": 20, "protocol": "h1", "tls": false,
+            "useShards": keyed, "version": version})
+    };
+    let routes = prefixes.iter().map(|prefix| {
+        let route = json!({"host": "h.example", "pathPrefix": prefix, "kind": "safe",
+            "timeout": "2000ms", "targetLatency": "500ms", "priority": 1, "service": "pool",
+            "maxAttempts": 2, "version": version});
+        (prefix.trim_matches('/').to_owned(), route)
+    });
+    let routes: serde_json::Map<String, Value> = routes.collect();
+    let body = json!({"upsert": {
+        "routes": routes,
+        "services": {"pool": service(false), "keyed": service(true), "busy": service(true)},
+    }, "remove": {"routes": []}});
+    let start = Instant::now();
+    loop {
+        let reply = call(control, "config.patch", &body).await;
+        if reply.is_some_and(|(status, _)| status == 200) {
+            return Instant::now();
+        }
+        assert!(start.elapsed() < PATIENCE, "the order is not acknowledged");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Lets targets own the keys of a service and fall silent.
+async fn leave_keys_unheld(control: SocketAddr) {
+    let mut beats = JoinSet::new();
+    for number in 1..SILENT {
+        beats.spawn(beat(control, "keyed", number, Duration::from_millis(150)));
+    }
+    let start = Instant::now();
+    for serial in 1.. {
+        let body = heartbeat("keyed", 0, serial);
+        let reply = call(control, "instances.heartbeat&of=keyed-0", &body).await;
+        let holds = reply.and_then(|(_, body)| body.get("holds").cloned());
+        if holds.is_some_and(|rows| rows.as_array().is_some_and(|rows| !rows.is_empty())) {
+            return;
+        }
+        assert!(start.elapsed() < PATIENCE, "no keys are assigned");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn heartbeat(service: &str, number: usize, serial: u64) -> Value {
+    let port = 10_000 + number;
+    json!({"service": service, "address": format!("127.0.0.1:{port}"), "zone": "a",
+        "version": "v1", "slots": 4, "state": "ready", "coldRemaining": "0ms", "seq": serial,
+        "born": 1000, "holds": [], "released": []})
+}
+
+async fn beat(control: SocketAddr, service: &'static str, number: usize, interval: Duration) {
+    for serial in 1_u64.. {
+        let query = format!("instances.heartbeat&of={service}-{number}");
+        // A heartbeat that is lost is followed by another.
+        let _ = call(control, &query, &heartbeat(service, number, serial)).await;
+        sleep(interval).await;
+    }
+}
+
+/// Time until a request is served; `None` if it takes too long.
+async fn served_after(callers: SocketAddr, path: &str) -> Option<Duration> {
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: one\r\nDeadline-Ms: 1000\r\n\
+         Connection: close\r\n\r\n"
+    );
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        let reply = exchange(callers, request.as_bytes()).await;
+        if reply.is_ok_and(|reply| split(&reply).is_some_and(|(status, _)| status == 200)) {
+            return Some(start.elapsed());
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    None
+}
+
+/// A change that waits behind statuses takes effect after its time.
+#[tokio::test]
+async fn a_change_overtakes_statuses_on_a_slow_link() {
+    let fleet = loaded_fleet().await;
+
+    order(fleet.control, 8, &["/n/"]).await;
+    let time = served_after(fleet.callers, "/n/x").await;
+
+    assert!(time.is_some_and(|time| time < IN_FORCE), "{time:?}");
+}
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -29,22 +29,28 @@
     time::{Instant, sleep, timeout},
 };
 
-const PATIENCE: Duration = Duration::from_secs(20);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 /// Each fleet has a loopback address of its own, so that fleets share a port.
 static HOSTS: AtomicU16 = AtomicU16::new(1);
 
-fn host() -> String {
+pub(crate) fn host() -> String {
     let number = HOSTS.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id() % 200 + 20;
     format!("127.{process}.{}.{}", number / 250, number % 250 + 1)
 }
 
-fn free(host: &str) -> u16 {
+pub(crate) fn free(host: &str) -> u16 {
     let listener = StdListener::bind((host, 0)).expect("a free port");
     listener.local_addr().expect("bound").port()
 }
 
-fn settings(role: &str, host: &str, port: u16, listen: &str, data: &Path) -> SeededSettings {
+pub(crate) fn settings(
+    role: &str,
+    host: &str,
+    port: u16,
+    listen: &str,
+    data: &Path,
+) -> SeededSettings {
     let text = format!(
         "role: {role}\nname: {role}-1\nzone: a\naddress: {host}\nport: {port}\n\
          seeds: [\"{host}:1\"]\nfound: true\nlisten: {{{listen}}}\ndata: {}\n\
@@ -91,7 +97,7 @@
 }
 
 /// A target: answers with what it was asked, and sends heartbeats until it is dropped.
-struct StandIn {
+pub(crate) struct StandIn {
     seen: Arc<Mutex<Vec<String>>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -103,7 +109,7 @@
 }
 
 impl StandIn {
-    async fn start(host: &str, control: SocketAddr) -> StandIn {
+    pub(crate) async fn start(host: &str, control: SocketAddr) -> StandIn {
         let listener = TcpListener::bind((host, 0)).await.expect("bound");
         let address = listener.local_addr().expect("bound");
         let seen: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -191,7 +197,7 @@
 }
 
 /// Makes a call to the control address; gives status and body.
-async fn call(control: SocketAddr, query: &str, body: &Value) -> Option<(u16, Value)> {
+pub(crate) async fn call(control: SocketAddr, query: &str, body: &Value) -> Option<(u16, Value)> {
     let body = body.to_string();
     let request = format!(
         "POST /-/rpc?call={query} HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\
@@ -203,7 +209,7 @@
     Some((status, serde_json::from_str(&body).unwrap_or(Value::Null)))
 }
 
-async fn exchange(address: SocketAddr, request: &[u8]) -> std::io::Result<String> {
+pub(crate) async fn exchange(address: SocketAddr, request: &[u8]) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(request).await?;
     let mut reply = String::new();
@@ -211,7 +217,7 @@
     Ok(reply)
 }
 
-fn split(reply: &str) -> Option<(u16, String)> {
+pub(crate) fn split(reply: &str) -> Option<(u16, String)> {
     let status = reply.split(' ').nth(1)?.parse().ok()?;
     let (_, body) = reply.split_once("\r\n\r\n")?;
     Some((status, body.to_owned()))
