core: entries get the latest status, behind their updates

Acknowledgements took up to 3 s. Cause: the leader sent each status whole to every entry after each heartbeat of a target, in one queue with the updates. With hundreds of spans without a holder that was 46.5 MB/s for a link that carries 21, and updates waited behind up to 222 messages, most of them statuses that later ones had replaced. Class: state of which only the latest counts, sent through a queue that is bounded by the number of messages instead of time. Change: updates and confirmations keep their queue. Statuses have a slot that the next one overwrites, and go out behind the updates. Subscribers whose connection is gone are dropped when a status is due, as they no longer fail at one.

--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -8,6 +8,7 @@
     catalog::{Catalog, ShardRow, TargetId, TargetRecord, Update},
     feed::{LeaderStatus, PendingSpan, TrafficReport, to_millis},
     sharding::{self, Candidate, Candidates, KeyLoad, MIN_RELIABLE_RATE, TargetLoads},
+    status_pace::StatusPace,
 };
 use crate::{
     connection::{
@@ -29,10 +30,6 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time without a heartbeat after which a target that asked to leave is removed.
 const LEAVING_REMOVAL_TIMEOUT: Duration = Duration::from_secs(6);
-/// Shortest interval between two status messages, for those sent early on a change.
-const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(15);
-/// Interval between status messages while nothing changes.
-const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two status messages that carry the loads of targets.
 const LOADS_INTERVAL: Duration = Duration::from_millis(450);
 /// Interval between two plans.
@@ -64,8 +61,7 @@
     /// Services whose last plan is not applied yet, with the targets that lose keys by it.
     active_plans: BTreeMap<Service, BTreeSet<TargetId>>,
     last_plan: Moment,
-    status_due: Moment,
-    status_sent: Moment,
+    status_pace: StatusPace,
     loads_sent: Moment,
 }
 
@@ -80,8 +76,7 @@
             first_candidates: BTreeMap::new(),
             active_plans: BTreeMap::new(),
             last_plan: now,
-            status_due: now,
-            status_sent: Moment::ZERO,
+            status_pace: StatusPace::new(now),
             loads_sent: Moment::ZERO,
         }
     }
@@ -129,7 +124,12 @@
 
     /// Makes the next status due soon, because the catalog or the keys that are served changed.
     pub fn hasten_status(&mut self) {
-        self.status_due = self.status_due.min(self.status_sent + MIN_STATUS_INTERVAL);
+        self.status_pace.hasten();
+    }
+
+    /// Records the encoded size of the latest status and the number of entries that receive it.
+    pub fn record_status_size(&mut self, bytes: usize, entries: usize) {
+        self.status_pace.record_size(bytes, entries);
     }
 
     /// Marks the plan of a service as finished: its last update was applied or its proposal failed.
@@ -175,6 +175,11 @@
         planned
     }
 
+    /// Whether the next status is due.
+    pub fn is_status_due(&self, now: Moment) -> bool {
+        self.status_pace.is_due(now)
+    }
+
     /// Returns the next status for this number of entries, if one is due.
     pub fn status(
         &mut self,
@@ -183,11 +188,10 @@
         entries: u32,
         catalog: &Catalog,
     ) -> Option<LeaderStatus> {
-        if now < self.status_due || entries == 0 {
+        if !self.is_status_due(now) || entries == 0 {
             return None;
         }
-        self.status_sent = now;
-        self.status_due = now + STATUS_INTERVAL;
+        self.status_pace.record_sent(now);
         let targets = || catalog.targets.keys().copied();
         let cold = targets().map(|id| (id, self.leases.cold_left(now, id)));
         let mut status = LeaderStatus {
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -24,3 +24,4 @@
 mod range_table;
 pub mod report;
 pub mod sharding;
+pub mod status_pace;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -29,4 +29,5 @@
 mod test_router;
 mod test_settings;
 mod test_sharding;
+mod test_status_pace;
 mod test_unit;
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -16,7 +16,6 @@
     },
     version::{
         catalog::{Applied, TargetId, Update},
-        feed::FromCore,
         leader::LeaderState,
     },
 };
@@ -62,20 +61,6 @@
         }
     }
 
-    /// Sends a pulse to the entries if one is due.
-    pub(super) fn pulse(&mut self) {
-        let now = self.now();
-        let entries = self.subscribers.len() as u32;
-        let leading = self.leading.as_mut();
-        let pulse = leading.and_then(|leading| {
-            let leader = &mut leading.leader;
-            leader.status(now, self.index, entries, &self.catalog)
-        });
-        if let Some(pulse) = pulse {
-            self.broadcast(&FromCore::Status(pulse));
-        }
-    }
-
     /// Whether no other host can lead at this moment.
     pub(super) async fn has_lease(&mut self) -> bool {
         let now = self.now();
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -5,12 +5,16 @@
 //! and the voter talk to it by messages.
 
 mod control;
+mod feed;
 mod feed_meter;
 mod leading;
 mod peers;
 mod task;
 
-pub use task::{CoreEvent, CoreHandle, Subscriber};
+pub use self::{
+    feed::{Feed, LatestStatuses, Subscriber},
+    task::{CoreEvent, CoreHandle},
+};
 
 use super::{
     clock::Clock,
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -5,7 +5,6 @@
     connection::message::{MessageError, MessageStream, encode},
     process::{logging::EventLog, voter::VoterHandle},
 };
-use bytes::Bytes;
 use cornelrail_lib::{
     name::Node,
     process::{control_call::ControlReply, event::Event},
@@ -22,8 +21,6 @@
 const SILENCE: Duration = Duration::from_secs(5);
 /// Answers that wait for a connection.
 const REPLIES_HELD: usize = 1_024;
-/// Messages sent in one go.
-const BURST: usize = 64;
 /// Pause after the system refused to accept, such as without descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -96,15 +93,12 @@
     core: &CoreHandle,
 ) -> Result<(), MessageError> {
     let mut feed = core.follow(name.clone()).await;
-    let mut burst: Vec<Bytes> = Vec::with_capacity(BURST);
     loop {
         tokio::select! {
-            count = feed.recv_many(&mut burst, BURST) => {
-                if count == 0 {
-                    return Ok(());
-                }
-                stream.send(burst.drain(..)).await?;
-            }
+            messages = feed.next() => match messages {
+                Some(messages) => stream.send(messages).await?,
+                None => return Ok(()),
+            },
             message = stream.receive::<ToCore>() => {
                 match message? {
                     ToCore::Report(report) => core.report(report).await,
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -1,6 +1,12 @@
 //! The task that owns the catalog of a core host.
 
-use super::{address_of, feed_meter::FeedMeter, leading::Leading, node_of};
+use super::{
+    address_of,
+    feed::{Feed, LatestStatuses, Subscriber},
+    feed_meter::FeedMeter,
+    leading::Leading,
+    node_of,
+};
 use crate::{
     connection::{core_link::CoreLink, message::encode},
     process::{
@@ -29,7 +35,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval},
 };
 
@@ -43,8 +49,6 @@
 const SPANS_LOGGED: usize = 8;
 /// Commands applied between two snapshots.
 const SNAPSHOT_COMMANDS: u64 = 400;
-/// Messages that wait for one entry; one that is further behind has to follow anew.
-const FEED_HELD: usize = 256;
 
 /// What connections tell the task.
 #[derive(Debug)]
@@ -63,19 +67,11 @@
     Stop(oneshot::Sender<()>),
 }
 
-/// An entry that follows this host.
-#[derive(Debug)]
-pub struct Subscriber {
-    /// Name in logs.
-    pub name: String,
-    /// Way to it.
-    pub feed: mpsc::Sender<Bytes>,
-}
-
 /// Way to talk to the task.
 #[derive(Debug, Clone)]
 pub struct CoreHandle {
     tx: mpsc::Sender<CoreEvent>,
+    statuses: watch::Receiver<LatestStatuses>,
 }
 
 impl CoreHandle {
@@ -87,11 +83,10 @@
     }
 
     /// Asks to follow; gives the messages for the entry.
-    pub async fn follow(&self, name: String) -> mpsc::Receiver<Bytes> {
-        let (feed, rx) = mpsc::channel(FEED_HELD);
-        self.send(CoreEvent::Follow(Subscriber { name, feed }))
-            .await;
-        rx
+    pub async fn follow(&self, name: String) -> Feed {
+        let (subscriber, feed) = Feed::new(name, self.statuses.clone());
+        self.send(CoreEvent::Follow(subscriber)).await;
+        feed
     }
 
     /// Hands in a report of an entry.
@@ -141,6 +136,7 @@
     pub(super) index: u64,
     pub(super) leading: Option<Leading>,
     pub(super) subscribers: Vec<Subscriber>,
+    pub(super) statuses: watch::Sender<LatestStatuses>,
     leader: Option<Node>,
     members: Vec<Node>,
     links: HashMap<Node, CoreLink>,
@@ -164,6 +160,7 @@
 ) -> CoreHandle {
     let (tx, rx) = mpsc::channel(EVENTS_HELD);
     let (replies_tx, replies) = mpsc::channel(EVENTS_HELD);
+    let (statuses_tx, statuses) = watch::channel(LatestStatuses::default());
     let task = Task {
         settings,
         clock,
@@ -172,6 +169,7 @@
         index: 0,
         leading: None,
         subscribers: Vec::new(),
+        statuses: statuses_tx,
         leader: None,
         members: Vec::new(),
         links: HashMap::new(),
@@ -187,7 +185,7 @@
         meter: FeedMeter::default(),
     };
     tokio::spawn(task.run(rx, replies, voter_events));
-    CoreHandle { tx }
+    CoreHandle { tx, statuses }
 }
 
 impl Task {
@@ -231,7 +229,7 @@
                 _ = tick.tick() => self.tick().await,
             }
             self.spread();
-            self.pulse();
+            self.send_status();
         }
     }
 
@@ -442,21 +440,55 @@
         }
     }
 
-    pub(super) fn broadcast(&mut self, message: &FromCore) {
+    /// Queues updates for all entries that follow.
+    fn broadcast(&mut self, message: &FromCore) {
         match encode(message) {
             Ok(bytes) => {
                 let entries = self.subscribers.len();
                 self.meter.count(message.kind(), bytes.len(), entries);
-                self.subscribers.retain(|subscriber| {
-                    let sent = subscriber.feed.try_send(bytes.clone()).is_ok();
-                    if !sent {
-                        Event::EntryLost.log(format_args!("entry={}", subscriber.name));
-                    }
-                    sent
-                });
-                let queues = self.subscribers.iter();
-                let queues = queues.map(|s| s.feed.max_capacity() - s.feed.capacity());
-                self.meter.report(self.clock.now(), queues);
+                let queued = |s: &Subscriber| s.updates.try_send(bytes.clone()).is_ok();
+                self.keep_subscribers(queued);
+            }
+            Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
+        }
+    }
+
+    /// Drops the subscribers that do not meet the condition.
+    fn keep_subscribers(&mut self, keep: impl Fn(&Subscriber) -> bool) {
+        self.subscribers.retain(|subscriber| {
+            let kept = keep(subscriber);
+            if !kept {
+                Event::EntryLost.log(format_args!("entry={}", subscriber.name));
+            }
+            kept
+        });
+        let queues = self.subscribers.iter().map(Subscriber::waiting);
+        self.meter.report(self.clock.now(), queues);
+    }
+
+    /// Sends a status to the entries if one is due.
+    fn send_status(&mut self) {
+        let now = self.now();
+        let is_due = |leading: &Leading| leading.leader.is_status_due(now);
+        if !self.leading.as_ref().is_some_and(is_due) {
+            return;
+        }
+        self.keep_subscribers(|subscriber| !subscriber.updates.is_closed());
+        let entries = self.subscribers.len();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let leader = &mut leading.leader;
+        let Some(status) = leader.status(now, self.index, entries as u32, &self.catalog) else {
+            return;
+        };
+        let has_loads = !status.loads.is_empty() || !status.service_times.is_empty();
+        match encode(&FromCore::Status(status)) {
+            Ok(bytes) => {
+                leader.record_status_size(bytes.len(), entries);
+                self.meter.count("status", bytes.len(), entries);
+                self.statuses
+                    .send_modify(|latest| latest.push(bytes, has_loads));
             }
             Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
         }
@@ -489,7 +521,7 @@
         for subscriber in mine {
             self.meter.count("confirmed", bytes.len(), 1);
             // A full feed ends with the next message to all.
-            let _ = subscriber.feed.try_send(bytes.clone());
+            let _ = subscriber.updates.try_send(bytes.clone());
         }
     }
 
@@ -506,7 +538,7 @@
         for (kind, message) in ["members", "snapshot"].into_iter().zip(messages) {
             let sent = message.map(|bytes| {
                 self.meter.count(kind, bytes.len(), 1);
-                subscriber.feed.try_send(bytes)
+                subscriber.updates.try_send(bytes)
             });
             if !matches!(sent, Ok(Ok(()))) {
                 return;
--- a/node/tests/test_feed.rs
+++ b/node/tests/test_feed.rs
@@ -2,8 +2,9 @@
 //! have no holder and the leader has much to tell.
 
 use crate::test_seeded::{PATIENCE, StandIn, call, exchange, free, host, settings, split};
+use bytes::Bytes;
 use cornelrail_node::process::{
-    core::{self, CoreHandle},
+    core::{self, CoreHandle, Feed, LatestStatuses, Subscriber},
     entry::{self, EntryHandle},
 };
 use serde_json::{Value, json};
@@ -15,6 +16,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
     net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
     task::{JoinHandle, JoinSet},
     time::{Instant, sleep},
 };
@@ -206,3 +208,63 @@
 
     assert!(time.is_some_and(|time| time < IN_FORCE), "{time:?}");
 }
+
+/// Statuses of a leader, with an entry that follows it and the entry's feed.
+fn feed() -> (watch::Sender<LatestStatuses>, Subscriber, Feed) {
+    let statuses = watch::Sender::new(LatestStatuses::default());
+    let (subscriber, feed) = Feed::new("e-1".to_owned(), statuses.subscribe());
+    (statuses, subscriber, feed)
+}
+
+fn push(statuses: &watch::Sender<LatestStatuses>, text: &'static str, has_loads: bool) {
+    let bytes = Bytes::from_static(text.as_bytes());
+    statuses.send_modify(|latest| latest.push(bytes, has_loads));
+}
+
+#[tokio::test]
+async fn a_status_replaces_the_one_that_still_waits() {
+    let (statuses, subscriber, mut feed) = feed();
+    push(&statuses, "old", false);
+    push(&statuses, "loads", true);
+    push(&statuses, "plain", false);
+    push(&statuses, "new", false);
+
+    let sent = feed.next().await;
+    push(&statuses, "next", false);
+    let after = feed.next().await;
+
+    assert_eq!(sent, Some(vec![Bytes::from("loads"), Bytes::from("new")]));
+    assert_eq!(after, Some(vec![Bytes::from("next")]));
+    drop(subscriber);
+    assert_eq!(feed.next().await, None, "the host leads no more");
+}
+
+#[tokio::test]
+async fn updates_are_sent_in_order_and_before_a_status() {
+    let (statuses, subscriber, mut feed) = feed();
+    push(&statuses, "status", true);
+    for update in ["one", "two"] {
+        subscriber
+            .updates
+            .try_send(Bytes::from(update))
+            .expect("room");
+    }
+
+    let first = feed.next().await;
+    let second = feed.next().await;
+
+    assert_eq!(first, Some(vec![Bytes::from("one"), Bytes::from("two")]));
+    assert_eq!(second, Some(vec![Bytes::from("status")]));
+}
+
+#[tokio::test]
+async fn an_entry_gets_no_status_from_before_it_followed() {
+    let statuses = watch::Sender::new(LatestStatuses::default());
+    push(&statuses, "earlier", true);
+    let (_subscriber, mut feed) = Feed::new("e-1".to_owned(), statuses.subscribe());
+    push(&statuses, "later", false);
+
+    let sent = feed.next().await;
+
+    assert_eq!(sent, Some(vec![Bytes::from("later")]));
+}
