router: a replica that its leader does not confirm routes nothing

What callers saw: requests served by a version that had been replaced more than 2 s before, by entries that were connected to their leader. Cause: an entry asks twice a second whether its replica is current, but only a 404 depended on the answer. Whatever delayed the feed, known routes went on by the old replica. Class: a replica without a lease on its own truth. Change: `balance::Freshness` decides by the last confirmation and the last sign of life of a leader. For nine tenths of `in_force` after the question a replica is current. An older one routes nothing and makes the entry not ready while a leader is connected; without a leader it is used as before. The check is made again when the connection to the target is open. `in_force` is a setting, 2 s without it. No special case: any delay on any path to the entry ends the same. Why it works: a change acknowledged before the question is in the replica when the answer arrives, as the leader answers behind its updates and within its lease, so what a current replica lacks is younger than `in_force`.

--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -19,6 +19,10 @@
 
 /// Length of a target's lease, unless `longest_lease` is shorter.
 const DEFAULT_LEASE: Duration = Duration::from_secs(4);
+/// Time within which a change takes effect at every entry, unless `in_force` is set.
+const DEFAULT_IN_FORCE: Duration = Duration::from_secs(2);
+/// Shortest `in_force`: entries ask twice a second whether their replica is current.
+const MIN_IN_FORCE: Duration = Duration::from_secs(1);
 
 /// Error in the settings of a process of a seeded fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
@@ -130,6 +134,8 @@
     pub heartbeat: Duration,
     /// Length of a target's lease: `longest_lease`, but at most 4 seconds.
     pub lease: Duration,
+    /// Time from the acknowledgment of a change until it takes effect at every entry.
+    pub in_force: Duration,
     /// Time from the acknowledgment of a target's leave message to the last new request that the
     /// target receives.
     pub drain: Duration,
@@ -158,6 +164,7 @@
     data: Option<PathBuf>,
     heartbeat: HumanDuration,
     longest_lease: HumanDuration,
+    in_force: Option<HumanDuration>,
     drain: HumanDuration,
     evacuate: HumanDuration,
     grace: HumanDuration,
@@ -180,6 +187,7 @@
                 message: error.to_string(),
             })?;
         check(&content, file)?;
+        let in_force = in_force(&content);
         Ok(SeededSettings {
             role: content.role,
             name: content.name,
@@ -192,6 +200,7 @@
             data: content.data,
             heartbeat: content.heartbeat.0,
             lease: content.longest_lease.0.min(DEFAULT_LEASE),
+            in_force,
             drain: content.drain.0,
             evacuate: content.evacuate.0,
             grace: content.grace.0,
@@ -204,6 +213,11 @@
     }
 }
 
+fn in_force(content: &SeededSettingsFile) -> Duration {
+    let set = content.in_force.as_ref().map(|time| time.0);
+    set.unwrap_or(DEFAULT_IN_FORCE)
+}
+
 /// Checks that the keys required by the role are set and that the values are in range.
 fn check(content: &SeededSettingsFile, file: &str) -> Result<(), SeededSettingsError> {
     let missing = |key| SeededSettingsError::Missing {
@@ -244,6 +258,9 @@
     if content.longest_lease.0 < content.heartbeat.0 * 2 {
         return Err(out_of_range("longest_lease", "at least twice `heartbeat`"));
     }
+    if in_force(content) < MIN_IN_FORCE {
+        return Err(out_of_range("in_force", "at least 1s"));
+    }
     if !(0.0..=10.0).contains(&content.retry.ratio) || content.retry.floor < 0.0 {
         return Err(out_of_range(
             "retry",
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod choose;
 mod cold;
+mod freshness;
 mod router;
 mod split;
 mod target;
@@ -17,6 +18,7 @@
     budget::RetryBudget,
     choose::{Candidate, choose},
     cold::ColdRateLimiter,
+    freshness::Freshness,
     router::{
         RejectReason, ResolvedRoute, RouteError, Router, RouterConfig, RoutingDecision,
         RoutingRequest,
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -1,8 +1,8 @@
 //! Routes the requests of one entry, from its catalog replica, the leader status and the outcomes
 //! of its own requests.
 //!
-//! An entry that is cut off from the leader continues to route with an old replica, since its
-//! callers may reach no other entry. Only a current replica may tell that no route matches a path.
+//! A replica that its leader does not confirm in time routes nothing; see
+//! [`freshness`](super::Freshness). Only a current replica may tell that no route matches a path.
 //!
 //! Load pattern: targets that start, slow down, move keys or fail while entries learn of it late.
 
@@ -11,6 +11,7 @@
     budget::RetryBudget,
     choose::{Candidate, choose, sample_size},
     cold::ColdRateLimiter,
+    freshness::Freshness,
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
 };
@@ -36,9 +37,6 @@
 
 /// Age up to which the times in a leader status are used: four status intervals.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(1_000);
-/// Time for which a confirmed replica counts as current: three confirmations, and less than the two
-/// seconds within which a change takes effect everywhere.
-const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Share of the drain or evacuation time for which keys still go to their old owner.
 const CLOSED_OWNER_SHARE: f64 = 0.7;
 /// Delay before a request is routed again whose target reported that it does not own the key.
@@ -55,6 +53,8 @@
     pub seed: u64,
     /// Availability zone that this entry runs in.
     pub zone: Zone,
+    /// Time from the acknowledgment of a change until it takes effect at every entry.
+    pub in_force: Duration,
     /// Time after a target's leave message during which it may still get new requests.
     pub drain: Duration,
     /// Time after a zone is taken out of service during which its targets may get new requests.
@@ -93,7 +93,7 @@
 pub enum RouteError {
     /// No route matches, according to a current replica.
     NoRoute,
-    /// The catalog replica is out of date or missing.
+    /// The catalog replica is missing or not confirmed, so it may lack a change in force.
     Stale,
 }
 
@@ -180,7 +180,7 @@
     index: Option<u64>,
     status: LeaderStatus,
     status_at: Option<Moment>,
-    confirmed_at: Option<Moment>,
+    freshness: Freshness,
     models: HashMap<TargetId, TargetModel>,
     typical_latencies: HashMap<Service, Duration>,
     cold_targets: HashMap<TargetId, (Moment, ColdRateLimiter)>,
@@ -196,13 +196,13 @@
     pub fn new(config: RouterConfig) -> Self {
         Router {
             rng: ChaCha8Rng::seed_from_u64(config.seed),
+            freshness: Freshness::new(config.in_force),
             config,
             catalog: Catalog::default(),
             routing: Routing::default(),
             index: None,
             status: LeaderStatus::default(),
             status_at: None,
-            confirmed_at: None,
             models: HashMap::new(),
             typical_latencies: HashMap::new(),
             cold_targets: HashMap::new(),
@@ -272,6 +272,7 @@
                 .0 = now + *left;
         }
         self.cold_targets.retain(|_, (until, _)| now < *until);
+        self.freshness.observe_leader(now);
         self.status_at = Some(now);
         self.status = status;
     }
@@ -309,21 +310,34 @@
         Some(model)
     }
 
-    /// Records that the replica holds everything acknowledged up to `at`. The arrival time of a
-    /// message does not prove this, as the message may have been delayed.
+    /// Records that the replica holds everything acknowledged up to `at`.
     pub fn confirm(&mut self, at: Moment) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.freshness.confirm(at);
     }
 
-    /// Whether the replica was confirmed recently enough to contain every change in effect.
+    /// Records that a leader is connected, which may confirm the replica.
+    pub fn observe_leader(&mut self, now: Moment) {
+        self.freshness.observe_leader(now);
+    }
+
+    /// Records that no leader can be reached.
+    pub fn forget_leader(&mut self) {
+        self.freshness.forget_leader();
+    }
+
+    /// Whether the replica lacks no change that must be in force.
     pub fn is_current(&self, now: Moment) -> bool {
-        let is_recent = |at| now.since(at) < CONFIRMATION_MAX_AGE;
-        self.confirmed_at.is_some_and(is_recent) && self.index.is_some()
+        self.index.is_some() && self.freshness.is_current(now)
+    }
+
+    /// Whether requests may be sent on by the replica.
+    pub fn may_serve(&self, now: Moment) -> bool {
+        self.index.is_some() && self.freshness.may_serve(now)
     }
 
     /// Time since the replica was last confirmed.
     pub fn confirmation_age(&self, now: Moment) -> Option<Duration> {
-        self.confirmed_at.map(|at| now.since(at))
+        self.freshness.confirmed_at().map(|at| now.since(at))
     }
 
     /// Age of the latest leader status.
@@ -360,6 +374,9 @@
         host: &str,
         path: &str,
     ) -> Result<ResolvedRoute, RouteError> {
+        if !self.may_serve(now) {
+            return Err(RouteError::Stale);
+        }
         let Some(found) = self.routing.find(host, path) else {
             let certain = self.is_current(now) && self.has_desired_state();
             return Err(if certain {
@@ -405,10 +422,12 @@
         }
     }
 
-    /// Whether a selected target still accepts requests, checked again once a connection is open.
+    /// Whether a selected target still accepts requests and the replica may tell so, checked again
+    /// once a connection is open.
     pub fn still_accepts(&self, now: Moment, id: TargetId, keyed: bool) -> bool {
         let record = self.catalog.targets.get(&id);
         match keyed {
+            _ if !self.may_serve(now) => false,
             true => self.accepts_keys(now, id),
             false => record.is_some_and(|record| self.catalog.accepts_work(record)),
         }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_dispatch;
 mod test_dispatch_scenarios;
 mod test_fleet;
+mod test_freshness;
 mod test_health;
 mod test_key;
 mod test_leader;
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -112,6 +112,7 @@
     let mut router = Router::new(RouterConfig {
         seed,
         zone: Zone::from("a"),
+        in_force: Duration::from_secs(2),
         drain: Duration::from_secs(2),
         evacuate: Duration::from_secs(5),
         retry_ratio: 0.2,
@@ -269,6 +270,7 @@
     let config = RouterConfig {
         seed: 1,
         zone: Zone::from("a"),
+        in_force: Duration::from_secs(2),
         drain: Duration::from_secs(2),
         evacuate: Duration::from_secs(5),
         retry_ratio: 0.2,
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -1,13 +1,15 @@
 //! Following the leader: where the entry's copy comes from.
 //!
 //! Any core host tells who leads. The entry stays with the leader until its connection breaks or
-//! falls silent, and goes on by its copy until it has found the next one.
+//! falls silent. As long as there is a leader, a copy that it does not confirm in time is not used;
+//! without one the entry goes on by its copy until it has found the next leader.
 
 use super::Entry;
 use crate::{
     connection::message::{MessageError, MessageStream, encode},
     process::{core::address_of, logging::EventLog},
 };
+use bytes::Bytes;
 use cornelrail_lib::{
     name::Node,
     process::{event::Event, seeded_settings::SeededSettings},
@@ -15,6 +17,7 @@
 };
 use std::{
     collections::VecDeque,
+    convert::Infallible,
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -92,46 +95,84 @@
     address: SocketAddr,
     greeting: &Handshake,
     directory: &mut Directory,
-) -> Result<std::convert::Infallible, MessageError> {
+) -> Result<Infallible, MessageError> {
     let mut stream = MessageStream::connect(address, SILENCE).await?;
     stream.send([encode(greeting)?]).await?;
     let mut follower = Follower {
         entry,
         address,
+        leads: false,
         following: false,
     };
-    let mut report = interval(REPORT_PAUSE);
-    report.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            message = stream.receive::<FromCore>() => follower.take(message?, directory),
-            _ = report.tick(), if follower.following => {
-                let now = entry.clock.now();
-                let report = entry.router().take_report(now);
-                let messages = [encode(&ToCore::Report(report))?, encode(&ToCore::Confirm(now))?];
-                stream.send(messages).await?;
-            }
-        }
+    let ended = follower.run(&mut stream, directory).await;
+    if let (true, Err(MessageError::Silent)) = (follower.leads, &ended) {
+        entry.router().forget_leader();
     }
+    ended
 }
 
 struct Follower<'a> {
     entry: &'a Arc<Entry>,
     address: SocketAddr,
+    /// Whether the host says that it leads.
+    leads: bool,
     following: bool,
 }
 
 impl Follower<'_> {
+    async fn run(
+        &mut self,
+        stream: &mut MessageStream,
+        directory: &mut Directory,
+    ) -> Result<Infallible, MessageError> {
+        let mut report = interval(REPORT_PAUSE);
+        report.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = stream.receive::<FromCore>() => {
+                    let was_following = self.following;
+                    self.take(message?, directory);
+                    if self.following && !was_following {
+                        // A new copy is not used before it is confirmed.
+                        report.reset_immediately();
+                    }
+                }
+                _ = report.tick(), if self.leads => {
+                    // A snapshot may take longer than a tick to arrive.
+                    self.entry.router().observe_leader(self.entry.clock.now());
+                    if self.following {
+                        stream.send(self.report()?).await?;
+                    }
+                }
+            }
+        }
+    }
+
+    /// What this entry tells and asks the leader.
+    fn report(&self) -> Result<[Bytes; 2], MessageError> {
+        let now = self.entry.clock.now();
+        let report = self.entry.router().take_report(now);
+        Ok([
+            encode(&ToCore::Report(report))?,
+            encode(&ToCore::Confirm(now))?,
+        ])
+    }
+
     fn take(&mut self, message: FromCore, directory: &mut Directory) {
         let now = self.entry.clock.now();
         match message {
             FromCore::Members { leader, nodes } => {
+                self.leads = leader.map(address_of) == Some(self.address.ip());
+                if leader.is_none() {
+                    self.entry.router().forget_leader();
+                }
                 directory.leader = leader;
                 if !nodes.is_empty() {
                     directory.nodes = nodes;
                 }
             }
             FromCore::Snapshot(index, catalog) => {
+                self.leads = true;
                 self.following = self.entry.router().install_snapshot(now, index, *catalog);
                 Event::LeaderFollowed.log(format_args!(
                     "leader={} index={index} taken={}",
@@ -148,6 +189,9 @@
             FromCore::Status(_) | FromCore::Confirmed(_) | FromCore::Pong | FromCore::Reply(..) => {
             }
         }
+        if self.leads {
+            self.entry.router().observe_leader(now);
+        }
         self.entry.changes.notify_waiters();
     }
 }
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -76,6 +76,7 @@
         let config = RouterConfig {
             seed: rand::random(),
             zone: settings.zone.clone(),
+            in_force: settings.in_force,
             drain: settings.drain,
             evacuate: settings.evacuate,
             retry_ratio: settings.retry.ratio,
@@ -120,7 +121,8 @@
         let now = self.clock.now();
         let router = self.router();
         let young = router.status_age(now).is_some_and(|age| age < READY_AGE);
-        router.has_desired_state() && young && !self.is_stopping()
+        let serves = router.has_desired_state() && router.may_serve(now);
+        serves && young && !self.is_stopping()
     }
 }
 
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -425,6 +425,7 @@
         ("seeds: [\"10.0.0.2:1\"]", "seeds: []", "seeds"),
         ("longest_lease: 10s", "longest_lease: 1s", "longest_lease"),
         ("heartbeat: 1s", "heartbeat: 1", "unit"),
+        ("grace: 6s\n", "grace: 6s\nin_force: 500ms\n", "in_force"),
         ("grace: 6s\n", "grace: 6s\nmore: 1\n", "more"),
         ("window: 10s}\n", "", ""),
     ];
