router: drain and evacuation times count from the last confirmation

What callers could see: requests sent to a target later than its drain time, or to a zone later than its evacuation time, by an entry that learnt of it late. Cause: the time for which keys still go to a closed owner began when the update arrived. The acknowledgement may be as old as the last confirmation, and a first replica holds targets that left at any time before. Class: a time counted from the arrival of a message. Change: it begins at the last confirmation before the update, and a target that is closed in the first replica gets nothing. The share of the time that is used is 0.85 instead of 0.7, which was the allowance for learning late. Evidence: test_router::a_late_leave_message_does_not_extend_the_drain_time and a_first_replica_sends_nothing_to_targets_that_left_before failed and pass.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -37,8 +37,9 @@
 
 /// Age up to which the times in a leader status are used: four status intervals.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(1_000);
-/// Share of the drain or evacuation time for which keys still go to their old owner.
-const CLOSED_OWNER_SHARE: f64 = 0.7;
+/// Share of the drain or evacuation time for which keys still go to their old owner. The rest is
+/// for connecting to it.
+const CLOSED_OWNER_SHARE: f64 = 0.85;
 /// Delay before a request is routed again whose target reported that it does not own the key.
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(60);
 /// Maximum share of the time left for which a request waits for an owner of its key.
@@ -184,7 +185,9 @@
     models: HashMap<TargetId, TargetModel>,
     typical_latencies: HashMap<Service, Duration>,
     cold_targets: HashMap<TargetId, (Moment, ColdRateLimiter)>,
-    closed_since: BTreeMap<TargetId, Moment>,
+    /// Latest time at which each closed target is known to have been open; `None` if it was closed
+    /// in the first replica.
+    last_open: BTreeMap<TargetId, Option<Moment>>,
     splitters: HashMap<String, Splitter>,
     retry_budgets: HashMap<Service, RetryBudget>,
     key_counts: HashMap<(Service, u16), u32>,
@@ -206,7 +209,7 @@
             models: HashMap::new(),
             typical_latencies: HashMap::new(),
             cold_targets: HashMap::new(),
-            closed_since: BTreeMap::new(),
+            last_open: BTreeMap::new(),
             splitters: HashMap::new(),
             retry_budgets: HashMap::new(),
             key_counts: HashMap::new(),
@@ -216,12 +219,13 @@
 
     /// Replaces the catalog replica. Returns false for a snapshot older than the replica.
     pub fn install_snapshot(&mut self, now: Moment, index: u64, catalog: Catalog) -> bool {
+        self.freshness.observe_leader(now);
         if self.index.is_some_and(|held| index < held) {
             return false;
         }
         self.index = Some(index);
         self.catalog = catalog;
-        self.rebuild_routing(now);
+        self.rebuild_routing();
         true
     }
 
@@ -241,8 +245,8 @@
         }
         self.index = Some(index.max(held));
         match routes_changed {
-            true => self.rebuild_routing(now),
-            false => self.refresh_closed_since(now),
+            true => self.rebuild_routing(),
+            false => self.refresh_last_open(),
         }
     }
 
@@ -635,8 +639,8 @@
             true => self.config.drain,
             false => self.config.evacuate,
         };
-        let since = self.closed_since.get(&id);
-        since.is_some_and(|since| now.since(*since) < period.mul_f64(CLOSED_OWNER_SHARE))
+        let last_open = self.last_open.get(&id).copied().flatten();
+        last_open.is_some_and(|at| now.since(at) < period.mul_f64(CLOSED_OWNER_SHARE))
     }
 
     fn entry_count(&self) -> u32 {
@@ -651,22 +655,25 @@
         })
     }
 
-    fn rebuild_routing(&mut self, now: Moment) {
+    fn rebuild_routing(&mut self) {
         self.routing = Routing::of(&self.catalog.desired);
-        self.refresh_closed_since(now);
+        self.refresh_last_open();
     }
 
-    /// Records since when targets accept no new requests, and removes targets that are gone.
-    fn refresh_closed_since(&mut self, now: Moment) {
+    /// Records until when targets that accept no new requests were open, and removes targets that
+    /// are gone. What the last confirmation does not cover may have been acknowledged right after
+    /// it, however late it arrives.
+    fn refresh_last_open(&mut self) {
         let catalog = &self.catalog;
+        let confirmed_at = self.freshness.confirmed_at();
         for (id, record) in &catalog.targets {
             if catalog.accepts_work(record) {
-                self.closed_since.remove(id);
+                self.last_open.remove(id);
             } else {
-                self.closed_since.entry(*id).or_insert(now);
+                self.last_open.entry(*id).or_insert(confirmed_at);
             }
         }
-        self.closed_since
+        self.last_open
             .retain(|id, _| catalog.targets.contains_key(id));
         self.models.retain(|id, _| catalog.targets.contains_key(id));
     }
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -293,6 +293,33 @@
     assert!(router.resolve_route(at(1), "h", "/pool/x").is_ok());
 }
 
+/// A leave message may be as old as the last confirmation when it arrives.
+#[test]
+fn a_late_leave_message_does_not_extend_the_drain_time() {
+    let mut router = router();
+    router.apply_updates(at(1_200), 11, &[Update::Leave(TargetId(1))]);
+
+    let soon = route(&mut router, at(1_300), "keyed", Some(5));
+    let late = route(&mut router, at(1_900), "keyed", Some(5));
+
+    assert!(matches!(soon, RoutingDecision::Send { .. }), "{soon:?}");
+    assert!(!matches!(late, RoutingDecision::Send { .. }), "{late:?}");
+}
+
+#[test]
+fn a_first_replica_sends_nothing_to_targets_that_left_before() {
+    let mut catalog = catalog();
+    catalog.apply(&Update::Leave(TargetId(1)));
+    let mut router = router_with(1, catalog);
+
+    let routed = route(&mut router, at(10), "keyed", Some(5));
+
+    assert!(
+        !matches!(routed, RoutingDecision::Send { .. }),
+        "{routed:?}"
+    );
+}
+
 #[test]
 fn a_leaving_target_gets_nothing_after_its_time() {
     let mut router = router();
