--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -9,6 +9,7 @@
 mod feed_meter;
 mod leading;
 mod peers;
+mod spread;
 mod task;
 
 pub use self::{
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -8,7 +8,7 @@
     node_of,
 };
 use crate::{
-    connection::{core_link::CoreLink, message::encode},
+    connection::core_link::CoreLink,
     process::{
         clock::Clock,
         logging::EventLog,
@@ -137,8 +137,8 @@
     pub(super) leading: Option<Leading>,
     pub(super) subscribers: Vec<Subscriber>,
     pub(super) statuses: watch::Sender<LatestStatuses>,
-    leader: Option<Node>,
-    members: Vec<Node>,
+    pub(super) leader: Option<Node>,
+    pub(super) members: Vec<Node>,
     links: HashMap<Node, CoreLink>,
     replies_tx: mpsc::Sender<FromCore>,
     events_tx: mpsc::Sender<CoreEvent>,
@@ -146,9 +146,9 @@
     proposals: BTreeMap<u64, Then>,
     number: u64,
     snapshot: u64,
-    fresh: Vec<Update>,
-    copy: Option<(u64, Bytes)>,
-    meter: FeedMeter,
+    pub(super) fresh: Vec<Update>,
+    pub(super) copy: Option<(u64, Bytes)>,
+    pub(super) meter: FeedMeter,
 }
 
 /// Starts the task.
@@ -428,128 +428,6 @@
             then.give_up();
         }
     }
-
-    /// Sends what was committed to the entries that follow.
-    fn spread(&mut self) {
-        if self.fresh.is_empty() {
-            return;
-        }
-        let updates = std::mem::take(&mut self.fresh);
-        if !self.subscribers.is_empty() {
-            self.broadcast(&FromCore::updates(self.index, updates));
-        }
-    }
-
-    /// Queues updates for all entries that follow.
-    fn broadcast(&mut self, message: &FromCore) {
-        match encode(message) {
-            Ok(bytes) => {
-                let entries = self.subscribers.len();
-                self.meter.count(message.kind(), bytes.len(), entries);
-                let queued = |s: &Subscriber| s.updates.try_send(bytes.clone()).is_ok();
-                self.keep_subscribers(queued);
-            }
-            Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
-        }
-    }
-
-    /// Drops the subscribers that do not meet the condition.
-    fn keep_subscribers(&mut self, keep: impl Fn(&Subscriber) -> bool) {
-        self.subscribers.retain(|subscriber| {
-            let kept = keep(subscriber);
-            if !kept {
-                Event::EntryLost.log(format_args!("entry={}", subscriber.name));
-            }
-            kept
-        });
-        let queues = self.subscribers.iter().map(Subscriber::waiting);
-        self.meter.report(self.clock.now(), queues);
-    }
-
-    /// Sends a status to the entries if one is due.
-    fn send_status(&mut self) {
-        let now = self.now();
-        let is_due = |leading: &Leading| leading.leader.is_status_due(now);
-        if !self.leading.as_ref().is_some_and(is_due) {
-            return;
-        }
-        self.keep_subscribers(|subscriber| !subscriber.updates.is_closed());
-        let entries = self.subscribers.len();
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let leader = &mut leading.leader;
-        let Some(status) = leader.status(now, self.index, entries as u32, &self.catalog) else {
-            return;
-        };
-        let has_loads = !status.loads.is_empty() || !status.service_times.is_empty();
-        match encode(&FromCore::Status(status)) {
-            Ok(bytes) => {
-                leader.record_status_size(bytes.len(), entries);
-                self.meter.count("status", bytes.len(), entries);
-                self.statuses
-                    .send_modify(|latest| latest.push(bytes, has_loads));
-            }
-            Err(error) => Event::StoreFailed.log(format_args!("why={error}")),
-        }
-    }
-
-    /// The catalog for an entry. It is encoded once for all that follow at the same index, as they
-    /// do after a change of leaders.
-    fn encoded_copy(&mut self) -> Result<Bytes, postcard::Error> {
-        if let Some((index, bytes)) = &self.copy
-            && *index == self.index
-        {
-            return Ok(bytes.clone());
-        }
-        let bytes = encode(&FromCore::snapshot(self.index, &self.catalog))?;
-        self.copy = Some((self.index, bytes.clone()));
-        Ok(bytes)
-    }
-
-    /// Tells an entry that its copy holds all that was acknowledged when it asked. A host that may
-    /// lead no more cannot know that.
-    async fn confirm(&mut self, entry: &str, at: Moment) {
-        if self.leading.is_none() || !self.has_lease().await {
-            return;
-        }
-        self.spread();
-        let Ok(bytes) = encode(&FromCore::Confirmed(at)) else {
-            return;
-        };
-        let mine = self.subscribers.iter().filter(|s| s.name == entry);
-        for subscriber in mine {
-            self.meter.count("confirmed", bytes.len(), 1);
-            // A full feed ends with the next message to all.
-            let _ = subscriber.updates.try_send(bytes.clone());
-        }
-    }
-
-    fn take_follower(&mut self, subscriber: Subscriber) {
-        self.spread();
-        let members = FromCore::Members {
-            leader: self.leader,
-            nodes: self.members.clone(),
-        };
-        let mut messages = vec![encode(&members)];
-        if self.leading.is_some() {
-            messages.push(self.encoded_copy());
-        }
-        for (kind, message) in ["members", "snapshot"].into_iter().zip(messages) {
-            let sent = message.map(|bytes| {
-                self.meter.count(kind, bytes.len(), 1);
-                subscriber.updates.try_send(bytes)
-            });
-            if !matches!(sent, Ok(Ok(()))) {
-                return;
-            }
-        }
-        if let Some(leading) = &mut self.leading {
-            leading.leader.hasten_status();
-            Event::EntryUp.log(format_args!("entry={}", subscriber.name));
-            self.subscribers.push(subscriber);
-        }
-    }
 }
 
 impl Then {
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -189,9 +189,6 @@
             FromCore::Status(_) | FromCore::Confirmed(_) | FromCore::Pong | FromCore::Reply(..) => {
             }
         }
-        if self.leads {
-            self.entry.router().observe_leader(now);
-        }
         self.entry.changes.notify_waiters();
     }
 }
