proxy: a request whose replica lapses while it connects ends as stale

What callers could see: reason `unreachable` for a request that was not sent because the replica had lapsed, after tries at further targets and out of the retry budget. Cause: the second check of the replica shared the answer of a target that takes no more requests. Change: it has an outcome of its own, which ends the request at once. That branch has no test of its own: it needs a connection that takes seconds to open. Besides: the kind of a feed message is named where it is counted, and the tests of this change repeat less.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -426,12 +426,10 @@
         }
     }
 
-    /// Whether a selected target still accepts requests and the replica may tell so, checked again
-    /// once a connection is open.
+    /// Whether a selected target still accepts requests, checked again once a connection is open.
     pub fn still_accepts(&self, now: Moment, id: TargetId, keyed: bool) -> bool {
         let record = self.catalog.targets.get(&id);
         match keyed {
-            _ if !self.may_serve(now) => false,
             true => self.accepts_keys(now, id),
             false => record.is_some_and(|record| self.catalog.accepts_work(record)),
         }
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -76,19 +76,6 @@
 }
 
 impl FromCore {
-    /// Kind of the message, as metrics name it.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            FromCore::Members { .. } => "members",
-            FromCore::Reply(..) => "reply",
-            FromCore::Snapshot(..) => "snapshot",
-            FromCore::Updates(..) => "updates",
-            FromCore::Status(_) => "status",
-            FromCore::Pong => "pong",
-            FromCore::Confirmed(_) => "confirmed",
-        }
-    }
-
     /// The catalog for an entry, without the item sources, which only core hosts need.
     pub fn snapshot(index: u64, catalog: &Catalog) -> Self {
         let mut catalog = Box::new(catalog.clone());
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -71,8 +71,17 @@
     acknowledged: Vec<u64>,
     /// Changes that the entry has.
     applied: usize,
-    /// Messages on their way: time of arrival, changes sent by then, time of the question.
-    messages: Vec<(u64, usize, Option<u64>)>,
+    /// Messages on their way, in order.
+    messages: Vec<Message>,
+}
+
+/// Message of the leader; times are in milliseconds.
+struct Message {
+    arrival: u64,
+    /// Number of changes that were sent by then.
+    changes: usize,
+    /// When the question was asked that it answers.
+    question: Option<u64>,
 }
 
 impl Schedule {
@@ -92,9 +101,12 @@
 
     /// Sends a message behind those that are on their way.
     fn send(&mut self, now: u64, delay: u64, question: Option<u64>) {
-        let last = self.messages.last().map_or(0, |(arrival, ..)| *arrival);
-        let sent = self.acknowledged.len();
-        self.messages.push((last.max(now + delay), sent, question));
+        let last = self.messages.last().map_or(0, |message| message.arrival);
+        self.messages.push(Message {
+            arrival: last.max(now + delay),
+            changes: self.acknowledged.len(),
+            question,
+        });
     }
 
     fn step(&mut self, now: u64, delay: u64) {
@@ -107,10 +119,10 @@
         }
         let due = self
             .messages
-            .partition_point(|(arrival, ..)| *arrival <= now);
-        for (_, sent, question) in self.messages.drain(..due) {
-            self.applied = self.applied.max(sent);
-            if let Some(question) = question {
+            .partition_point(|message| message.arrival <= now);
+        for message in self.messages.drain(..due) {
+            self.applied = self.applied.max(message.changes);
+            if let Some(question) = message.question {
                 self.freshness.confirm(at(question));
             }
         }
--- a/node/src/process/core/spread.rs
+++ b/node/src/process/core/spread.rs
@@ -15,17 +15,13 @@
             return;
         }
         let updates = std::mem::take(&mut self.fresh);
-        if !self.subscribers.is_empty() {
-            self.broadcast(&FromCore::updates(self.index, updates));
+        let entries = self.subscribers.len();
+        if entries == 0 {
+            return;
         }
-    }
-
-    /// Queues updates for all entries that follow.
-    fn broadcast(&mut self, message: &FromCore) {
-        match encode(message) {
+        match encode(&FromCore::updates(self.index, updates)) {
             Ok(bytes) => {
-                let entries = self.subscribers.len();
-                self.meter.count(message.kind(), bytes.len(), entries);
+                self.meter.count("updates", bytes.len(), entries);
                 let queued = |s: &Subscriber| s.updates.try_send(bytes.clone()).is_ok();
                 self.keep_subscribers(queued);
             }
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -95,6 +95,8 @@
     Answer(Response<ReplyBody>),
     /// Nothing was sent.
     Unreachable,
+    /// Nothing was sent, as the replica may no longer be used.
+    Stale,
     /// The target closed the connection before anything was sent.
     Closed,
     /// The target said that it has not run it.
@@ -200,6 +202,7 @@
             let refusal = match tried {
                 Tried::Answer(response) => return self.answer(entry, response),
                 Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
+                Tried::Stale => Refusal::not_run("stale", STALE_PAUSE),
                 Tried::Closed => Refusal::not_run("closed", SHED_PAUSE),
                 Tried::NotRun { misdirected } => {
                     if misdirected {
@@ -323,7 +326,16 @@
         };
         let left = self.until.saturating_duration_since(Instant::now());
         let now = entry.clock.now();
-        if left < LEAST_LEFT || !entry.router().still_accepts(now, id, self.routed.keyed) {
+        let (may_serve, accepts) = {
+            let router = entry.router();
+            let accepts = router.still_accepts(now, id, self.routed.keyed);
+            (router.may_serve(now), accepts)
+        };
+        if !may_serve {
+            flight.end(SendOutcome::Cancelled, None);
+            return Tried::Stale;
+        }
+        if left < LEAST_LEFT || !accepts {
             flight.end(SendOutcome::Cancelled, None);
             return Tried::Unreachable;
         }
--- a/node/tests/test_replica.rs
+++ b/node/tests/test_replica.rs
@@ -194,16 +194,22 @@
     }
 }
 
+/// Reason of a rejection while the host leads and confirms nothing; it confirms again after that.
+async fn reason_unconfirmed(fixture: &Fixture) -> String {
+    fixture.conduct.send_replace(Conduct::Leading);
+    sleep(LAPSE).await;
+    let reason = reason(fixture.callers).await;
+    fixture.conduct.send_replace(Conduct::Confirming);
+    routes(fixture.callers).await;
+    reason
+}
+
 #[tokio::test]
 async fn a_replica_that_its_leader_stops_confirming_routes_nothing() {
     let fixture = entry_with(Conduct::Confirming).await;
     routes(fixture.callers).await;
 
-    fixture.conduct.send_replace(Conduct::Leading);
-    sleep(LAPSE).await;
-    let unconfirmed = reason(fixture.callers).await;
-    fixture.conduct.send_replace(Conduct::Confirming);
-    routes(fixture.callers).await;
+    let unconfirmed = reason_unconfirmed(&fixture).await;
 
     assert_eq!(unconfirmed, "stale");
 }
@@ -212,10 +218,7 @@
 async fn a_first_replica_routes_nothing_before_it_is_confirmed() {
     let fixture = entry_with(Conduct::Leading).await;
 
-    sleep(LAPSE).await;
-    let unconfirmed = reason(fixture.callers).await;
-    fixture.conduct.send_replace(Conduct::Confirming);
-    routes(fixture.callers).await;
+    let unconfirmed = reason_unconfirmed(&fixture).await;
 
     assert_eq!(unconfirmed, "stale");
 }
