node/tests: fixtures keep the ports that they give to processes

Cause: fixtures bound port 0, let the port go and handed its number to a process that binds it later. callers and ready of one entry are drawn one after the other, and the system gives the same port twice now and then: 14 of 200,000 pairs of such draws on this machine.

Change: cornelrail_testutils::ports holds a loopback host for the life of the process by a listener on it, and numbers its ports itself, below those that the system gives to connections. Nothing looks for a free port any more, also not the hosts of the configured fleet.

--- a/node/tests/hosts/mod.rs
+++ b/node/tests/hosts/mod.rs
@@ -16,6 +16,7 @@
     caller::{self, Call, Caller, CallerSettings},
     http::{self as client, Client, SendError},
     ledger::Ledger,
+    ports,
     target::{StandIn, TargetSettings},
     tls,
 };
@@ -24,13 +25,10 @@
 use std::{
     fmt::Write,
     fs::{self, File},
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{
-        Arc, LazyLock,
-        atomic::{AtomicU32, Ordering::Relaxed},
-    },
+    sync::Arc,
     time::Duration,
 };
 use tempfile::TempDir;
@@ -42,8 +40,6 @@
 const TOKEN: &str = "a token of the tests";
 const PATIENCE: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(50);
-const FIRST_PORT: u16 = 10_000;
-const PORTS: u32 = 22_000;
 
 /// One fleet at a time has the machine, so that timeouts mean what they say.
 pub static TURN: Mutex<()> = Mutex::const_new(());
@@ -74,18 +70,6 @@
     client: Client,
 }
 
-/// A free port below those that the system gives to connections, and never the same one twice.
-fn free_address() -> SocketAddr {
-    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
-    loop {
-        let step = NEXT.fetch_add(1, Relaxed) % PORTS;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + step as u16));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Zone of a node: `a` for the first, `b` for the second, and so on.
 pub fn zone(node: Node) -> String {
     char::from(b'a' + (node.0 as u8 - 1)).to_string()
@@ -386,10 +370,10 @@
 
 fn free_addresses() -> Addresses {
     Addresses {
-        callers: free_address(),
-        targets: free_address(),
-        operators: free_address(),
-        peers: free_address(),
+        callers: ports::reserve_address(),
+        targets: ports::reserve_address(),
+        operators: ports::reserve_address(),
+        peers: ports::reserve_address(),
     }
 }
 
--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -1,7 +1,7 @@
 //! Targets whose answers never end: callers get a truthful answer in time, others are served
 //! meanwhile, and the entry holds a bounded part of them.
 
-use crate::test_seeded::{PATIENCE, call, exchange, free, host, settings, split};
+use crate::test_seeded::{PATIENCE, call, exchange, host, settings, split};
 use cornelrail_lib::{
     connection::order::{LEASE_PATH, LeaseOrder},
     name::{Epoch, Incarnation},
@@ -10,6 +10,7 @@
     connection::target::{ExchangeError, TargetLink},
     process::core::{self, CoreHandle},
 };
+use cornelrail_testutils::ports;
 use serde_json::{Value, json};
 use std::{
     fs,
@@ -68,8 +69,8 @@
 async fn fleet() -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let host = host();
-    let port = free(&host);
-    let address = || SocketAddr::new(host.parse().expect("an address"), free(&host));
+    let port = ports::next_port();
+    let address = || SocketAddr::new(host.parse().expect("an address"), ports::next_port());
     let (control, callers, ready) = (address(), address(), address());
     let listen = format!("control: \"{control}\"");
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
--- a/node/tests/test_feed.rs
+++ b/node/tests/test_feed.rs
@@ -1,12 +1,13 @@
 //! Feed of a seeded fleet's leader to an entry whose link is slow or full, and what the entry does
 //! while it learns late.
 
-use crate::test_seeded::{PATIENCE, StandIn, call, exchange, free, host, settings, split};
+use crate::test_seeded::{PATIENCE, StandIn, call, exchange, host, settings, split};
 use bytes::Bytes;
 use cornelrail_node::process::{
     core::{self, CoreHandle, Feed, LatestStatuses, Subscriber},
     entry::{self, EntryHandle},
 };
+use cornelrail_testutils::ports;
 use serde_json::{Value, json};
 use std::{
     net::{IpAddr, SocketAddr},
@@ -64,8 +65,8 @@
 async fn loaded_fleet(buffer: usize) -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let (host, near) = (host(), host());
-    let port = free(&host);
-    let address = || SocketAddr::new(host.parse().expect("an address"), free(&host));
+    let port = ports::next_port();
+    let address = || SocketAddr::new(host.parse().expect("an address"), ports::next_port());
     let (control, callers, ready) = (address(), address(), address());
     let listen = format!("control: \"{control}\"");
     let mut leader = settings("core", &host, port, &listen, &folder.path().join("core"));
--- a/node/tests/test_limits.rs
+++ b/node/tests/test_limits.rs
@@ -1,12 +1,13 @@
 //! Limits that a target names: what all entries of a seeded fleet send it together, and which part
 //! of the limit their callers get.
 
-use crate::test_seeded::{PATIENCE, call, exchange, free, host, settings, split};
+use crate::test_seeded::{PATIENCE, call, exchange, host, settings, split};
 use bytes::Bytes;
 use cornelrail_node::process::{
     core::{self, CoreHandle},
     entry::{self, EntryHandle},
 };
+use cornelrail_testutils::ports;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -127,8 +128,8 @@
 async fn fleet(entries: usize) -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let host = host();
-    let port = free(&host);
-    let address = || SocketAddr::new(host.parse().expect("an address"), free(&host));
+    let port = ports::next_port();
+    let address = || SocketAddr::new(host.parse().expect("an address"), ports::next_port());
     let control = address();
     let listen = format!("control: \"{control}\"");
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
--- a/node/tests/test_replica.rs
+++ b/node/tests/test_replica.rs
@@ -1,7 +1,7 @@
 //! What an entry of a seeded fleet does by its catalog replica, depending on what the host that it
 //! follows says.
 
-use crate::test_seeded::{PATIENCE, exchange, free, host, settings, split};
+use crate::test_seeded::{PATIENCE, exchange, host, settings, split};
 use cornelrail_lib::{
     name::Service,
     version::{
@@ -17,6 +17,7 @@
         entry::{self, EntryHandle},
     },
 };
+use cornelrail_testutils::ports;
 use std::{
     net::{IpAddr, SocketAddr},
     time::Duration,
@@ -61,7 +62,7 @@
     let host = host();
     let listener = TcpListener::bind((host.as_str(), 0)).await.expect("bound");
     let port = listener.local_addr().expect("bound").port();
-    let address = || SocketAddr::new(host.parse().expect("an address"), free(&host));
+    let address = || SocketAddr::new(host.parse().expect("an address"), ports::next_port());
     let (callers, ready) = (address(), address());
     let conduct = watch::Sender::new(conduct);
     let mut tasks = JoinSet::new();
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -6,6 +6,7 @@
     core::{self, CoreHandle},
     entry::{self, EntryHandle},
 };
+use cornelrail_testutils::ports;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -13,12 +14,9 @@
 use serde_json::{Value, json};
 use std::{
     convert::Infallible,
-    net::{SocketAddr, TcpListener as StdListener},
+    net::SocketAddr,
     path::Path,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU16, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 use tempfile::TempDir;
@@ -30,18 +28,10 @@
 };
 
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
-/// Each fleet has a loopback address of its own, so that fleets share a port.
-static HOSTS: AtomicU16 = AtomicU16::new(1);
 
+/// Loopback host of one fleet, so that fleets share a port.
 pub(crate) fn host() -> String {
-    let number = HOSTS.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id() % 200 + 20;
-    format!("127.{process}.{}.{}", number / 250, number % 250 + 1)
-}
-
-pub(crate) fn free(host: &str) -> u16 {
-    let listener = StdListener::bind((host, 0)).expect("a free port");
-    listener.local_addr().expect("bound").port()
+    ports::reserve_host().to_string()
 }
 
 pub(crate) fn settings(
@@ -81,8 +71,8 @@
 pub(crate) async fn fleet_with(serve: impl Serve) -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let host = host();
-    let port = free(&host);
-    let address = || SocketAddr::new(host.parse().expect("an address"), free(&host));
+    let port = ports::next_port();
+    let address = || SocketAddr::new(host.parse().expect("an address"), ports::next_port());
     let (control, callers, ready) = (address(), address(), address());
     let listen = format!("control: \"{control}\"");
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -1,4 +1,5 @@
 //! Tests of the package.
 
 mod test_link;
+mod test_ports;
 mod test_stand_in;
