tests: an entry routes by an old replica while its leader is late (CONFIG)

Callers of such an entry are served by routes that have been replaced, later than a change has to be in force.

An entry that heard no core host for a second takes itself for cut off, and goes on by its replica without a limit. A host that takes connections and says nothing looks the same to it. The model of freshness could not show this: it told the entry in each millisecond that there is a leader.

--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -122,11 +122,11 @@
             .partition_point(|message| message.arrival <= now);
         for message in self.messages.drain(..due) {
             self.applied = self.applied.max(message.changes);
+            self.freshness.observe_leader(at(now));
             if let Some(question) = message.question {
                 self.freshness.confirm(at(question));
             }
         }
-        self.freshness.observe_leader(at(now));
     }
 
     /// Changes that must be in force and that the entry lacks.
@@ -152,6 +152,7 @@
                 delay = schedule.draw(4_000);
             }
             schedule.step(now, delay);
+            schedule.freshness.observe_leader(at(now));
             match schedule.freshness.may_serve(at(now)) {
                 true => {
                     served += 1;
@@ -164,3 +165,24 @@
 
     assert!(served > 0 && refused > 0, "{served}, {refused}");
 }
+
+/// The entry hears of its leader by messages alone, and all of them may be late.
+#[test]
+fn an_entry_lacks_no_change_in_force_whatever_is_late() {
+    for seed in 0..SCHEDULES {
+        let mut schedule = Schedule::new(seed);
+        let mut delay = 0;
+        for now in 0..SCHEDULE {
+            if schedule.draw(1_000) == 0 {
+                delay = schedule.draw(4_000);
+            }
+            schedule.step(now, delay);
+            let serves = schedule.freshness.may_serve(at(now));
+            let missing = schedule.missing(now);
+            assert!(
+                !serves || missing == 0,
+                "seed {seed} at {now} ms: {missing}"
+            );
+        }
+    }
+}
--- a/node/tests/test_replica.rs
+++ b/node/tests/test_replica.rs
@@ -46,6 +46,8 @@
     Leading,
     /// It says that no host leads.
     Leaderless,
+    /// It takes connections and says nothing.
+    Silent,
 }
 
 /// An entry, and the stand-in for a core host that it follows.
@@ -145,7 +147,7 @@
         leader,
         nodes: vec![node_of(address)],
     };
-    if *conduct.borrow() != Conduct::Leaderless {
+    if !matches!(*conduct.borrow(), Conduct::Leaderless | Conduct::Silent) {
         let snapshot = FromCore::snapshot(1, &catalog());
         let messages = [
             encode(&members(Some(node_of(address))))?,
@@ -160,6 +162,11 @@
             stream.send([encode(&members(None))?]).await?;
             return Ok(());
         }
+        if now == Conduct::Silent {
+            // The host gives up no connection by itself.
+            let _ = conduct.wait_for(|now| *now != Conduct::Silent).await;
+            return Ok(());
+        }
         tokio::select! {
             message = stream.receive::<ToCore>() => match message? {
                 ToCore::Confirm(at) if now == Conduct::Confirming => {
@@ -235,3 +242,16 @@
 
     assert_eq!(leaderless, "unowned");
 }
+
+/// A leader that is late is still there: it may have acknowledged a change.
+#[tokio::test]
+async fn a_replica_routes_nothing_while_a_core_host_takes_connections_and_says_nothing() {
+    let fixture = entry_with(Conduct::Confirming).await;
+    routes(fixture.callers).await;
+
+    fixture.conduct.send_replace(Conduct::Silent);
+    sleep(LAPSE).await;
+    let late = reason(fixture.callers).await;
+
+    assert_eq!(late, "stale");
+}
