tests: a request that ends its targets is sent again without a bound (BUDGET)

Callers of every target lose what it runs each time such a request comes back, and it comes back at any entry.

Entries of a seeded fleet do not remember what a request did to its targets; the configured fleet does (request::quarantine). The tests repeat one request at several entries, one of them new, and send harmless requests beside it.

Seen on this code: in 10 s at four entries 58 targets ended, 34 of them later than 3 s after the third.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -5,6 +5,7 @@
 mod property;
 mod test_answers;
 mod test_capacity;
+mod test_crashing;
 mod test_docs;
 mod test_endless;
 mod test_feed;
