core, entry: a request under which three targets have ended is refused everywhere (BUDGET)

Cause: each attempt is a new request for an entry of a seeded fleet. The class: a bound over all entries and repeats, and nothing in the fleet that counts for it; the limit of a target had the same cause.

Change: an entry reports each connection that broke while a target may have run a request, under a digest of what its callers repeat. The leader counts a report once that target has ended: its incarnation is replaced or misses two heartbeats. An answer clears the request, and what the one to blame explains is not held against those that ran beside it. After three ends all entries refuse it with 503 for ten minutes. Entries repeat reports and refusals to a new leader, and entries that start get them. CR0068 tells of each break.

Why it holds: the count is in one place, does not depend on the number of entries, and a reset connection proves nothing by itself.

Over 100 random schedules with repeats at 5 entries, resets, new leaders and restarted entries the request is sent at most 3 times more after 3 s, and no other request is refused.

Elsewhere: rates of cold targets and the budget of retries are still equal parts by a count of entries; open, as before.

--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -194,6 +194,11 @@
         )
     }
 
+    /// When the latest heartbeat of the target arrived; `None` if this leader has received none.
+    pub fn last_heartbeat(&self, id: TargetId) -> Option<Moment> {
+        self.tracked.get(&id).map(|tracked| tracked.last_heartbeat)
+    }
+
     /// Time until the target is warm.
     pub fn cold_left(&self, now: Moment, id: TargetId) -> Duration {
         let cold_until = self.tracked.get(&id).map_or(Moment::ZERO, |t| t.cold_until);
--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -163,6 +163,8 @@
     TargetLimited = 66, Info, "target-limited";
     /// A target names no limit any more.
     LimitEnded = 67, Info, "limit-ended";
+    /// The connection to a target broke while the target may have run a request.
+    ConnectionBroke = 68, Info, "connection-broke";
     /// The trace span of one hop of a request ended.
     SpanEnded = 70, Debug, "span-ended";
 }
--- /dev/null
+++ b/lib/src/request/balance/breaks.rs
@@ -0,0 +1,107 @@
+//! Requests whose connections to targets broke, as one entry remembers them, and those that all
+//! entries refuse. The leader decides which ones; see [`suspects`](crate::version::suspects).
+
+use crate::{
+    moment::Moment,
+    version::{
+        catalog::TargetId,
+        command::Fingerprint,
+        suspects::{Break, MEMORY, Quarantine, Quarantined, REQUESTS_MAX, SuspectReport, to_ms},
+    },
+};
+use std::{collections::VecDeque, time::Duration};
+
+/// Broken connections that one entry remembers.
+const BREAKS_MAX: usize = REQUESTS_MAX / 4;
+
+/// Memory of one entry.
+#[derive(Debug, Default)]
+pub struct Breaks {
+    breaks: VecDeque<(Fingerprint, TargetId, Moment)>,
+    /// Breaks at the end of the list that are not reported yet.
+    unreported: usize,
+    answered: Vec<(Fingerprint, Moment)>,
+    quarantine: Quarantine,
+}
+
+impl Breaks {
+    /// Whether the identity of requests matters at this moment.
+    pub fn is_watching(&self) -> bool {
+        !self.breaks.is_empty() || !self.quarantine.is_empty()
+    }
+
+    /// Records that the connection to a target broke which may have run a request.
+    pub fn record_break(&mut self, now: Moment, request: Fingerprint, target: TargetId) {
+        self.breaks.push_back((request, target, now));
+        self.unreported = (self.unreported + 1).min(BREAKS_MAX);
+        if self.breaks.len() > BREAKS_MAX {
+            self.breaks.pop_front();
+        }
+    }
+
+    /// Records that a target has run a request and answered. Returns whether the leader should know.
+    pub fn record_answer(&mut self, now: Moment, request: Fingerprint) -> bool {
+        let is_suspect = self.breaks.iter().any(|(other, ..)| *other == request);
+        if !is_suspect {
+            return false;
+        }
+        let reported = self.breaks.len() - self.unreported;
+        let kept = |(other, ..): &&(Fingerprint, TargetId, Moment)| *other != request;
+        self.unreported = self.breaks.iter().skip(reported).filter(kept).count();
+        self.breaks.retain(|(other, ..)| *other != request);
+        self.answered.push((request, now));
+        true
+    }
+
+    /// Refuses the requests that the leader names.
+    pub fn apply_quarantine(&mut self, now: Moment, list: &[Quarantined]) {
+        for entry in list {
+            let left = Duration::from_millis(u64::from(entry.left));
+            self.quarantine.add(now, entry.request, left);
+        }
+    }
+
+    /// Time for which a request is still refused; `None` if it is not.
+    pub fn refused_for(&self, now: Moment, request: Fingerprint) -> Option<Duration> {
+        self.quarantine.left(now, request)
+    }
+
+    /// Returns what is new since the last call.
+    pub fn take_news(&mut self, now: Moment) -> SuspectReport {
+        let reported = self.breaks.len() - self.unreported;
+        let news = SuspectReport {
+            breaks: self.list(now, reported),
+            answered: self
+                .answered
+                .iter()
+                .map(|(f, at)| (*f, to_ms(now.since(*at))))
+                .collect(),
+            quarantined: Vec::new(),
+        };
+        self.unreported = 0;
+        self.answered.clear();
+        news
+    }
+
+    /// Returns all that a new leader should know.
+    pub fn report(&mut self, now: Moment) -> SuspectReport {
+        self.breaks.retain(|(_, _, at)| now.since(*at) < MEMORY);
+        self.unreported = self.unreported.min(self.breaks.len());
+        SuspectReport {
+            breaks: self.list(now, 0),
+            answered: Vec::new(),
+            quarantined: self.quarantine.list(now),
+        }
+    }
+
+    fn list(&self, now: Moment, from: usize) -> Vec<Break> {
+        let listed = self.breaks.iter().skip(from);
+        listed
+            .map(|(request, target, at)| Break {
+                request: *request,
+                target: *target,
+                age: to_ms(now.since(*at)),
+            })
+            .collect()
+    }
+}
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -5,6 +5,7 @@
 //! no side effects outside its own state: callers pass in the current time.
 
 mod admit;
+mod breaks;
 mod budget;
 mod choose;
 mod cold;
@@ -17,6 +18,7 @@
 
 pub use self::{
     admit::{Admission, LatencyBounds, admit},
+    breaks::Breaks,
     budget::RetryBudget,
     choose::{Candidate, choose},
     cold::ColdRateLimiter,
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -8,6 +8,7 @@
 
 use super::{
     admit::{Admission, LatencyBounds, admit},
+    breaks::Breaks,
     budget::RetryBudget,
     choose::{Candidate, choose, sample_size},
     cold::ColdRateLimiter,
@@ -195,6 +196,7 @@
     typical_latencies: HashMap<Service, Duration>,
     cold_targets: HashMap<TargetId, (Moment, ColdRateLimiter)>,
     limits: TargetLimits,
+    breaks: Breaks,
     /// Latest time at which each closed target is known to have been open; `None` if it was closed
     /// in the first replica.
     last_open: BTreeMap<TargetId, Option<Moment>>,
@@ -221,6 +223,7 @@
             typical_latencies: HashMap::new(),
             cold_targets: HashMap::new(),
             limits: TargetLimits::default(),
+            breaks: Breaks::default(),
             last_open: BTreeMap::new(),
             splitters: HashMap::new(),
             retry_budgets: HashMap::new(),
@@ -505,6 +508,11 @@
         self.limits.reports(now)
     }
 
+    /// Requests whose connections broke, and those that are refused.
+    pub fn breaks(&mut self) -> &mut Breaks {
+        &mut self.breaks
+    }
+
     /// Records the outcome of an attempt.
     pub fn record_outcome(
         &mut self,
--- a/lib/src/version/command.rs
+++ b/lib/src/version/command.rs
@@ -51,6 +51,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// First 64 bits of the BLAKE3 digest of all parts, each with its length.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Fingerprint(u64::from_be_bytes(prefix))
+    }
+}
+
 /// One change that the replicated log carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -7,6 +7,7 @@
 use super::{
     catalog::{Catalog, KeySpan, TargetId, Update},
     permits::{LimitReport, PermitReply, PermitRequest, RateLimit},
+    suspects::{Quarantined, SuspectReport},
 };
 use crate::{
     moment::Moment,
@@ -56,6 +57,8 @@
     /// Asks the leader for a permit, with a number that the reply repeats. Answered by
     /// [`FromCore::Permit`].
     Permit(u64, PermitRequest),
+    /// Requests under which connections to targets broke, and those that were answered since.
+    Suspects(SuspectReport),
 }
 
 /// Message from a core host to the host that opened the connection.
@@ -86,6 +89,8 @@
     /// Status with the limits that targets have named; a [`FromCore::Status`] tells that there are
     /// none. Two messages, so that releases without limits understand each other's until one is named.
     LimitedStatus(LeaderStatus, Vec<(TargetId, RateLimit)>),
+    /// Requests that every entry refuses, because targets ended under them.
+    Quarantined(Vec<Quarantined>),
 }
 
 impl FromCore {
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -6,10 +6,12 @@
 
 use super::{
     catalog::{Catalog, ShardRow, TargetId, TargetRecord, Update},
+    command::Fingerprint,
     feed::{LeaderStatus, PendingSpan, TrafficReport, to_millis},
     permits::{LimitReport, PermitReply, PermitRequest, Permits, RateLimit},
     sharding::{self, Candidate, Candidates, KeyLoad, MIN_RELIABLE_RATE, TargetLoads},
     status_pace::StatusPace,
+    suspects::{Quarantined, SuspectReport, Suspects, TargetLife},
 };
 use crate::{
     connection::{
@@ -66,6 +68,7 @@
     status_pace: StatusPace,
     loads_sent: Moment,
     permits: Permits,
+    suspects: Suspects,
 }
 
 impl LeaderState {
@@ -82,6 +85,7 @@
             status_pace: StatusPace::new(now),
             loads_sent: Moment::ZERO,
             permits: Permits::default(),
+            suspects: Suspects::new(config.heartbeat, now),
         }
     }
 
@@ -146,6 +150,32 @@
         self.permits.request(now, request)
     }
 
+    /// Records what an entry reports of requests that may have ended targets. Returns whether it
+    /// names requests to refuse that were not refused yet.
+    pub fn record_suspects(&mut self, now: Moment, report: &SuspectReport) -> bool {
+        self.suspects.record(now, report)
+    }
+
+    /// Returns the requests that are refused from now on, each with the targets that ended under it.
+    pub fn judge_suspects(
+        &mut self,
+        now: Moment,
+        catalog: &Catalog,
+    ) -> Vec<(Fingerprint, BTreeSet<TargetId>)> {
+        let leases = &self.leases;
+        let life = |id| match (catalog.targets.contains_key(&id), leases.last_heartbeat(id)) {
+            (false, _) => TargetLife::Ended,
+            (true, None) => TargetLife::Unheard,
+            (true, Some(heard)) => TargetLife::Heard(heard),
+        };
+        self.suspects.judge(now, life)
+    }
+
+    /// Requests that all entries refuse.
+    pub fn quarantined(&self, now: Moment) -> Vec<Quarantined> {
+        self.suspects.quarantine().list(now)
+    }
+
     /// Makes the next status due soon, because the catalog or the keys that are served changed.
     pub fn hasten_status(&mut self) {
         self.status_pace.hasten();
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -27,3 +27,4 @@
 pub mod report;
 pub mod sharding;
 pub mod status_pace;
+pub mod suspects;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,4 +32,5 @@
 mod test_settings;
 mod test_sharding;
 mod test_status_pace;
+mod test_suspects;
 mod test_unit;
--- /dev/null
+++ b/lib/tests/test_suspects.rs
@@ -0,0 +1,287 @@
+//! Which requests the leader of a seeded fleet holds to have ended targets.
+
+use cornelrail_lib::{
+    moment::Moment,
+    request::balance::Breaks,
+    version::{
+        catalog::TargetId,
+        command::Fingerprint,
+        suspects::{ENDED_MAX, SuspectReport, Suspects, TargetLife},
+    },
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{RngCore, SeedableRng},
+};
+use std::{collections::BTreeMap, time::Duration};
+
+const HEARTBEAT: Duration = Duration::from_millis(870);
+/// The request that ends targets.
+const CRASHING: Fingerprint = Fingerprint(1);
+/// Schedules that are played, each with its seed.
+const SCHEDULES: u64 = 100;
+const ENTRIES: usize = 5;
+/// Length of a schedule, time until an ended target is back, and time after the third end within
+/// which every entry refuses the request, in milliseconds.
+const SCHEDULE: u64 = 60_000;
+const BACK_AFTER: u64 = 3_000;
+const KNOWN_AFTER: u64 = 3_000;
+/// Times that the request may be sent after that.
+const ALLOWED: usize = 3;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1_000_000 + millis)
+}
+
+fn suspects() -> Suspects {
+    Suspects::new(HEARTBEAT, at(0))
+}
+
+/// Report of a connection that broke under a request.
+fn broke(request: Fingerprint, target: u32, millis: u64) -> SuspectReport {
+    let mut breaks = Breaks::default();
+    breaks.record_break(at(millis), request, TargetId(target));
+    breaks.take_news(at(millis))
+}
+
+fn refused(suspects: &mut Suspects, millis: u64, life: TargetLife) -> Vec<Fingerprint> {
+    let judged = suspects.judge(at(millis), |_| life);
+    judged.into_iter().map(|(request, _)| request).collect()
+}
+
+#[test]
+fn connections_that_were_reset_while_their_targets_live_blame_nobody() {
+    let mut suspects = suspects();
+    for target in 0..10 {
+        suspects.record(at(5_000), &broke(CRASHING, target, 5_000));
+    }
+
+    let living = refused(&mut suspects, 20_000, TargetLife::Heard(at(6_000)));
+    let ended = refused(&mut suspects, 20_100, TargetLife::Ended);
+
+    assert_eq!((living, ended), (vec![], vec![]));
+}
+
+#[test]
+fn one_target_that_ends_under_a_request_counts_once() {
+    let mut suspects = suspects();
+    for millis in [5_000, 5_010, 5_020, 5_030] {
+        suspects.record(at(millis), &broke(CRASHING, 7, millis));
+    }
+
+    let refused = refused(&mut suspects, 9_000, TargetLife::Ended);
+
+    assert_eq!(refused, vec![]);
+}
+
+#[test]
+fn an_answer_clears_a_request_of_earlier_ends() {
+    let mut suspects = suspects();
+    let mut breaks = Breaks::default();
+    for target in 0..ENDED_MAX as u32 {
+        breaks.record_break(at(5_000), CRASHING, TargetId(target));
+    }
+    let report = breaks.take_news(at(5_000));
+    suspects.record(at(5_000), &report);
+    assert!(breaks.record_answer(at(5_500), CRASHING));
+    suspects.record(at(5_600), &breaks.take_news(at(5_600)));
+    // The same again, as to a new leader.
+    suspects.record(at(5_700), &broke(CRASHING, 0, 5_000));
+
+    let refused = refused(&mut suspects, 9_000, TargetLife::Ended);
+
+    assert_eq!(refused, vec![]);
+}
+
+#[test]
+fn requests_beside_the_one_to_blame_are_not_refused_with_it() {
+    let mut suspects = suspects();
+    let beside = Fingerprint(2);
+    for target in 0..ENDED_MAX as u32 {
+        suspects.record(at(5_000), &broke(CRASHING, target, 5_000));
+        if target > 0 {
+            suspects.record(at(5_000), &broke(beside, target, 5_000));
+        }
+    }
+    let first = refused(&mut suspects, 9_000, TargetLife::Ended);
+    suspects.record(at(9_500), &broke(beside, 9, 9_500));
+
+    let second = refused(&mut suspects, 14_000, TargetLife::Ended);
+
+    assert_eq!((first, second), (vec![CRASHING], vec![]));
+}
+
+#[test]
+fn a_new_leader_waits_for_heartbeats_and_keeps_what_is_refused() {
+    let mut entry = Breaks::default();
+    for target in 0..ENDED_MAX as u32 {
+        entry.record_break(at(1_000), CRASHING, TargetId(target));
+    }
+    let mut leader = Suspects::new(HEARTBEAT, at(60_000));
+    leader.record(at(60_100), &entry.report(at(60_100)));
+
+    let early = refused(&mut leader, 61_000, TargetLife::Unheard);
+    let late = refused(&mut leader, 63_000, TargetLife::Unheard);
+    entry.apply_quarantine(at(63_000), &leader.quarantine().list(at(63_000)));
+    let mut next = Suspects::new(HEARTBEAT, at(90_000));
+    next.record(at(90_100), &entry.report(at(90_100)));
+
+    assert_eq!((early, late), (vec![], vec![CRASHING]));
+    let left = next.quarantine().left(at(90_100), CRASHING);
+    assert!(
+        left.is_some_and(|left| left < Duration::from_secs(575)),
+        "{left:?}"
+    );
+}
+
+/// A leader, entries and targets. Callers repeat a request that ends its targets at any entry, and
+/// send others; connections are reset, leaders change, entries restart, messages are late.
+struct Play {
+    rng: ChaCha8Rng,
+    leader: Suspects,
+    entries: Vec<Breaks>,
+    /// Targets that are up, each with its latest heartbeat, and the time at which others start.
+    targets: BTreeMap<TargetId, u64>,
+    starts: Vec<u64>,
+    next_target: u32,
+    /// Reports to the leader on their way, each with its time of arrival.
+    reports: Vec<(u64, SuspectReport)>,
+    /// When targets ended.
+    ends: Vec<u64>,
+    refused_others: usize,
+}
+
+impl Play {
+    fn new(seed: u64) -> Self {
+        Play {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            leader: suspects(),
+            entries: (0..ENTRIES).map(|_| Breaks::default()).collect(),
+            targets: (0..8).map(|number| (TargetId(number), 0)).collect(),
+            starts: Vec::new(),
+            next_target: 8,
+            reports: Vec::new(),
+            ends: Vec::new(),
+            refused_others: 0,
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        u64::from(self.rng.next_u32()) % below
+    }
+
+    fn pick_target(&mut self) -> Option<TargetId> {
+        let number = self.draw(self.targets.len().max(1) as u64) as usize;
+        self.targets.keys().nth(number).copied()
+    }
+
+    fn report(&mut self, now: u64, entry: usize) {
+        let arrival = now + self.draw(200);
+        let news = self.entries[entry].take_news(at(now));
+        self.reports.push((arrival, news));
+    }
+
+    /// A caller sends a request to an entry; others are under way at the same target.
+    fn send(&mut self, now: u64, request: Fingerprint) {
+        let entry = self.draw(ENTRIES as u64) as usize;
+        if self.entries[entry].refused_for(at(now), request).is_some() {
+            self.refused_others += usize::from(request != CRASHING);
+            return;
+        }
+        let Some(target) = self.pick_target() else {
+            return;
+        };
+        let is_reset = self.draw(100) == 0;
+        if request != CRASHING && !is_reset {
+            self.entries[entry].record_answer(at(now), request);
+        } else {
+            self.entries[entry].record_break(at(now), request, target);
+        }
+        if request == CRASHING {
+            self.targets.remove(&target);
+            self.starts.push(now + BACK_AFTER);
+            self.ends.push(now);
+            for _ in 0..self.draw(4) {
+                let (entry, beside) = (self.draw(ENTRIES as u64), self.draw(40));
+                let beside = Fingerprint(100 + beside);
+                self.entries[entry as usize].record_break(at(now), beside, target);
+                self.report(now, entry as usize);
+            }
+        }
+        self.report(now, entry);
+    }
+
+    fn disturb(&mut self, now: u64) {
+        if self.draw(15_000) == 0 {
+            self.leader = Suspects::new(HEARTBEAT, at(now));
+            self.reports.clear();
+            for entry in 0..ENTRIES {
+                let report = self.entries[entry].report(at(now));
+                self.reports.push((now + 100, report));
+            }
+        }
+        if self.draw(15_000) == 0 {
+            let entry = self.draw(ENTRIES as u64) as usize;
+            self.entries[entry] = Breaks::default();
+            let list = self.leader.quarantine().list(at(now));
+            self.entries[entry].apply_quarantine(at(now), &list);
+        }
+    }
+
+    fn step(&mut self, now: u64) {
+        self.disturb(now);
+        let due = self.starts.extract_if(.., |start| *start <= now).count();
+        for _ in 0..due {
+            self.targets.insert(TargetId(self.next_target), now);
+            self.next_target += 1;
+        }
+        for (id, heard) in &mut self.targets {
+            if (now + u64::from(id.0) * 131).is_multiple_of(HEARTBEAT.as_millis() as u64) {
+                *heard = now;
+            }
+        }
+        if now.is_multiple_of(500) {
+            self.send(now, CRASHING);
+        }
+        if now.is_multiple_of(20) {
+            let other = Fingerprint(100 + self.draw(40));
+            self.send(now, other);
+        }
+        let arrived: Vec<_> = self
+            .reports
+            .extract_if(.., |(due, _)| *due <= now)
+            .collect();
+        for (_, report) in arrived {
+            self.leader.record(at(now), &report);
+        }
+        if now.is_multiple_of(50) {
+            let targets = &self.targets;
+            // A target that has ended stays in the catalog until its successor joins.
+            self.leader.judge(at(now), |id| match targets.get(&id) {
+                Some(heard) => TargetLife::Heard(at(*heard)),
+                None => TargetLife::Unheard,
+            });
+            let list = self.leader.quarantine().list(at(now));
+            for entry in &mut self.entries {
+                entry.apply_quarantine(at(now), &list);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_request_is_bounded_over_all_entries_while_targets_leaders_and_entries_change() {
+    let mut worst = 0;
+    for seed in 0..SCHEDULES {
+        let mut play = Play::new(seed);
+        for now in 0..SCHEDULE {
+            play.step(now);
+        }
+        let third = play.ends[ENDED_MAX - 1] + KNOWN_AFTER;
+        let late = play.ends.iter().filter(|at| **at > third).count();
+        worst = worst.max(late);
+        assert!(late <= ALLOWED, "seed {seed}: sent {late} times more");
+        assert_eq!(play.refused_others, 0, "seed {seed}: others are refused");
+    }
+    println!("sent at most {worst} times more");
+}
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -17,6 +17,7 @@
     version::{
         catalog::{Applied, TargetId, Update},
         leader::LeaderState,
+        suspects::SuspectReport,
     },
 };
 use std::time::Duration;
@@ -55,10 +56,33 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
+        let refused = leading.leader.judge_suspects(now, &self.catalog);
         for planned in leading.leader.plan(now, &self.catalog) {
             let then = planned.completes.map_or(Then::Nothing, Then::Replan);
             self.propose(&planned.update, then);
         }
+        for (request, targets) in &refused {
+            let targets: Vec<_> = targets.iter().map(ToString::to_string).collect();
+            Event::RequestQuarantined.log(format_args!(
+                "fingerprint={:016x} targets={}",
+                request.0,
+                targets.join(",")
+            ));
+        }
+        if !refused.is_empty() {
+            self.send_quarantine();
+        }
+    }
+
+    /// Takes in what an entry reports of requests that may have ended targets.
+    pub(super) fn take_suspects(&mut self, report: &SuspectReport) {
+        let now = self.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if leading.leader.record_suspects(now, report) {
+            self.send_quarantine();
+        }
     }
 
     /// Whether no other host can lead at this moment.
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -79,6 +79,7 @@
                     ToCore::Report(_)
                     | ToCore::Confirm(_)
                     | ToCore::Limits(_)
+                    | ToCore::Suspects(_)
                     | ToCore::Permit(..) => {}
                 }
             }
@@ -107,6 +108,7 @@
                     ToCore::Report(report) => core.report(report).await,
                     ToCore::Confirm(at) => core.confirm(name.clone(), at).await,
                     ToCore::Limits(reports) => core.report_limits(reports).await,
+                    ToCore::Suspects(report) => core.report_suspects(report).await,
                     ToCore::Permit(number, request) => {
                         core.request_permit(name.clone(), number, request).await;
                     }
--- a/node/src/process/core/spread.rs
+++ b/node/src/process/core/spread.rs
@@ -151,13 +151,30 @@
         }
     }
 
+    /// Tells the entries that follow which requests they refuse.
+    pub(super) fn send_quarantine(&mut self) {
+        if let Some(Ok(bytes)) = self.encoded_quarantine() {
+            let entries = self.subscribers.len();
+            self.meter.count("quarantined", bytes.len(), entries);
+            self.keep_subscribers(|s| s.updates.try_send(bytes.clone()).is_ok());
+        }
+    }
+
+    /// The requests that entries refuse; `None` without any.
+    fn encoded_quarantine(&self) -> Option<Result<Bytes, postcard::Error>> {
+        let list = self.leading.as_ref()?.leader.quarantined(self.now());
+        (!list.is_empty()).then(|| encode(&FromCore::Quarantined(list)))
+    }
+
     pub(super) fn take_follower(&mut self, subscriber: Subscriber) {
         self.spread();
         let mut messages = vec![self.encoded_members()];
         if self.leading.is_some() {
             messages.push(self.encoded_copy());
+            messages.extend(self.encoded_quarantine());
         }
-        for (kind, message) in ["members", "snapshot"].into_iter().zip(messages) {
+        let kinds = ["members", "snapshot", "quarantined"];
+        for (kind, message) in kinds.into_iter().zip(messages) {
             let sent = message.map(|bytes| {
                 self.meter.count(kind, bytes.len(), 1);
                 subscriber.updates.try_send(bytes)
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -28,6 +28,7 @@
         catalog::{Applied, Catalog, Update},
         feed::{FromCore, Handshake, ToCore, TrafficReport},
         permits::{LimitReport, PermitRequest},
+        suspects::SuspectReport,
     },
 };
 use std::{
@@ -62,6 +63,8 @@
     Report(TrafficReport),
     /// Limits of targets that an entry learnt.
     Limits(Vec<LimitReport>),
+    /// Requests that may have ended targets, as an entry reports them.
+    Suspects(SuspectReport),
     /// An entry of this name asks for a permit, with the number that the reply repeats.
     Permit(String, u64, PermitRequest),
     /// An entry of this name wants to know that its copy is not behind.
@@ -104,6 +107,11 @@
         self.send(CoreEvent::Limits(reports)).await;
     }
 
+    /// Hands in what an entry reports of requests that may have ended targets.
+    pub async fn report_suspects(&self, report: SuspectReport) {
+        self.send(CoreEvent::Suspects(report)).await;
+    }
+
     /// Asks for a permit for an entry, which gets the reply with its feed.
     pub async fn request_permit(&self, entry: String, number: u64, request: PermitRequest) {
         self.send(CoreEvent::Permit(entry, number, request)).await;
@@ -268,6 +276,7 @@
                     leading.leader.record_limits(now, &self.catalog, &reports);
                 }
             }
+            CoreEvent::Suspects(report) => self.take_suspects(&report),
             CoreEvent::Permit(entry, number, request) => {
                 self.give_permit(&entry, number, request).await;
             }
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -22,7 +22,7 @@
     version::{
         feed::{FromCore, Handshake, ToCore},
         leader_search::{Finding, LeaderSearch},
-        permits::LimitReport,
+        suspects::SuspectReport,
     },
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -230,6 +230,9 @@
                         if let Some(limits) = self.limit_reports()? {
                             stream.send([limits]).await?;
                         }
+                        let now = self.entry.clock.now();
+                        let suspects = self.entry.router().breaks().report(now);
+                        stream.send(suspects_message(suspects)?).await?;
                         asked = self.entry.open_leader();
                     }
                 }
@@ -238,9 +241,8 @@
                     let number = self.questions.push(question);
                     stream.send([encode(&ToCore::Permit(number, request))?]).await?;
                 }
-                () = self.entry.limit_changes.notified(), if self.following => {
-                    let changes = self.limit_changes();
-                    stream.send([encode(&ToCore::Limits(changes))?]).await?;
+                () = self.entry.news.notified(), if self.following => {
+                    stream.send(self.news()?).await?;
                 }
                 _ = report.tick(), if self.following => stream.send(self.report()?).await?,
             }
@@ -266,9 +268,21 @@
         Ok(message.transpose()?)
     }
 
-    fn limit_changes(&self) -> Vec<LimitReport> {
+    /// What the leader has to know at once.
+    fn news(&self) -> Result<Vec<Bytes>, MessageError> {
         let now = self.entry.clock.now();
-        self.entry.router().take_limit_changes(now)
+        let (limits, suspects) = {
+            let mut router = self.entry.router();
+            (
+                router.take_limit_changes(now),
+                router.breaks().take_news(now),
+            )
+        };
+        let mut messages = suspects_message(suspects)?;
+        if !limits.is_empty() {
+            messages.push(encode(&ToCore::Limits(limits))?);
+        }
+        Ok(messages)
     }
 
     fn take(&mut self, message: FromCore) {
@@ -296,6 +310,9 @@
                 router.apply_limits(now, &limits);
                 router.apply_status(now, status);
             }
+            FromCore::Quarantined(list) => {
+                self.entry.router().breaks().apply_quarantine(now, &list);
+            }
             FromCore::Permit(number, reply) => return self.questions.resolve(number, reply),
             FromCore::Status(_)
             | FromCore::LimitedStatus(..)
@@ -307,6 +324,14 @@
     }
 }
 
+/// Encodes a report, unless there is nothing to report.
+fn suspects_message(report: SuspectReport) -> Result<Vec<Bytes>, MessageError> {
+    match report.is_empty() {
+        true => Ok(Vec::new()),
+        false => Ok(vec![encode(&ToCore::Suspects(report))?]),
+    }
+}
+
 impl Drop for Follower<'_> {
     fn drop(&mut self) {
         self.entry.close_leader();
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -69,7 +69,7 @@
     router: Mutex<Router>,
     /// Way of questions to the leader, while this entry follows one.
     leader: Mutex<Option<mpsc::Sender<Question>>>,
-    limit_changes: Notify,
+    news: Notify,
     changes: Arc<Notify>,
     stopping: AtomicBool,
     ending: watch::Sender<bool>,
@@ -93,7 +93,7 @@
             pool: Pool::default(),
             router: Mutex::new(Router::new(config)),
             leader: Mutex::new(None),
-            limit_changes: Notify::new(),
+            news: Notify::new(),
             changes: Arc::new(Notify::new()),
             stopping: AtomicBool::new(false),
             ending: watch::Sender::new(false),
@@ -107,9 +107,9 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Has the leader told of changes of limits.
-    pub fn notify_limits(&self) {
-        self.limit_changes.notify_one();
+    /// Has the leader told of changes of limits and of requests that may have ended targets.
+    pub fn notify_leader(&self) {
+        self.news.notify_one();
     }
 
     /// Ends when the copy changes after this call.
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -21,7 +21,7 @@
         LatencyBounds, LimitNotice, LoadReport, RejectReason, ResolvedRoute, RouteError,
         RoutingDecision, RoutingRequest, SendOutcome,
     },
-    version::{catalog::TargetId, permits::PermitRequest},
+    version::{catalog::TargetId, command::Fingerprint, permits::PermitRequest},
 };
 use cornelrail_platform::{
     caller::{CallerHead, format_retry_after, is_hop_by_hop},
@@ -195,6 +195,12 @@
             Ok(body) => body,
             Err(refusal) => return self.refuse(entry, refusal),
         };
+        if let Some(left) = self.quarantine(entry, &body) {
+            if let RequestBody::Stream(body) = body {
+                discard(body);
+            }
+            return self.refuse(entry, Refusal::not_run("quarantined", left));
+        }
         loop {
             let next = match self.next(entry).await {
                 Ok(next) => next,
@@ -212,6 +218,7 @@
             let target = next.id;
             let tried = self.attempt(entry, &next, body).await;
             self.tried.push(target);
+            self.record_end(entry, target, &tried, again.as_ref());
             let refusal = match tried {
                 Tried::Answer(response) => return self.answer(entry, response),
                 Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
@@ -248,6 +255,67 @@
         }
     }
 
+    /// Time for which the request is refused because targets ended under it.
+    fn quarantine(&self, entry: &Entry, body: &RequestBody) -> Option<Duration> {
+        let mut router = entry.router();
+        if !router.breaks().is_watching() {
+            return None;
+        }
+        let request = self.fingerprint(Some(body));
+        router.breaks().refused_for(entry.clock.now(), request)
+    }
+
+    /// Records whether a target may have ended under the request, or has answered it.
+    fn record_end(
+        &self,
+        entry: &Entry,
+        target: TargetId,
+        tried: &Tried,
+        body: Option<&RequestBody>,
+    ) {
+        let now = entry.clock.now();
+        let is_news = match tried {
+            Tried::Broken => {
+                let request = self.fingerprint(body);
+                entry.router().breaks().record_break(now, request, target);
+                Event::ConnectionBroke.log(format_args!(
+                    "request={} fingerprint={:016x} target={target}",
+                    self.id, request.0
+                ));
+                true
+            }
+            Tried::Answer(response) if response.status().is_success() => {
+                let mut router = entry.router();
+                let breaks = router.breaks();
+                breaks.is_watching() && breaks.record_answer(now, self.fingerprint(body))
+            }
+            _ => false,
+        };
+        if is_news {
+            entry.notify_leader();
+        }
+    }
+
+    /// Identity of the request across the attempts of its callers. A body that is passed on as it
+    /// comes counts by its length.
+    fn fingerprint(&self, body: Option<&RequestBody>) -> Fingerprint {
+        let digest = match body {
+            Some(RequestBody::Whole(Some(bytes))) => *blake3::hash(bytes).as_bytes(),
+            _ => [0; 32],
+        };
+        let host = self
+            .parts
+            .headers
+            .get(HOST)
+            .map_or(&b""[..], |host| host.as_bytes());
+        let uri = self.parts.uri.to_string();
+        let key = self.head.key.map(u16::to_be_bytes);
+        let length = self.length.to_be_bytes();
+        let key = key.as_ref().map_or(&[][..], |key| &key[..]);
+        let method = self.parts.method.as_str().as_bytes();
+        Fingerprint::of(&[method, host, uri.as_bytes(), key, &length, &digest])
+    }
+
     /// Reads a short body whole; a longer one is passed on as it comes.
     async fn read_body(&self, entry: &Entry, body: Incoming) -> Result<RequestBody, Refusal> {
         let exact = body.size_hint().exact();
@@ -565,7 +633,7 @@
         let Some(change) = change else {
             return;
         };
-        self.entry.notify_limits();
+        self.entry.notify_leader();
         let (id, sent, ms) = (self.id, change.sent, change.elapsed.as_millis());
         match change.limit {
             Some(limit) => {
