--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,11 +1,13 @@
 //! Tests of the package.
 
 mod hosts;
+mod links;
 #[path = "../../lib/tests/property.rs"]
 mod property;
 mod test_answers;
 mod test_capacity;
 mod test_crashing;
+mod test_detour;
 mod test_docs;
 mod test_endless;
 mod test_feed;
--- /dev/null
+++ b/node/tests/test_detour.rs
@@ -0,0 +1,382 @@
+//! Entries of a seeded fleet that reach no target, while their callers and the other entries still
+//! reach them.
+
+use crate::{
+    links::{Cut, Link},
+    test_seeded::{PATIENCE, exchange, settings, split},
+};
+use cornelrail_lib::{
+    name::{Incarnation, Service, Target, Zone},
+    version::{
+        catalog::{Catalog, TargetRecord, Update},
+        desired::{Backend, Change, Item, ItemVersion, Route, RouteKind, ServiceSpec, WEIGHT_UNIT},
+        feed::{FromCore, Handshake, LeaderStatus, ToCore},
+    },
+};
+use cornelrail_node::{
+    connection::message::{MessageError, MessageStream, encode},
+    process::{
+        core::node_of,
+        entry::{self, EntryHandle},
+    },
+};
+use cornelrail_testutils::ports;
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+    time::{Instant, interval, sleep},
+};
+
+const TARGETS: usize = 6;
+/// Time from the start of a cut after which callers of the entry are owed what the others get.
+const STABLE: Duration = Duration::from_secs(3);
+/// Requests of each entry's callers in one check, and the pause between two of them.
+const REQUESTS: usize = 100;
+const PAUSE: Duration = Duration::from_millis(15);
+/// Time that the callers of an entry wait.
+const DEADLINE: Duration = Duration::from_millis(800);
+/// Interval between the statuses of the leader, and its patience with an entry.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// How often each request has run, by its id.
+type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+async fn run_target(listener: TcpListener, runs: Runs) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve_target(stream, runs.clone()));
+    }
+}
+
+async fn serve_target(mut stream: TcpStream, runs: Runs) -> Option<()> {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.ok()?);
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let id = field(&head, "request-id");
+        *runs.lock().expect("whole").entry(id.clone()).or_default() += 1;
+        let length: usize = field(&head, "content-length").parse().unwrap_or_default();
+        stream.read_exact(&mut vec![0; length]).await.ok()?;
+        sleep(Duration::from_millis(20)).await;
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: good\r\n\
+             content-length: 2\r\n\r\nok"
+        );
+        stream.write_all(answer.as_bytes()).await.ok()?;
+    }
+}
+
+fn field(head: &str, name: &str) -> String {
+    let values = head.lines().filter_map(|line| line.split_once(": "));
+    let mut values = values.filter(|(other, _)| other.eq_ignore_ascii_case(name));
+    values
+        .next()
+        .map_or(String::new(), |(_, value)| value.to_owned())
+}
+
+/// Stand-in for the leader: each entry has addresses of its own for the targets.
+struct Leader {
+    catalogs: HashMap<String, Catalog>,
+}
+
+impl Leader {
+    async fn run(self: Arc<Self>, listener: TcpListener) {
+        let mut feeds = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            feeds.spawn(self.clone().feed(stream));
+        }
+    }
+
+    async fn feed(self: Arc<Self>, stream: TcpStream) -> Result<(), MessageError> {
+        let address = stream.local_addr().expect("an address").ip();
+        let mut stream = MessageStream::new(stream, SILENCE)?;
+        let Handshake::Entry { name, .. } = stream.receive::<Handshake>().await? else {
+            return Ok(());
+        };
+        let members = FromCore::Members {
+            leader: Some(node_of(address)),
+            nodes: vec![node_of(address)],
+        };
+        let snapshot = FromCore::snapshot(1, &self.catalogs[&name]);
+        stream.send([encode(&members)?, encode(&snapshot)?]).await?;
+        let mut statuses = interval(STATUS_INTERVAL);
+        loop {
+            tokio::select! {
+                message = stream.receive::<ToCore>() => {
+                    if let ToCore::Confirm(at) = message? {
+                        stream.send([encode(&FromCore::Confirmed(at))?]).await?;
+                    }
+                }
+                _ = statuses.tick() => {
+                    let status = LeaderStatus {
+                        entries: self.catalogs.len() as u32,
+                        ..LeaderStatus::default()
+                    };
+                    stream.send([encode(&FromCore::Status(status))?]).await?;
+                }
+            }
+        }
+    }
+}
+
+fn item<T>(value: T) -> Item<T> {
+    Item {
+        version: ItemVersion(1),
+        value: Some(value),
+        source: String::new(),
+    }
+}
+
+/// A catalog with a service whose targets have these addresses.
+fn catalog(addresses: &[SocketAddr]) -> Catalog {
+    let service = Service::from("pool");
+    let mut change = Change::default();
+    let spec = ServiceSpec {
+        health: "/health".to_owned(),
+        connections: 200,
+        cold_period: Duration::ZERO,
+        cold_rate: 0,
+        keyed: false,
+        warmup: Duration::ZERO,
+    };
+    change.services.insert(service.clone(), item(spec));
+    for (name, kind) in [("r", RouteKind::Safe), ("w", RouteKind::Unsafe)] {
+        let route = Route {
+            host: "h.example".to_owned(),
+            prefix: format!("/{name}/"),
+            kind,
+            timeout: Duration::from_secs(2),
+            latency_goal: Duration::from_millis(200),
+            priority: 1,
+            backends: vec![Backend {
+                service: service.clone(),
+                weight: WEIGHT_UNIT,
+            }],
+            attempts: 2,
+        };
+        change.routes.insert(name.to_owned(), item(route));
+    }
+    let mut catalog = Catalog::default();
+    catalog.apply(&Update::Desired(change));
+    for (number, address) in addresses.iter().enumerate() {
+        catalog.apply(&Update::Join(TargetRecord {
+            name: Target::from(format!("t-{number}").as_str()),
+            incarnation: Incarnation(1),
+            service: service.clone(),
+            address: *address,
+            zone: Zone::from("a"),
+            slots: 40,
+            leaving: false,
+        }));
+    }
+    catalog
+}
+
+struct Fleet {
+    _folder: TempDir,
+    _links: Vec<Link>,
+    _entries: Vec<EntryHandle>,
+    _tasks: JoinSet<()>,
+    cuts: Vec<watch::Sender<Cut>>,
+    callers: Vec<SocketAddr>,
+    runs: Runs,
+}
+
+fn address(host: IpAddr) -> SocketAddr {
+    SocketAddr::new(host, ports::next_port())
+}
+
+async fn fleet(entries: usize) -> Fleet {
+    let folder = TempDir::new().expect("a folder");
+    let host = IpAddr::V4(ports::reserve_host());
+    let mut tasks = JoinSet::new();
+    let (runs, mut targets) = (Runs::default(), Vec::new());
+    for _ in 0..TARGETS {
+        let listener = TcpListener::bind((host, 0)).await.expect("bound");
+        targets.push(listener.local_addr().expect("bound"));
+        tasks.spawn(run_target(listener, runs.clone()));
+    }
+    let (mut links, mut cuts, mut catalogs) = (Vec::new(), Vec::new(), HashMap::new());
+    for entry in 0..entries {
+        let cut = watch::Sender::new(Cut::Whole);
+        let first = links.len();
+        for target in &targets {
+            links.push(Link::start(address(host), *target, cut.subscribe()));
+        }
+        cuts.push(cut);
+        let own: Vec<SocketAddr> = links[first..].iter().map(|link| link.address).collect();
+        catalogs.insert(format!("entry-{entry}"), catalog(&own));
+    }
+    let port = ports::next_port();
+    let listener = TcpListener::bind((host, port)).await.expect("bound");
+    tasks.spawn(Arc::new(Leader { catalogs }).run(listener));
+    let mut fleet = Fleet {
+        _folder: folder,
+        _links: links,
+        _entries: Vec::new(),
+        _tasks: tasks,
+        cuts,
+        callers: Vec::new(),
+        runs,
+    };
+    for number in 0..entries {
+        let callers = address(host);
+        let listen = format!("callers: \"{callers}\", ready: \"{}\"", address(host));
+        let none = fleet._folder.path().join("none");
+        let mut entry = settings("entry", &host.to_string(), port, &listen, &none);
+        entry.name = format!("entry-{number}");
+        fleet.callers.push(callers);
+        fleet
+            ._entries
+            .push(entry::start(entry).await.expect("an entry"));
+    }
+    let start = Instant::now();
+    for callers in &fleet.callers {
+        while ask(*callers, "/r/up", "up").await.0 != 200 {
+            assert!(start.elapsed() < PATIENCE, "{callers} serves nothing");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    fleet
+}
+
+/// Sends a request of a caller; gives the status and the time.
+async fn ask(callers: SocketAddr, path: &str, id: &str) -> (u16, Duration) {
+    let method = if path.starts_with("/w/") {
+        "POST"
+    } else {
+        "GET"
+    };
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+        DEADLINE.as_millis()
+    );
+    let start = Instant::now();
+    let reply = exchange(callers, request.as_bytes()).await;
+    let reply = reply.unwrap_or_default();
+    let status = split(&reply).map_or(0, |(status, _)| status);
+    (status, start.elapsed())
+}
+
+/// What the callers of one entry got.
+#[derive(Debug, Default)]
+struct Served {
+    served: usize,
+    slowest: Duration,
+}
+
+impl Fleet {
+    /// Sends requests to an entry, half of them unsafe; each is tried once.
+    async fn demand(&self, entry: usize, name: &str) -> Served {
+        let mut asking = JoinSet::new();
+        let mut pace = interval(PAUSE);
+        for number in 0..REQUESTS {
+            pace.tick().await;
+            let callers = self.callers[entry];
+            let id = format!("{name}-{entry}-{number}");
+            asking.spawn(async move {
+                let path = if number % 2 == 0 { "/r/x" } else { "/w/x" };
+                ask(callers, path, &id).await
+            });
+        }
+        let mut total = Served::default();
+        for (status, time) in asking.join_all().await {
+            if status == 200 {
+                total.served += 1;
+                total.slowest = total.slowest.max(time);
+            }
+        }
+        total
+    }
+
+    /// Plays callers of all entries at once.
+    async fn demand_all(&self, name: &str) -> Vec<Served> {
+        let demands = (0..self.callers.len()).map(|entry| self.demand(entry, name));
+        futures_util::future::join_all(demands).await
+    }
+
+    fn cut(&self, entries: &[usize], how: Cut) {
+        for entry in entries {
+            self.cuts[*entry].send_replace(how);
+        }
+    }
+
+    /// Checks that no unsafe request has run twice.
+    fn check_runs(&self) {
+        let runs = self.runs.lock().expect("whole");
+        let is_unsafe = |id: &str| {
+            let number = id
+                .rsplit('-')
+                .next()
+                .and_then(|number| number.parse::<usize>().ok());
+            number.is_some_and(|number| number % 2 == 1)
+        };
+        let twice = runs.iter().find(|(id, count)| is_unsafe(id) && **count > 1);
+        assert_eq!(twice, None, "an unsafe request has run twice");
+    }
+}
+
+/// Cuts entries off their targets, and checks what their callers get in comparison with others.
+async fn check_cut(entries: usize, cut: &[usize], how: Cut) {
+    let fleet = fleet(entries).await;
+    fleet.demand_all("before").await;
+    fleet.cut(cut, how);
+    let start = Instant::now();
+    fleet.demand_all("meanwhile").await;
+    sleep(STABLE.saturating_sub(start.elapsed())).await;
+
+    let served = fleet.demand_all("cut").await;
+
+    println!("{entries} entries, {cut:?} cut off, {how:?}: {served:?}");
+    let others = (0..entries).filter(|entry| !cut.contains(entry));
+    let best = others
+        .map(|entry| served[entry].served)
+        .max()
+        .expect("others");
+    for entry in cut {
+        let own = served[*entry].served;
+        assert!(
+            own * 3 >= best * 2,
+            "{how:?}: {own} served, {best} at others"
+        );
+    }
+    fleet.check_runs();
+    fleet.cut(cut, Cut::Whole);
+    sleep(STABLE).await;
+    let after = fleet.demand_all("after").await;
+    let least = after.iter().map(|one| one.served).min();
+    assert!(least >= Some(REQUESTS * 9 / 10), "after the cut: {after:?}");
+    fleet.check_runs();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_whose_links_to_targets_hang_are_turned_away() {
+    check_cut(3, &[0], Cut::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_whose_links_to_targets_are_reset_are_turned_away() {
+    check_cut(3, &[0], Cut::Reset).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_that_targets_refuse_are_turned_away() {
+    check_cut(3, &[0], Cut::Refused).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_turned_away_while_most_entries_are_cut_off() {
+    check_cut(4, &[0, 1, 2], Cut::Silent).await;
+}
