--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -115,6 +115,10 @@
     RangeSplit = 32, Info, "range-split";
     /// Messages wait for entries: the leader sends more than a link carries.
     FeedDelayed = 33, Warn, "feed-delayed";
+    /// This entry reaches no target by its own links; its requests go by way of other entries.
+    LinksLost = 34, Warn, "links-lost";
+    /// This entry reaches targets by its own links again.
+    LinksBack = 35, Info, "links-back";
     /// A release note was accepted.
     NoteAccepted = 40, Info, "note-accepted";
     /// A release note was refused.
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -12,6 +12,7 @@
 mod entry_count;
 mod freshness;
 mod limits;
+mod reach;
 mod router;
 mod split;
 mod target;
@@ -25,6 +26,7 @@
     entry_count::EntryCount,
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
+    reach::{LinkCheck, NoPeer, Peers, Reach},
     router::{
         RejectReason, ResolvedRoute, RouteError, Router, RouterConfig, RoutingDecision,
         RoutingRequest,
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -15,6 +15,7 @@
     entry_count::EntryCount,
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
+    reach::{NoPeer, Peers, Reach},
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
 };
@@ -197,6 +198,8 @@
     cold_targets: HashMap<TargetId, (Moment, ColdRateLimiter)>,
     limits: TargetLimits,
     breaks: Breaks,
+    reach: Reach,
+    peers: Peers,
     /// Latest time at which each closed target is known to have been open; `None` if it was closed
     /// in the first replica.
     last_open: BTreeMap<TargetId, Option<Moment>>,
@@ -224,6 +227,8 @@
             cold_targets: HashMap::new(),
             limits: TargetLimits::default(),
             breaks: Breaks::default(),
+            reach: Reach::default(),
+            peers: Peers::default(),
             last_open: BTreeMap::new(),
             splitters: HashMap::new(),
             retry_budgets: HashMap::new(),
@@ -513,6 +518,42 @@
         &mut self.breaks
     }
 
+    /// Links of this entry to targets.
+    pub fn reach(&mut self) -> &mut Reach {
+        &mut self.reach
+    }
+
+    /// Other entries.
+    pub fn peers(&mut self) -> &mut Peers {
+        &mut self.peers
+    }
+
+    /// Whether requests go by other entries, as this one reaches no target.
+    pub fn needs_detour(&self) -> bool {
+        self.reach.is_detached() && self.peers.helpful().next().is_some()
+    }
+
+    /// Chooses the entry by which a request goes that was sent to the ones in `tried`.
+    pub fn choose_peer(&mut self, now: Moment, tried: &[SocketAddr]) -> Result<SocketAddr, NoPeer> {
+        let rng = &mut self.rng;
+        let draw = |below: usize| rng.next_u32() as usize % below;
+        self.peers.choose(now, &self.config.zone, tried, draw)
+    }
+
+    /// Draws addresses of targets that accept work, at most `count`.
+    pub fn sample_targets(&mut self, count: usize) -> Vec<SocketAddr> {
+        let catalog = &self.catalog;
+        let open = catalog.targets.values().filter(|t| catalog.accepts_work(t));
+        let addresses = open.map(|record| record.address).collect();
+        draw_some(&mut self.rng, addresses, count)
+    }
+
+    /// Draws addresses of other entries that reach targets, at most `count`.
+    pub fn sample_peers(&mut self, count: usize) -> Vec<SocketAddr> {
+        let addresses = self.peers.helpful().collect();
+        draw_some(&mut self.rng, addresses, count)
+    }
+
     /// Records the outcome of an attempt.
     pub fn record_outcome(
         &mut self,
@@ -757,3 +798,14 @@
         self.limits.retain(|id| catalog.targets.contains_key(&id));
     }
 }
+
+/// Draws at most `count` of the items.
+fn draw_some<T>(rng: &mut ChaCha8Rng, mut items: Vec<T>, count: usize) -> Vec<T> {
+    let count = count.min(items.len());
+    for at in 0..count {
+        let other = at + rng.next_u32() as usize % (items.len() - at);
+        items.swap(at, other);
+    }
+    items.truncate(count);
+    items
+}
--- a/lib/src/request/header.rs
+++ b/lib/src/request/header.rs
@@ -21,5 +21,8 @@
 pub const REASON: &str = "cornelrail-reason";
 /// Delay after which the caller may resend, in milliseconds. Sent by entries to callers.
 pub const RETRY_MS: &str = "cornelrail-retry-ms";
+/// Marks a request that an entry has another one send, as it reaches no target itself. Sent by
+/// entries to entries, and passed on to nobody.
+pub const DETOUR: &str = "cornelrail-detour";
 /// Availability zone of the entry that sends the request. Sent by entries to targets.
 pub const ZONE: &str = "cornelrail-zone";
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -19,7 +19,7 @@
     request::balance::LoadReport,
 };
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 /// First message on a connection: identifies the host that opened it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +59,8 @@
     Permit(u64, PermitRequest),
     /// Requests under which connections to targets broke, and those that were answered since.
     Suspects(SuspectReport),
+    /// How other entries reach this one, and whether it reaches targets.
+    Peer(Peer),
 }
 
 /// Message from a core host to the host that opened the connection.
@@ -91,6 +93,8 @@
     LimitedStatus(LeaderStatus, Vec<(TargetId, RateLimit)>),
     /// Requests that every entry refuses, because targets ended under them.
     Quarantined(Vec<Quarantined>),
+    /// All entries that follow the leader.
+    Peers(Vec<Peer>),
 }
 
 impl FromCore {
@@ -112,6 +116,17 @@
     }
 }
 
+/// An entry, as the others know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Address at which it takes requests.
+    pub address: SocketAddr,
+    /// Availability zone it runs in.
+    pub zone: Zone,
+    /// Whether it reaches targets and takes requests of other entries.
+    pub is_helpful: bool,
+}
+
 /// Whole milliseconds of a duration as messages carry it, at most [`u16::MAX`].
 pub fn to_millis(duration: Duration) -> u16 {
     u16::try_from(duration.as_millis()).unwrap_or(u16::MAX)
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -93,6 +93,11 @@
         })
     }
 
+    /// Whether it has carried no request yet.
+    pub fn is_new(&self) -> bool {
+        self.requests == 0
+    }
+
     /// Whether it has carried an earlier request, of which a second answer may arrive.
     pub fn is_reused(&self) -> bool {
         self.requests > 1
--- a/node/src/process/core/feed.rs
+++ b/node/src/process/core/feed.rs
@@ -6,6 +6,7 @@
 //! besides.
 
 use bytes::Bytes;
+use cornelrail_lib::version::feed::Peer;
 use tokio::sync::{mpsc, watch};
 
 /// Updates and confirmations that wait for one entry; one that is further behind has to follow anew.
@@ -62,6 +63,8 @@
     pub name: String,
     /// Updates and confirmations for the entry.
     pub updates: mpsc::Sender<Bytes>,
+    /// How other entries reach it, once it has told.
+    pub peer: Option<Peer>,
 }
 
 impl Subscriber {
@@ -95,7 +98,12 @@
             statuses,
             taken,
         };
-        (Subscriber { name, updates: tx }, feed)
+        let subscriber = Subscriber {
+            name,
+            updates: tx,
+            peer: None,
+        };
+        (subscriber, feed)
     }
 
     /// Waits for the next messages to send; `None` once the host leads no more. Nothing is lost if
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -80,6 +80,7 @@
                     | ToCore::Confirm(_)
                     | ToCore::Limits(_)
                     | ToCore::Suspects(_)
+                    | ToCore::Peer(_)
                     | ToCore::Permit(..) => {}
                 }
             }
@@ -109,6 +110,7 @@
                     ToCore::Confirm(at) => core.confirm(name.clone(), at).await,
                     ToCore::Limits(reports) => core.report_limits(reports).await,
                     ToCore::Suspects(report) => core.report_suspects(report).await,
+                    ToCore::Peer(peer) => core.report_peer(name.clone(), peer).await,
                     ToCore::Permit(number, request) => {
                         core.request_permit(name.clone(), number, request).await;
                     }
--- a/node/src/process/core/spread.rs
+++ b/node/src/process/core/spread.rs
@@ -9,8 +9,15 @@
 use cornelrail_lib::{
     moment::Moment,
     process::event::Event,
-    version::{feed::FromCore, permits::PermitRequest},
+    version::{
+        feed::{FromCore, Peer},
+        permits::PermitRequest,
+    },
 };
+use std::time::Duration;
+
+/// Shortest interval between two lists of entries, which change one after the other.
+const PEERS_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Task {
     /// Sends what was committed to the entries that follow.
@@ -151,6 +158,33 @@
         }
     }
 
+    /// Notes how other entries reach an entry.
+    pub(super) fn take_peer(&mut self, entry: &str, peer: Peer) {
+        let mut subscribers = self.subscribers.iter_mut();
+        if let Some(subscriber) = subscribers.find(|s| s.name == entry) {
+            subscriber.peer = Some(peer);
+        }
+    }
+
+    /// Tells the entries of each other, if anything has changed.
+    pub(super) fn send_peers(&mut self) {
+        let now = self.now();
+        if self.leading.is_none() || now.since(self.peers_sent) < PEERS_INTERVAL {
+            return;
+        }
+        let known = self.subscribers.iter().filter_map(|s| s.peer.as_ref());
+        if known.clone().eq(self.peers.iter()) {
+            return;
+        }
+        self.peers = known.cloned().collect();
+        self.peers_sent = now;
+        if let Ok(bytes) = encode(&FromCore::Peers(self.peers.clone())) {
+            let entries = self.subscribers.len();
+            self.meter.count("peers", bytes.len(), entries);
+            self.keep_subscribers(|s| s.updates.try_send(bytes.clone()).is_ok());
+        }
+    }
+
     /// Tells the entries that follow which requests they refuse.
     pub(super) fn send_quarantine(&mut self) {
         if let Some(Ok(bytes)) = self.encoded_quarantine() {
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -26,7 +26,7 @@
     },
     version::{
         catalog::{Applied, Catalog, Update},
-        feed::{FromCore, Handshake, ToCore, TrafficReport},
+        feed::{FromCore, Handshake, Peer, ToCore, TrafficReport},
         permits::{LimitReport, PermitRequest},
         suspects::SuspectReport,
     },
@@ -65,6 +65,8 @@
     Limits(Vec<LimitReport>),
     /// Requests that may have ended targets, as an entry reports them.
     Suspects(SuspectReport),
+    /// How others reach the entry of this name.
+    Peer(String, Peer),
     /// An entry of this name asks for a permit, with the number that the reply repeats.
     Permit(String, u64, PermitRequest),
     /// An entry of this name wants to know that its copy is not behind.
@@ -112,6 +114,11 @@
         self.send(CoreEvent::Suspects(report)).await;
     }
 
+    /// Hands in how other entries reach an entry.
+    pub async fn report_peer(&self, entry: String, peer: Peer) {
+        self.send(CoreEvent::Peer(entry, peer)).await;
+    }
+
     /// Asks for a permit for an entry, which gets the reply with its feed.
     pub async fn request_permit(&self, entry: String, number: u64, request: PermitRequest) {
         self.send(CoreEvent::Permit(entry, number, request)).await;
@@ -172,6 +179,9 @@
     pub(super) fresh: Vec<Update>,
     pub(super) copy: Option<(u64, Bytes)>,
     pub(super) meter: FeedMeter,
+    /// Entries that other entries know of, as they were told.
+    pub(super) peers: Vec<Peer>,
+    pub(super) peers_sent: Moment,
 }
 
 /// Starts the task.
@@ -206,6 +216,8 @@
         fresh: Vec::new(),
         copy: None,
         meter: FeedMeter::default(),
+        peers: Vec::new(),
+        peers_sent: Moment::ZERO,
     };
     tokio::spawn(task.run(rx, replies, voter_events));
     CoreHandle { tx, statuses }
@@ -253,6 +265,7 @@
             }
             self.spread();
             self.send_status();
+            self.send_peers();
         }
     }
 
@@ -276,6 +289,7 @@
                     leading.leader.record_limits(now, &self.catalog, &reports);
                 }
             }
+            CoreEvent::Peer(entry, peer) => self.take_peer(&entry, peer),
             CoreEvent::Suspects(report) => self.take_suspects(&report),
             CoreEvent::Permit(entry, number, request) => {
                 self.give_permit(&entry, number, request).await;
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -232,7 +232,9 @@
                         }
                         let now = self.entry.clock.now();
                         let suspects = self.entry.router().breaks().report(now);
-                        stream.send(suspects_message(suspects)?).await?;
+                        let mut known = suspects_message(suspects)?;
+                        known.push(encode(&ToCore::Peer(self.entry.as_peer()))?);
+                        stream.send(known).await?;
                         asked = self.entry.open_leader();
                     }
                 }
@@ -279,6 +281,7 @@
             )
         };
         let mut messages = suspects_message(suspects)?;
+        messages.push(encode(&ToCore::Peer(self.entry.as_peer()))?);
         if !limits.is_empty() {
             messages.push(encode(&ToCore::Limits(limits))?);
         }
@@ -313,6 +316,10 @@
             FromCore::Quarantined(list) => {
                 self.entry.router().breaks().apply_quarantine(now, &list);
             }
+            FromCore::Peers(peers) => {
+                let mut router = self.entry.router();
+                router.peers().update(peers, self.entry.address);
+            }
             FromCore::Permit(number, reply) => return self.questions.resolve(number, reply),
             FromCore::Status(_)
             | FromCore::LimitedStatus(..)
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -7,6 +7,7 @@
 
 mod follow;
 mod front;
+mod links;
 mod permits;
 mod watch_replica;
 
@@ -21,11 +22,13 @@
 };
 use bytes::Bytes;
 use cornelrail_lib::{
+    name::Zone,
     process::{
         event::Event,
         seeded_settings::{Role, SeededSettings},
     },
     request::balance::{Router, RouterConfig},
+    version::feed::Peer,
 };
 use cornelrail_platform::READY_PATH;
 use http::{Request, Response, StatusCode};
@@ -33,7 +36,7 @@
 use hyper::body::Incoming;
 use permits::Question;
 use std::{
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -66,10 +69,16 @@
     pub clock: Clock,
     /// Connections to targets.
     pub pool: Pool,
+    /// Connections to other entries.
+    pub peers: Pool,
+    /// Address at which this entry takes requests, and its zone.
+    address: SocketAddr,
+    zone: Zone,
     router: Mutex<Router>,
     /// Way of questions to the leader, while this entry follows one.
     leader: Mutex<Option<mpsc::Sender<Question>>>,
     news: Notify,
+    link_failures: Notify,
     changes: Arc<Notify>,
     stopping: AtomicBool,
     ending: watch::Sender<bool>,
@@ -77,7 +86,7 @@
 }
 
 impl Entry {
-    fn new(settings: &SeededSettings) -> Self {
+    fn new(settings: &SeededSettings, address: SocketAddr) -> Self {
         let config = RouterConfig {
             seed: rand::random(),
             zone: settings.zone.clone(),
@@ -91,9 +100,13 @@
         Entry {
             clock: Clock::start(),
             pool: Pool::default(),
+            peers: Pool::default(),
+            address,
+            zone: settings.zone.clone(),
             router: Mutex::new(Router::new(config)),
             leader: Mutex::new(None),
             news: Notify::new(),
+            link_failures: Notify::new(),
             changes: Arc::new(Notify::new()),
             stopping: AtomicBool::new(false),
             ending: watch::Sender::new(false),
@@ -112,6 +125,20 @@
         self.news.notify_one();
     }
 
+    /// Has the links to targets checked.
+    pub fn check_links(&self) {
+        self.link_failures.notify_one();
+    }
+
+    /// How other entries reach this one.
+    fn as_peer(&self) -> Peer {
+        Peer {
+            address: self.address,
+            zone: self.zone.clone(),
+            is_helpful: !self.is_stopping() && !self.router().reach().is_detached(),
+        }
+    }
+
     /// Ends when the copy changes after this call.
     pub fn changed(&self) -> OwnedNotified {
         // `notify_waiters` reaches all that were made before it, polled or not.
@@ -154,7 +181,7 @@
     };
     let callers_listener = bind("listen.callers", callers).await?;
     let ready_listener = bind("listen.ready", ready).await?;
-    let entry = Arc::new(Entry::new(&settings));
+    let entry = Arc::new(Entry::new(&settings, callers));
     let (seeds, seeds_rx) = watch::channel(settings.seeds.clone());
     let (closing, closing_rx) = watch::channel(false);
     Event::Started.log(format_args!(
@@ -167,6 +194,7 @@
     tokio::spawn(serve_ready(ready_listener, entry.clone()));
     tokio::spawn(sweep(entry.clone()));
     tokio::spawn(watch_replica::run(entry.clone()));
+    tokio::spawn(links::run(entry.clone()));
     Ok(EntryHandle {
         entry,
         seeds,
@@ -185,6 +213,7 @@
     pub async fn stop(self) {
         let end = Instant::now() + self.grace.saturating_sub(LAST_MARGIN);
         self.entry.stopping.store(true, Ordering::Relaxed);
+        self.entry.notify_leader();
         Event::Stopping.log(format_args!("limit={:?}", self.grace));
         sleep(LEAVING_TIME.min(self.grace / 2)).await;
         self.closing.send_replace(true);
@@ -222,5 +251,6 @@
         pause.tick().await;
         let router = entry.router();
         entry.pool.sweep(|id| router.has_target(id));
+        entry.peers.sweep(|_| true);
     }
 }
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -4,6 +4,9 @@
 //! becomes of it, the caller gets one answer: the target's own, or one that says truthfully whether
 //! the request may have run.
 
+mod detour;
+
+use self::detour::Detour;
 use super::{
     body::{self, WHOLE_BYTES},
     proxy_body::{ReplyBody, RequestBody, read_short},
@@ -17,9 +20,12 @@
     moment::Moment,
     name::Target,
     process::event::Event,
-    request::balance::{
-        LatencyBounds, LimitNotice, LoadReport, RejectReason, ResolvedRoute, RouteError,
-        RoutingDecision, RoutingRequest, SendOutcome,
+    request::{
+        balance::{
+            LatencyBounds, LimitNotice, LoadReport, RejectReason, ResolvedRoute, RouteError,
+            RoutingDecision, RoutingRequest, SendOutcome,
+        },
+        header,
     },
     version::{catalog::TargetId, command::Fingerprint, permits::PermitRequest},
 };
@@ -76,6 +82,8 @@
 /// What is known of a request while it is served.
 #[derive(Debug)]
 struct Job {
+    /// Whether the request goes by another entry.
+    needs_detour: bool,
     id: String,
     head: CallerHead,
     routed: ResolvedRoute,
@@ -156,6 +164,7 @@
     let Some(id) = head.id.clone() else {
         return Err(Refusal::denied(StatusCode::BAD_REQUEST, "no-identity"));
     };
+    let is_detour = parts.headers.contains_key(header::DETOUR);
     let mut router = entry.router();
     let limit = router.request_limits().body_size;
     let routed = router
@@ -169,12 +178,18 @@
     if length.is_some_and(|length| length > limit) {
         return Err(Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "too-long"));
     }
-    router.record_arrival(since, &routed.service, head.key.filter(|_| routed.keyed));
+    // The entry by which a request goes counts it.
+    let needs_detour = !is_detour && router.needs_detour();
+    if !needs_detour {
+        router.record_arrival(since, &routed.service, head.key.filter(|_| routed.keyed));
+    }
     let waits = head.timeout.unwrap_or(USUAL_DEADLINE);
     let left = waits.saturating_sub(WAY_BACK).min(routed.timeout);
     let mut parts = parts.clone();
     strip(&mut parts.headers);
+    parts.headers.remove(header::DETOUR);
     Ok(Job {
+        needs_detour,
         id,
         head,
         routed,
@@ -201,6 +216,18 @@
             }
             return self.refuse(entry, Refusal::not_run("quarantined", left));
         }
+        if self.needs_detour {
+            match self.detour(entry, body).await {
+                Detour::Ended(response) => return response,
+                Detour::Refused(refusal) => return self.refuse(entry, refusal),
+                Detour::NotTaken(unsent) => body = unsent,
+            }
+            let key = self.head.key.filter(|_| self.routed.keyed);
+            let now = entry.clock.now();
+            entry
+                .router()
+                .record_arrival(now, &self.routed.service, key);
+        }
         loop {
             let next = match self.next(entry).await {
                 Ok(next) => next,
@@ -421,10 +448,17 @@
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) => {
                 flight.end(SendOutcome::Unreachable, None);
+                let now = entry.clock.now();
+                if entry.router().reach().record_failure(now, id) {
+                    entry.check_links();
+                }
                 return Tried::Unreachable;
             }
             Err(_) => return Tried::Unreachable,
         };
+        if connection.is_new() {
+            entry.router().reach().record_contact(id);
+        }
         // The target may have named its limit while the connection was opened.
         let is_limited = !next.is_permitted && entry.router().is_limited(id);
         if is_limited && !self.is_permitted(entry, id).await {
--- a/node/tests/links/mod.rs
+++ b/node/tests/links/mod.rs
@@ -1,6 +1,13 @@
 //! Links of single entries to targets, which can be cut in several ways.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpSocket, TcpStream},
@@ -32,6 +39,7 @@
 /// A relay from an address of its own to a target.
 pub struct Link {
     pub address: SocketAddr,
+    opened: Arc<AtomicUsize>,
     _task: JoinSet<()>,
 }
 
@@ -39,12 +47,19 @@
     /// Starts a link that is cut as `cut` says.
     pub fn start(address: SocketAddr, target: SocketAddr, cut: watch::Receiver<Cut>) -> Link {
         let mut task = JoinSet::new();
-        task.spawn(run(address, target, cut));
+        let opened = Arc::<AtomicUsize>::default();
+        task.spawn(run(address, target, cut, opened.clone()));
         Link {
             address,
+            opened,
             _task: task,
         }
     }
+
+    /// Connections that it has carried.
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
 }
 
 fn listen(address: SocketAddr, backlog: u32) -> TcpListener {
@@ -54,7 +69,12 @@
     socket.listen(backlog).expect("listening")
 }
 
-async fn run(address: SocketAddr, target: SocketAddr, mut cut: watch::Receiver<Cut>) {
+async fn run(
+    address: SocketAddr,
+    target: SocketAddr,
+    mut cut: watch::Receiver<Cut>,
+    opened: Arc<AtomicUsize>,
+) {
     let mut pipes = JoinSet::new();
     loop {
         let now = *cut.borrow_and_update();
@@ -65,6 +85,7 @@
                     tokio::select! {
                         accepted = listener.accept() => {
                             let (stream, _) = accepted.expect("accepted");
+                            opened.fetch_add(1, Ordering::Relaxed);
                             pipes.spawn(pipe(stream, target, cut.clone()));
                         }
                         _ = cut.changed() => break,
--- a/node/tests/test_detour.rs
+++ b/node/tests/test_detour.rs
@@ -10,7 +10,7 @@
     version::{
         catalog::{Catalog, TargetRecord, Update},
         desired::{Backend, Change, Item, ItemVersion, Route, RouteKind, ServiceSpec, WEIGHT_UNIT},
-        feed::{FromCore, Handshake, LeaderStatus, ToCore},
+        feed::{FromCore, Handshake, LeaderStatus, Peer, ToCore},
     },
 };
 use cornelrail_node::{
@@ -22,7 +22,7 @@
 };
 use cornelrail_testutils::ports;
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
@@ -88,6 +88,8 @@
 /// Stand-in for the leader: each entry has addresses of its own for the targets.
 struct Leader {
     catalogs: HashMap<String, Catalog>,
+    /// Entries as they have told of themselves, by their names.
+    peers: watch::Sender<BTreeMap<String, Peer>>,
 }
 
 impl Leader {
@@ -111,12 +113,21 @@
         let snapshot = FromCore::snapshot(1, &self.catalogs[&name]);
         stream.send([encode(&members)?, encode(&snapshot)?]).await?;
         let mut statuses = interval(STATUS_INTERVAL);
+        let mut peers = self.peers.subscribe();
         loop {
             tokio::select! {
-                message = stream.receive::<ToCore>() => {
-                    if let ToCore::Confirm(at) = message? {
+                message = stream.receive::<ToCore>() => match message? {
+                    ToCore::Confirm(at) => {
                         stream.send([encode(&FromCore::Confirmed(at))?]).await?;
                     }
+                    ToCore::Peer(peer) => {
+                        self.peers.send_modify(|peers| drop(peers.insert(name.clone(), peer)));
+                    }
+                    _ => {}
+                },
+                _ = peers.changed() => {
+                    let list = peers.borrow_and_update().values().cloned().collect();
+                    stream.send([encode(&FromCore::Peers(list))?]).await?;
                 }
                 _ = statuses.tick() => {
                     let status = LeaderStatus {
@@ -185,7 +196,7 @@
 
 struct Fleet {
     _folder: TempDir,
-    _links: Vec<Link>,
+    links: Vec<Link>,
     _entries: Vec<EntryHandle>,
     _tasks: JoinSet<()>,
     cuts: Vec<watch::Sender<Cut>>,
@@ -220,10 +231,14 @@
     }
     let port = ports::next_port();
     let listener = TcpListener::bind((host, port)).await.expect("bound");
-    tasks.spawn(Arc::new(Leader { catalogs }).run(listener));
+    let leader = Leader {
+        catalogs,
+        peers: watch::Sender::default(),
+    };
+    tasks.spawn(Arc::new(leader).run(listener));
     let mut fleet = Fleet {
         _folder: folder,
-        _links: links,
+        links,
         _entries: Vec::new(),
         _tasks: tasks,
         cuts,
@@ -307,6 +322,12 @@
         futures_util::future::join_all(demands).await
     }
 
+    /// Connections that the links of an entry have carried.
+    fn opened(&self, entry: usize) -> usize {
+        let links = &self.links[entry * TARGETS..][..TARGETS];
+        links.iter().map(Link::opened).sum()
+    }
+
     fn cut(&self, entries: &[usize], how: Cut) {
         for entry in entries {
             self.cuts[*entry].send_replace(how);
@@ -355,7 +376,15 @@
     fleet.check_runs();
     fleet.cut(cut, Cut::Whole);
     sleep(STABLE).await;
+    let opened: Vec<usize> = cut.iter().map(|entry| fleet.opened(*entry)).collect();
     let after = fleet.demand_all("after").await;
+    if how != Cut::Refused {
+        let used = cut
+            .iter()
+            .zip(opened)
+            .all(|(entry, before)| fleet.opened(*entry) > before);
+        assert!(used, "the links are back and not used");
+    }
     let least = after.iter().map(|one| one.served).min();
     assert!(least >= Some(REQUESTS * 9 / 10), "after the cut: {after:?}");
     fleet.check_runs();
@@ -380,3 +409,28 @@
 async fn callers_are_turned_away_while_most_entries_are_cut_off() {
     check_cut(4, &[0, 1, 2], Cut::Silent).await;
 }
+
+/// Entries that lose their links at the same moment still take each other for helpful.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_are_all_cut_off_pass_requests_in_a_circle() {
+    let fleet = fleet(3).await;
+    fleet.demand_all("before").await;
+    fleet.cut(&[0, 1, 2], Cut::Reset);
+
+    let mut asking = JoinSet::new();
+    for number in 0..REQUESTS {
+        let callers = fleet.callers[number % 3];
+        asking.spawn(async move { ask(callers, "/w/x", &format!("circle-{number}")).await });
+        sleep(PAUSE).await;
+    }
+    let answers = asking.join_all().await;
+
+    for (status, time) in answers {
+        assert!(matches!(status, 200 | 502 | 503 | 504), "{status}");
+        assert!(time < DEADLINE + PAUSE * 10, "{status} after {time:?}");
+    }
+    let (status, time) = ask(fleet.callers[0], "/w/x", "last").await;
+    assert_eq!(status, 503);
+    assert!(time < DEADLINE / 2, "refused after {time:?}");
+    fleet.check_runs();
+}
