pool: a task that reads from a target gives way after 16 KiB

Cause: the HTTP library reads for as long as there are bytes, 4.3 MB in one turn of a task in test_pool, and the runtime gives 61 tasks their turn before it looks at timers and sockets. A release build only shortens each turn.

Change: a stream from a target makes its task give way after 16 KiB, and the runtime looks at timers after 4 tasks.

The new test in test_pool fails without the bound, with 4,322,673 bytes in one turn.

--- a/node/src/connection/head_limit.rs
+++ b/node/src/connection/head_limit.rs
@@ -1,6 +1,9 @@
-//! Bound on what a target may send before the head of its answer is complete.
+//! Bounds on what a target may send: before the head of its answer is complete, and in one turn of
+//! the task that reads it.
 //!
-//! The HTTP library bounds one head, but reads any number of interim answers before it.
+//! The HTTP library bounds one head, but reads any number of interim answers before it. It also reads
+//! on for as long as there are bytes, so that targets which send without end would keep the only
+//! thread of an entry from its timers and from other callers.
 
 use std::{
     io,
@@ -19,6 +22,9 @@
 /// Longest head of an answer, with the interim answers before it.
 pub const HEAD_BYTES: usize = 64 << 10;
 
+/// Bytes read before the task gives way to others.
+const TURN_BYTES: usize = 16 << 10;
+
 /// Bytes that may still be read; shared by a stream and its user.
 #[derive(Debug, Clone)]
 pub struct HeadLimit(Arc<AtomicUsize>);
@@ -40,6 +46,8 @@
 pub struct LimitedStream {
     stream: TcpStream,
     limit: HeadLimit,
+    /// Bytes read since the task last gave way.
+    turn: usize,
 }
 
 impl LimitedStream {
@@ -49,6 +57,7 @@
         let limited = LimitedStream {
             stream,
             limit: limit.clone(),
+            turn: 0,
         };
         (limited, limit)
     }
@@ -65,10 +74,16 @@
             let message = format!("the head of the answer is longer than {HEAD_BYTES} bytes");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
+        if self.turn >= TURN_BYTES {
+            self.turn = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        self.turn = if read == 0 { 0 } else { self.turn + read };
         if left != usize::MAX {
-            let read = buf.filled().len() - before;
             let left = left.saturating_sub(read);
             self.limit.0.store(left, Ordering::Relaxed);
         }
--- a/node/src/process/seeded.rs
+++ b/node/src/process/seeded.rs
@@ -20,6 +20,9 @@
 
 /// Pause between two looks whether the settings file has changed without a signal.
 const RELOAD_PAUSE: Duration = Duration::from_secs(2);
+/// Tasks that run before timers and sockets are looked at again. With the default of 61, busy tasks
+/// hold back deadlines.
+const TASKS_PER_TURN: u32 = 4;
 /// Stack of the threads that wait for the disk, in bytes.
 const DISK_STACK: usize = 256 << 10;
 
@@ -46,6 +49,7 @@
     let runtime = Builder::new_current_thread()
         .enable_all()
         .max_blocking_threads(1)
+        .event_interval(TASKS_PER_TURN)
         .thread_stack_size(DISK_STACK)
         .build()
         .into_diagnostic()?;
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -6,8 +6,9 @@
     request::proxy_body::RequestBody,
 };
 use http::Request;
+use http_body::Body;
 use http_body_util::BodyExt;
-use std::{net::SocketAddr, time::Duration};
+use std::{future::poll_fn, net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -75,3 +76,55 @@
     assert!(pool.idle() <= 128, "{} idle", pool.idle());
     assert!(pool.idle() > 0);
 }
+
+/// Sends the start of an answer, and its body without end.
+async fn flood(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut buffer = [0; 1_024];
+    let _ = stream.read(&mut buffer).await;
+    let head = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+    let mut written = stream.write_all(head).await;
+    while written.is_ok() {
+        written = stream.write_all(&[b'x'; 64 << 10]).await;
+    }
+}
+
+/// Timers and other callers wait for as long as one task reads on.
+#[tokio::test]
+async fn a_body_without_end_is_read_until_the_system_has_no_more_in_one_turn() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(flood(listener));
+    let pool = Pool::default();
+    let taken = pool.take(TargetId(1), address, LEFT).await;
+    let mut connection = taken.expect("a connection");
+    let request = Request::new(RequestBody::Whole(None));
+    let response = connection.send(request).await.expect("a head");
+    let place = PoolPlace {
+        pool,
+        id: TargetId(1),
+        room: 1,
+        keep: None,
+    };
+    let mut body = AnswerBody::new(response.into_body(), connection, place);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let mut largest = 0;
+    for _ in 0..20 {
+        let turn = poll_fn(|cx| {
+            let mut bytes = 0;
+            while let Poll::Ready(frame) = Pin::new(&mut body).poll_frame(cx) {
+                let data = frame.expect("endless").expect("whole").into_data();
+                bytes += data.map_or(0, |data| data.len());
+            }
+            Poll::Ready(bytes)
+        });
+        largest = largest.max(turn.await);
+        tokio::task::yield_now().await;
+    }
+
+    assert!(
+        largest > 0 && largest <= 128 << 10,
+        "{largest} bytes in one turn"
+    );
+}
