entry: connections from before a cut are not used after it (RECOVER)

Callers of an entry whose links came back after a short cut waited for their deadline: their requests went out on connections that had been idle during the cut, and such connections may hang for good while new ones work.

Idle connections are kept for up to 4 s, so a cut that is shorter leaves them in the pool.

--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -187,6 +187,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.with(HashMap::clear);
+    }
+
     fn pop(&self, id: TargetId) -> Option<Idle> {
         self.with(|idle| idle.get_mut(&id)?.pop())
     }
--- a/node/src/process/entry/links.rs
+++ b/node/src/process/entry/links.rs
@@ -54,6 +54,8 @@
             "reached={reached} of={} entries={peers_reached}",
             targets.len()
         ));
+        // What was open before may hang for good.
+        entry.pool.clear();
         entry.notify_leader();
     }
 }
--- a/node/tests/test_detour.rs
+++ b/node/tests/test_detour.rs
@@ -434,3 +434,32 @@
     assert!(time < DEADLINE / 2, "refused after {time:?}");
     fleet.check_runs();
 }
+
+/// A connection that was idle during a short cut hangs for good, while new ones work.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_hung_in_a_short_cut_are_used_again_after_it() {
+    let fleet = fleet(2).await;
+    let mut crowd = JoinSet::new();
+    for number in 0..REQUESTS {
+        let callers = fleet.callers[0];
+        crowd.spawn(async move { ask(callers, "/w/x", &format!("crowd-{number}")).await });
+    }
+    crowd.join_all().await;
+    fleet.cut(&[0], Cut::Silent);
+    for number in 0..30 {
+        // Few, so that most connections stay idle.
+        tokio::spawn(ask_owned(fleet.callers[0], format!("few-{number}")));
+        sleep(Duration::from_millis(50)).await;
+    }
+    fleet.cut(&[0], Cut::Whole);
+    sleep(Duration::from_millis(800)).await;
+
+    let after = fleet.demand(0, "after").await;
+
+    assert_eq!(after.served, REQUESTS, "{after:?}");
+    fleet.check_runs();
+}
+
+async fn ask_owned(callers: SocketAddr, id: String) -> (u16, Duration) {
+    ask(callers, "/r/x", &id).await
+}
