--- a/lib/src/request/balance/reach.rs
+++ b/lib/src/request/balance/reach.rs
@@ -21,10 +21,13 @@
 
 /// Targets to which connections must have failed before links are checked.
 const FAILED_TARGETS: usize = 2;
-/// Time for which a failed connection counts.
-const FAILURE_AGE: Duration = Duration::from_secs(1);
-/// Shortest interval between two checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which a failed connection counts: an entry of a large fleet opens few connections.
+const FAILURE_AGE: Duration = Duration::from_secs(3);
+/// Shortest interval between two checks of an entry that reaches targets. All entries check while
+/// many targets are down.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval between two checks of a detached entry.
+const DETACHED_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for which an entry that could not be reached is passed over.
 const PEER_BACKOFF: Duration = Duration::from_secs(1);
 /// Requests under way at an entry of the own zone from which others are used as well: a longer queue
@@ -67,7 +70,11 @@
 
     /// Whether the links are to be checked.
     pub fn is_check_due(&self, now: Moment) -> bool {
-        let is_recent = |at: Moment| now.since(at) < CHECK_INTERVAL;
+        let interval = match self.detached {
+            true => DETACHED_INTERVAL,
+            false => CHECK_INTERVAL,
+        };
+        let is_recent = |at: Moment| now.since(at) < interval;
         let is_suspect = self.detached || self.failures.len() >= FAILED_TARGETS;
         is_suspect && !self.checked_at.is_some_and(is_recent)
     }
