core, entry: 1,024 connections may wait to be accepted

Callers who came 200 at once waited 200 ms or a second longer than the others: the queue of new connections took 128, the opening packet of a further one is dropped, and it is sent again a second later.

--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -34,7 +34,7 @@
 use miette::Diagnostic;
 use std::{io, net::IpAddr, net::SocketAddr, path::PathBuf, time::Duration};
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Name of every seeded fleet in its log; processes of another fleet are not reachable.
 const FLEET: &str = "seeded";
@@ -43,6 +43,9 @@
 const ELECTION: Duration = Duration::from_millis(450);
 /// Heartbeats of a leader in each election timeout.
 const BEATS_PER_ELECTION: u32 = 4;
+/// Connections that may wait to be accepted. The opening packet of a further one is dropped and sent
+/// again a second later.
+const BACKLOG: u32 = 1_024;
 /// How much two clocks may run apart during an election timeout.
 const DRIFT: Duration = Duration::from_millis(20);
 /// Log entries kept behind a snapshot.
@@ -89,26 +92,33 @@
 }
 
 /// Binds an address.
-pub(super) async fn bind(
-    key: &'static str,
-    address: SocketAddr,
-) -> Result<TcpListener, SeededError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| SeededError::Listen {
+pub(super) fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, SeededError> {
+    listen(address).map_err(|source| SeededError::Listen {
         key,
         address,
         source,
     })
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    // A process that starts again finds connections of the one before it.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Starts the tasks of a core host on the present runtime.
 pub async fn start(settings: SeededSettings) -> Result<CoreHandle, SeededError> {
     let (Some(control), Some(data)) = (settings.listen.control, settings.data.clone()) else {
         return Err(SeededError::Role(Role::Core.name()));
     };
     let peer_address = SocketAddr::new(settings.address, settings.port);
-    let peers = bind("port", peer_address).await?;
-    let control = bind("listen.control", control).await?;
+    let peers = bind("port", peer_address)?;
+    let control = bind("listen.control", control)?;
     let clock = Clock::start();
     let (voter, events) = voter::start(voter_config(&settings, data, clock))?;
     let handle = task::start(settings, clock, voter.clone(), events);
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -179,8 +179,8 @@
     let (Some(callers), Some(ready)) = (settings.listen.callers, settings.listen.ready) else {
         return Err(SeededError::Role(Role::Entry.name()));
     };
-    let callers_listener = bind("listen.callers", callers).await?;
-    let ready_listener = bind("listen.ready", ready).await?;
+    let callers_listener = bind("listen.callers", callers)?;
+    let ready_listener = bind("listen.ready", ready)?;
     let entry = Arc::new(Entry::new(&settings, callers));
     let (seeds, seeds_rx) = watch::channel(settings.seeds.clone());
     let (closing, closing_rx) = watch::channel(false);
