--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -187,6 +187,11 @@
         });
     }
 
+    /// Closes the idle connections to a target.
+    pub fn forget(&self, id: TargetId) {
+        self.with(|idle| drop(idle.remove(&id)));
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.with(HashMap::clear);
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -448,15 +448,13 @@
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) => {
                 flight.end(SendOutcome::Unreachable, None);
-                let now = entry.clock.now();
-                if entry.router().reach().record_failure(now, id) {
-                    entry.check_links();
-                }
+                record_failure(entry, id);
                 return Tried::Unreachable;
             }
             Err(_) => return Tried::Unreachable,
         };
-        if connection.is_new() {
+        let is_new = connection.is_new();
+        if is_new {
             entry.router().reach().record_contact(id);
         }
         // The target may have named its limit while the connection was opened.
@@ -484,7 +482,15 @@
         self.arrivals += 1;
         let exchanging = self.exchange(entry, flight, connection, request);
         tokio::select! {
-            tried = timeout_at(self.until, exchanging) => tried.unwrap_or(Tried::Late),
+            tried = timeout_at(self.until, exchanging) => match tried {
+                Ok(tried) => tried,
+                Err(_) => {
+                    if !is_new {
+                        record_silence(entry, id);
+                    }
+                    Tried::Late
+                }
+            },
             () = entry.given_up() => Tried::Late,
         }
     }
@@ -544,6 +550,7 @@
         }
         match body {
             Ok(body) => {
+                entry.router().reach().record_contact(flight.id);
                 flight.end(SendOutcome::Answered, head.load);
                 strip(&mut parts.headers);
                 Tried::Answer(Response::from_parts(parts, body))
@@ -609,6 +616,21 @@
     response
 }
 
+/// Records that no connection to a target was made.
+fn record_failure(entry: &Entry, id: TargetId) {
+    let now = entry.clock.now();
+    if entry.router().reach().record_failure(now, id) {
+        entry.check_links();
+    }
+}
+
+/// Records that a target was silent on a connection that had been idle. It may have fallen silent
+/// for good, and the other idle ones with it.
+fn record_silence(entry: &Entry, id: TargetId) {
+    entry.pool.forget(id);
+    record_failure(entry, id);
+}
+
 /// Reads the rest of a body in the background, so that its caller sees the answer.
 fn discard(body: Incoming) {
     if !body.is_end_stream() {
--- a/node/tests/test_detour.rs
+++ b/node/tests/test_detour.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     links::{Cut, Link},
-    test_seeded::{PATIENCE, exchange, settings, split},
+    test_seeded::{PATIENCE, settings, split},
 };
 use cornelrail_lib::{
     name::{Incarnation, Service, Target, Zone},
@@ -48,6 +48,12 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 const SILENCE: Duration = Duration::from_secs(5);
 
+/// Time that a target needs for a request, and for a slow one.
+const QUICK: Duration = Duration::from_millis(20);
+const SLOW: Duration = Duration::from_millis(400);
+/// Time in which an entry refuses what it cannot have served.
+const AT_ONCE: Duration = Duration::from_millis(200);
+
 /// How often each request has run, by its id.
 type Runs = Arc<Mutex<HashMap<String, usize>>>;
 
@@ -68,7 +74,8 @@
         *runs.lock().expect("whole").entry(id.clone()).or_default() += 1;
         let length: usize = field(&head, "content-length").parse().unwrap_or_default();
         stream.read_exact(&mut vec![0; length]).await.ok()?;
-        sleep(Duration::from_millis(20)).await;
+        let is_slow = head.starts_with("POST /w/slow");
+        sleep(if is_slow { SLOW } else { QUICK }).await;
         let answer = format!(
             "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: good\r\n\
              content-length: 2\r\n\r\nok"
@@ -266,7 +273,7 @@
     fleet
 }
 
-/// Sends a request of a caller; gives the status and the time.
+/// Sends a request of a caller; gives the status, and the time from the connection on.
 async fn ask(callers: SocketAddr, path: &str, id: &str) -> (u16, Duration) {
     let method = if path.starts_with("/w/") {
         "POST"
@@ -278,9 +285,12 @@
          Deadline-Ms: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
         DEADLINE.as_millis()
     );
+    let mut stream = TcpStream::connect(callers).await.expect("a connection");
     let start = Instant::now();
-    let reply = exchange(callers, request.as_bytes()).await;
-    let reply = reply.unwrap_or_default();
+    let mut reply = String::new();
+    // An answer that breaks off has no status.
+    let _ = stream.write_all(request.as_bytes()).await;
+    let _ = stream.read_to_string(&mut reply).await;
     let status = split(&reply).map_or(0, |(status, _)| status);
     (status, start.elapsed())
 }
@@ -463,3 +473,33 @@
 async fn ask_owned(callers: SocketAddr, id: String) -> (u16, Duration) {
     ask(callers, "/r/x", &id).await
 }
+
+/// One entry is left to serve the callers of another one besides its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_room_on_the_way_round_wait_or_crowd_out_others() {
+    let fleet = fleet(2).await;
+    fleet.cut(&[0], Cut::Reset);
+    fleet.demand(0, "detach").await;
+    let mut asking = JoinSet::new();
+    for number in 0..REQUESTS * 2 {
+        let callers = fleet.callers[0];
+        asking.spawn(async move { ask(callers, "/w/slow", &format!("slow-{number}")).await });
+    }
+    sleep(QUICK).await;
+
+    let own = fleet.demand(1, "own").await;
+    let answers = asking.join_all().await;
+
+    assert_eq!(own.served, REQUESTS, "{own:?}");
+    let (served, refused): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(s, _)| *s == 200);
+    println!(
+        "{} served by way of the other entry, {} refused",
+        served.len(),
+        refused.len()
+    );
+    assert!(!served.is_empty() && !refused.is_empty());
+    for (status, time) in refused {
+        assert_eq!(status, 503);
+        assert!(time < AT_ONCE, "refused after {time:?}");
+    }
+}
