reach: a full link is no sign that the links to targets are back (RECOVER)

Cause: detours fill the link now and then, so that a check reaches neither targets nor entries, and a detached entry without other entries counted as attached. Who reaches nobody learns nothing; only targets that are reached end the state now.

--- a/lib/src/request/balance/reach.rs
+++ b/lib/src/request/balance/reach.rs
@@ -84,8 +84,9 @@
         self.checked_at = Some(now);
         let was_detached = self.detached;
         self.detached = match was_detached {
-            // Links that come back one by one are used once most of them are there.
-            true => check.has_peer && check.reached * 2 < check.targets,
+            // Links that come back one by one are used once most of them are there. Who reaches nobody
+            // learns nothing.
+            true => check.reached * 2 < check.targets,
             false => check.has_peer && check.reached == 0 && check.targets > 0,
         };
         if self.detached != was_detached {
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -72,6 +72,19 @@
     assert!(!reach.is_detached());
 }
 
+/// A detour fills the link of a small entry now and then.
+#[test]
+fn a_detached_entry_whose_own_link_is_full_takes_its_links_to_targets_for_mended() {
+    let mut reach = Reach::default();
+    reach.record_check(at(0), check(0, true));
+
+    let full = reach.record_check(at(500), check(0, false));
+    let still = reach.is_detached();
+    let back = reach.record_check(at(1_000), check(5, false));
+
+    assert_eq!((full, still, back), (false, true, true));
+}
+
 /// Its own link is full, or it reaches some targets, such as those of another zone.
 #[test]
 fn an_entry_that_reaches_nobody_or_some_targets_is_not_detached() {
