--- a/lib/src/request/balance/reach.rs
+++ b/lib/src/request/balance/reach.rs
@@ -135,8 +135,10 @@
         helpful.map(|peer| peer.address)
     }
 
-    /// Chooses the entry by which a request goes: one of the own zone, unless these have much under
-    /// way; of two that are drawn the one with less. `draw` gives a number below its argument.
+    /// Chooses the entry by which a request goes; of two that are drawn the one with less under way.
+    /// Entries of the own zone are used for as many requests as come of as many detached entries,
+    /// unless they have much under way; a zone of which most is detached would overload the rest.
+    /// `draw` gives a number below its argument.
     pub fn choose(
         &self,
         now: Moment,
@@ -156,7 +158,12 @@
         usable.retain(|peer| self.in_flight(peer.address) < DETOURS_MAX);
         let is_near = |p: &&&Peer| p.zone == *zone && self.in_flight(p.address) < NEAR_MAX;
         let near: Vec<&Peer> = usable.iter().filter(is_near).copied().collect();
-        let pool = if near.is_empty() { usable } else { near };
+        let is_detached = |peer: &&Peer| !peer.is_helpful && peer.zone == *zone;
+        let detached = 1 + self.peers.iter().filter(is_detached).count();
+        let pool = match draw(detached) < near.len() {
+            true => near,
+            false => usable,
+        };
         if pool.is_empty() {
             return Err(NoPeer::Full);
         }
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -127,6 +127,35 @@
     );
 }
 
+/// Each detached entry counts its own requests only, so what they send together is bounded by shares.
+#[test]
+fn the_rest_of_a_zone_serves_all_that_is_cut_off_there() {
+    let mut list: Vec<Peer> = (0..8)
+        .map(|number| Peer {
+            address: address(number),
+            zone: Zone::from("a"),
+            is_helpful: number == 0,
+        })
+        .collect();
+    list.extend((8..20).map(|number| Peer {
+        address: address(number),
+        zone: Zone::from("b"),
+        is_helpful: true,
+    }));
+    let mut peers = Peers::default();
+    peers.update(list, address(99));
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let mut draw = |below: usize| rng.next_u32() as usize % below;
+
+    let choices = (0..800).map(|_| peers.choose(at(0), &Zone::from("a"), &[], &mut draw));
+    let near = choices.filter(|choice| *choice == Ok(address(0))).count();
+
+    assert!(
+        (100..=250).contains(&near),
+        "{near} of 800 by the one of the own zone"
+    );
+}
+
 /// Requests that find no room on the way are refused at once.
 #[test]
 fn a_way_that_is_full_is_told_from_one_that_is_not_there() {
