--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -72,6 +72,19 @@
     assert!(!reach.is_detached());
 }
 
+/// A detour fills the link of a small entry now and then.
+#[test]
+fn a_detached_entry_whose_own_link_is_full_takes_its_links_to_targets_for_mended() {
+    let mut reach = Reach::default();
+    reach.record_check(at(0), check(0, true));
+
+    let full = reach.record_check(at(500), check(0, false));
+    let still = reach.is_detached();
+    let back = reach.record_check(at(1_000), check(5, false));
+
+    assert_eq!((full, still, back), (false, true, true));
+}
+
 /// Its own link is full, or it reaches some targets, such as those of another zone.
 #[test]
 fn an_entry_that_reaches_nobody_or_some_targets_is_not_detached() {
@@ -114,6 +127,35 @@
     );
 }
 
+/// Each detached entry counts its own requests only, so what they send together is bounded by shares.
+#[test]
+fn the_rest_of_a_zone_serves_all_that_is_cut_off_there() {
+    let mut list: Vec<Peer> = (0..8)
+        .map(|number| Peer {
+            address: address(number),
+            zone: Zone::from("a"),
+            is_helpful: number == 0,
+        })
+        .collect();
+    list.extend((8..20).map(|number| Peer {
+        address: address(number),
+        zone: Zone::from("b"),
+        is_helpful: true,
+    }));
+    let mut peers = Peers::default();
+    peers.update(list, address(99));
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let mut draw = |below: usize| rng.next_u32() as usize % below;
+
+    let choices = (0..800).map(|_| peers.choose(at(0), &Zone::from("a"), &[], &mut draw));
+    let near = choices.filter(|choice| *choice == Ok(address(0))).count();
+
+    assert!(
+        (100..=250).contains(&near),
+        "{near} of 800 by the one of the own zone"
+    );
+}
+
 /// Requests that find no room on the way are refused at once.
 #[test]
 fn a_way_that_is_full_is_told_from_one_that_is_not_there() {
