--- a/lib/src/request/balance/breaks.rs
+++ b/lib/src/request/balance/breaks.rs
@@ -26,10 +26,19 @@
 
 impl Breaks {
     /// Whether the identity of requests matters at this moment.
-    pub fn is_watching(&self) -> bool {
+    pub fn is_watching(&mut self, now: Moment) -> bool {
+        self.forget_old(now);
         !self.breaks.is_empty() || !self.quarantine.is_empty()
     }
 
+    fn forget_old(&mut self, now: Moment) {
+        let is_old = |(_, _, at): &(Fingerprint, TargetId, Moment)| now.since(*at) >= MEMORY;
+        while self.breaks.front().is_some_and(is_old) {
+            self.breaks.pop_front();
+        }
+        self.unreported = self.unreported.min(self.breaks.len());
+    }
+
     /// Records that the connection to a target broke which may have run a request.
     pub fn record_break(&mut self, now: Moment, request: Fingerprint, target: TargetId) {
         self.breaks.push_back((request, target, now));
@@ -85,8 +94,7 @@
 
     /// Returns all that a new leader should know.
     pub fn report(&mut self, now: Moment) -> SuspectReport {
-        self.breaks.retain(|(_, _, at)| now.since(*at) < MEMORY);
-        self.unreported = self.unreported.min(self.breaks.len());
+        self.forget_old(now);
         SuspectReport {
             breaks: self.list(now, 0),
             answered: Vec::new(),
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -285,11 +285,12 @@
     /// Time for which the request is refused because targets ended under it.
     fn quarantine(&self, entry: &Entry, body: &RequestBody) -> Option<Duration> {
         let mut router = entry.router();
-        if !router.breaks().is_watching() {
+        let now = entry.clock.now();
+        if !router.breaks().is_watching(now) {
             return None;
         }
         let request = self.fingerprint(Some(body));
-        router.breaks().refused_for(entry.clock.now(), request)
+        router.breaks().refused_for(now, request)
     }
 
     /// Records whether a target may have ended under the request, or has answered it.
@@ -314,7 +315,7 @@
             Tried::Answer(response) if response.status().is_success() => {
                 let mut router = entry.router();
                 let breaks = router.breaks();
-                breaks.is_watching() && breaks.record_answer(now, self.fingerprint(body))
+                breaks.is_watching(now) && breaks.record_answer(now, self.fingerprint(body))
             }
             _ => false,
         };
