--- a/node/src/request/proxy/detour.rs
+++ b/node/src/request/proxy/detour.rs
@@ -64,7 +64,7 @@
 
 impl Job {
     /// Sends the request by other entries, until one has taken it.
-    pub(super) async fn detour(&self, entry: &Arc<Entry>, mut body: RequestBody) -> Detour {
+    pub(super) async fn detour(&mut self, entry: &Arc<Entry>, mut body: RequestBody) -> Detour {
         let mut tried = Vec::new();
         while tried.len() < ENTRIES_MAX {
             let now = entry.clock.now();
@@ -105,6 +105,8 @@
                 Sent::Broken => Refusal::denied(StatusCode::BAD_GATEWAY, "broken"),
                 Sent::Late => Refusal::denied(StatusCode::GATEWAY_TIMEOUT, "late"),
             };
+            // Whatever follows, the request may have run.
+            self.unknown |= refusal.pause.is_none();
             let may_repeat = match refusal.reason {
                 "closed" => true,
                 // What was sent twice counts as a retry, as with a target.
--- a/node/tests/test_detour.rs
+++ b/node/tests/test_detour.rs
@@ -204,6 +204,7 @@
 struct Fleet {
     _folder: TempDir,
     links: Vec<Link>,
+    leader: Arc<Leader>,
     _entries: Vec<EntryHandle>,
     _tasks: JoinSet<()>,
     cuts: Vec<watch::Sender<Cut>>,
@@ -242,10 +243,12 @@
         catalogs,
         peers: watch::Sender::default(),
     };
-    tasks.spawn(Arc::new(leader).run(listener));
+    let leader = Arc::new(leader);
+    tasks.spawn(leader.clone().run(listener));
     let mut fleet = Fleet {
         _folder: folder,
         links,
+        leader,
         _entries: Vec::new(),
         _tasks: tasks,
         cuts,
@@ -503,3 +506,46 @@
         assert!(time < AT_ONCE, "refused after {time:?}");
     }
 }
+
+/// Takes requests and breaks their connections.
+async fn break_requests(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut buffer = [0; 4_096];
+            // The connection ends with the request.
+            let _ = stream.read(&mut buffer).await;
+        });
+    }
+}
+
+/// The other entry may have had the request run before it broke off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_broke_on_its_detour_is_said_not_to_have_run() {
+    let fleet = fleet(1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let peer = Peer {
+        address: listener.local_addr().expect("bound"),
+        zone: Zone::from("a"),
+        is_helpful: true,
+    };
+    let breaking = tokio::spawn(break_requests(listener));
+    let add = |peers: &mut BTreeMap<_, _>| drop(peers.insert("other".to_owned(), peer));
+    fleet.leader.peers.send_modify(add);
+    fleet.cut(&[0], Cut::Reset);
+    // Unsafe ones, which leave the budget of retries as it is.
+    for number in 0..REQUESTS {
+        ask(fleet.callers[0], "/w/x", &format!("detach-{number}")).await;
+        sleep(PAUSE).await;
+    }
+
+    let mut statuses = Vec::new();
+    for number in 0..10 {
+        for path in ["/r/x", "/w/x"] {
+            let id = format!("broken-{path}-{number}");
+            statuses.push(ask(fleet.callers[0], path, &id).await.0);
+        }
+    }
+
+    assert_eq!(statuses, vec![502; 20]);
+    breaking.abort();
+}
