--- a/lib/src/request/balance/breaks.rs
+++ b/lib/src/request/balance/breaks.rs
@@ -1,15 +1,22 @@
 //! Requests whose connections to targets broke, as one entry remembers them, and those that all
-//! entries refuse. The leader decides which ones; see [`suspects`](crate::version::suspects).
+//! entries refuse or run once at a time. The leader decides which ones; see
+//! [`suspects`](crate::version::suspects). Without its reply an entry runs a suspected request once
+//! at a time by itself, until [`ENDED_MAX`] targets may have ended under it here.
 
 use crate::{
     moment::Moment,
     version::{
         catalog::TargetId,
         command::Fingerprint,
-        suspects::{Break, MEMORY, Quarantine, Quarantined, REQUESTS_MAX, SuspectReport, to_ms},
+        suspects::{
+            Break, ENDED_MAX, MEMORY, Quarantine, Quarantined, REQUESTS_MAX, SuspectReport, to_ms,
+        },
     },
 };
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 /// Broken connections that one entry remembers.
 const BREAKS_MAX: usize = REQUESTS_MAX / 4;
@@ -22,13 +29,19 @@
     unreported: usize,
     answered: Vec<(Fingerprint, Moment)>,
     quarantine: Quarantine,
+    /// Requests that the leader suspects.
+    suspected: BTreeSet<Fingerprint>,
+    /// Trials under way at this entry.
+    running: BTreeSet<Fingerprint>,
+    /// Trials that have ended since the last report.
+    ended_trials: Vec<Fingerprint>,
 }
 
 impl Breaks {
     /// Whether the identity of requests matters at this moment.
     pub fn is_watching(&mut self, now: Moment) -> bool {
         self.forget_old(now);
-        !self.breaks.is_empty() || !self.quarantine.is_empty()
+        !self.breaks.is_empty() || !self.quarantine.is_empty() || !self.suspected.is_empty()
     }
 
     fn forget_old(&mut self, now: Moment) {
@@ -51,7 +64,7 @@
     /// Records that a target has run a request and answered. Returns whether the leader should know.
     pub fn record_answer(&mut self, now: Moment, request: Fingerprint) -> bool {
         let is_suspect = self.breaks.iter().any(|(other, ..)| *other == request);
-        if !is_suspect {
+        if !is_suspect && !self.suspected.contains(&request) {
             return false;
         }
         let reported = self.breaks.len() - self.unreported;
@@ -62,6 +75,42 @@
         true
     }
 
+    /// Takes over the requests that the leader suspects.
+    pub fn apply_suspected(&mut self, list: Vec<Fingerprint>) {
+        self.suspected = list.into_iter().collect();
+    }
+
+    /// Whether a request needs a trial: the leader suspects it, or is about to.
+    pub fn needs_trial(&self, request: Fingerprint) -> bool {
+        self.suspected.contains(&request) || self.broken(request) > 1
+    }
+
+    fn broken(&self, request: Fingerprint) -> usize {
+        let breaks = self.breaks.iter();
+        breaks.filter(|(other, ..)| *other == request).count()
+    }
+
+    /// Begins a trial that the leader has granted, or without its reply one of this entry alone.
+    /// Returns whether the request may be sent.
+    pub fn begin_trial(&mut self, request: Fingerprint, is_granted: bool) -> bool {
+        let may_run = !self.running.contains(&request) && self.broken(request) < ENDED_MAX;
+        if is_granted || may_run {
+            self.running.insert(request);
+        }
+        is_granted || may_run
+    }
+
+    /// Ends a trial.
+    pub fn end_trial(&mut self, request: Fingerprint) {
+        self.running.remove(&request);
+        self.ended_trials.push(request);
+    }
+
+    /// Returns the trials that have ended since the last call.
+    pub fn take_ended_trials(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.ended_trials)
+    }
+
     /// Refuses the requests that the leader names.
     pub fn apply_quarantine(&mut self, now: Moment, list: &[Quarantined]) {
         for entry in list {
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -6,8 +6,9 @@
 
 use super::{
     catalog::{Catalog, KeySpan, TargetId, Update},
+    command::Fingerprint,
     permits::{LimitReport, PermitReply, PermitRequest, RateLimit},
-    suspects::{Quarantined, SuspectReport},
+    suspects::{Quarantined, SuspectReport, TrialReply},
 };
 use crate::{
     moment::Moment,
@@ -61,6 +62,11 @@
     Suspects(SuspectReport),
     /// How other entries reach this one, and whether it reaches targets.
     Peer(Peer),
+    /// Asks to run a suspected request that has so many ms left, with a number that the reply
+    /// repeats. Answered by [`FromCore::Trial`].
+    Trial(u64, Fingerprint, u32),
+    /// Suspected requests whose trial has ended, however it did.
+    TrialsEnded(Vec<Fingerprint>),
 }
 
 /// Message from a core host to the host that opened the connection.
@@ -95,6 +101,22 @@
     Quarantined(Vec<Quarantined>),
     /// All entries that follow the leader.
     Peers(Vec<Peer>),
+    /// Reply to the [`ToCore::Trial`] with this number.
+    Trial(u64, TrialReply),
+    /// All requests under suspicion, each of which needs a trial.
+    Suspected(Vec<Fingerprint>),
+}
+
+impl ToCore {
+    /// Whether the message is a report of nothing.
+    pub fn is_empty(&self) -> bool {
+        match self {
+            ToCore::Suspects(report) => report.is_empty(),
+            ToCore::Limits(reports) => reports.is_empty(),
+            ToCore::TrialsEnded(requests) => requests.is_empty(),
+            _ => false,
+        }
+    }
 }
 
 impl FromCore {
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -171,6 +171,11 @@
         self.suspects.judge(now, life)
     }
 
+    /// Requests that may have ended targets.
+    pub fn suspects(&mut self) -> &mut Suspects {
+        &mut self.suspects
+    }
+
     /// Requests that all entries refuse.
     pub fn quarantined(&self, now: Moment) -> Vec<Quarantined> {
         self.suspects.quarantine().list(now)
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -28,3 +28,4 @@
 pub mod sharding;
 pub mod status_pace;
 pub mod suspects;
+pub mod wire_level;
--- a/lib/src/version/suspects.rs
+++ b/lib/src/version/suspects.rs
@@ -7,6 +7,12 @@
 //! request of all that was reported before. A request under which [`ENDED_MAX`] targets have ended is
 //! quarantined: all entries refuse it.
 //!
+//! Whether a target has ended shows seconds later, and copies of a request end their target
+//! together. A request is therefore suspected from the second broken connection on: over the whole
+//! fleet it runs once at a time, by leave of the leader. An answer ends the suspicion. Once a target
+//! may have ended under such a trial and [`ENDED_MAX`] may have in all, there is no other trial
+//! until it shows which of them have.
+//!
 //! Nothing of this is replicated. Entries repeat their reports and the quarantine to a new leader,
 //! which tells entries that start.
 //!
@@ -25,6 +31,14 @@
 pub const ENDED_MAX: usize = 3;
 /// Time for which reports are remembered, and for which a request is refused.
 pub const MEMORY: Duration = Duration::from_secs(600);
+/// Broken connections from which a request is suspected.
+const SUSPECT_RUNS: u32 = 2;
+/// Time after a change of leaders without trials: those of the former leader may be under way.
+const LEADER_PAUSE: Duration = Duration::from_secs(1);
+/// Time that the report of a trial's end may take.
+const TRIAL_MARGIN: Duration = Duration::from_millis(500);
+/// Time after which an entry asks again while a trial is under way.
+const TRIAL_RETRY: Duration = Duration::from_millis(100);
 /// Maximum number of requests with reports; those with the oldest reports are forgotten first.
 pub const REQUESTS_MAX: usize = 1_024;
 /// Time that a heartbeat from before the end of its sender may be under way.
@@ -70,6 +84,15 @@
     pub left: u32,
 }
 
+/// Reply to an entry that asks for a trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TrialReply {
+    /// The request may be sent once.
+    Granted,
+    /// The request must not be sent for so many ms.
+    Denied(u32),
+}
+
 /// Requests that are refused, each until some time.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -115,15 +138,27 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Connections to one target that broke under a request.
+#[derive(Debug, Clone, Copy)]
+struct Broken {
+    /// First of them.
+    at: Moment,
+    runs: u32,
+    /// Whether one of them was a trial.
+    was_trial: bool,
+}
+
 /// Reports about one request.
 #[derive(Debug, Default)]
 struct History {
-    /// When connections to targets broke that may live on.
-    breaks: BTreeMap<TargetId, Moment>,
-    /// Targets that have ended, each with the time of the break.
-    ended: BTreeMap<TargetId, Moment>,
+    /// Targets that may live on.
+    breaks: BTreeMap<TargetId, Broken>,
+    /// Targets that have ended.
+    ended: BTreeMap<TargetId, Broken>,
     /// Latest answer.
     answered_at: Option<Moment>,
+    /// Time until which a trial may be under way.
+    trial_until: Option<Moment>,
 }
 
 impl History {
@@ -131,19 +166,32 @@
         self.answered_at.is_some_and(|answered| at <= answered)
     }
 
+    fn broken(&self) -> impl Iterator<Item = &Broken> {
+        self.breaks.values().chain(self.ended.values())
+    }
+
     fn latest(&self) -> Option<Moment> {
-        self.breaks
-            .values()
-            .chain(self.ended.values())
-            .max()
-            .copied()
+        self.broken().map(|broken| broken.at).max()
+    }
+
+    fn is_suspected(&self) -> bool {
+        self.broken().map(|broken| broken.runs).sum::<u32>() >= SUSPECT_RUNS
+    }
+
+    fn is_on_trial(&self, now: Moment) -> bool {
+        self.trial_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it first has to show which targets have ended.
+    fn awaits_judgement(&self) -> bool {
+        self.broken().count() >= ENDED_MAX && self.broken().any(|broken| broken.was_trial)
     }
 
     /// Forgets what an answer or time has cleared.
     fn clear(&mut self, now: Moment) {
         let answered = self.answered_at;
-        let holds = |_: &TargetId, at: &mut Moment| {
-            answered.is_none_or(|answered| *at > answered) && now.since(*at) < MEMORY
+        let holds = |_: &TargetId, broken: &mut Broken| {
+            answered.is_none_or(|answered| broken.at > answered) && now.since(broken.at) < MEMORY
         };
         self.breaks.retain(holds);
         self.ended.retain(holds);
@@ -157,6 +205,8 @@
     started: Moment,
     histories: BTreeMap<Fingerprint, History>,
     quarantine: Quarantine,
+    /// Requests under suspicion when they were last asked for.
+    suspected: BTreeSet<Fingerprint>,
 }
 
 impl Suspects {
@@ -168,6 +218,7 @@
             started: now,
             histories: BTreeMap::new(),
             quarantine: Quarantine::default(),
+            suspected: BTreeSet::new(),
         }
     }
 
@@ -176,15 +227,85 @@
         &self.quarantine
     }
 
+    /// Requests under suspicion, as of the last [`Self::update_suspected`].
+    pub fn suspected(&self) -> &BTreeSet<Fingerprint> {
+        &self.suspected
+    }
+
+    /// Looks which requests are under suspicion. Returns whether these are others than before.
+    pub fn update_suspected(&mut self) -> bool {
+        let histories = self.histories.iter();
+        let suspected = histories.filter(|(_, history)| history.is_suspected());
+        let suspected = suspected.map(|(request, _)| *request).collect();
+        let former = std::mem::replace(&mut self.suspected, suspected);
+        self.suspected != former
+    }
+
+    /// Gives leave to run a request that has `left`, or denies it.
+    pub fn request_trial(
+        &mut self,
+        now: Moment,
+        request: Fingerprint,
+        left: Duration,
+    ) -> TrialReply {
+        let denied = |time: Duration| TrialReply::Denied(to_ms(time));
+        if let Some(left) = self.quarantine.left(now, request) {
+            return denied(left);
+        }
+        let silence = self.silence();
+        let first_trials = self.started + LEADER_PAUSE;
+        let Some(history) = self.histories.get_mut(&request) else {
+            return TrialReply::Granted;
+        };
+        if !history.is_suspected() {
+            return TrialReply::Granted;
+        }
+        if history.awaits_judgement() {
+            let judged = history.latest().map_or(now, |at| at + silence);
+            return denied(judged.since(now).max(TRIAL_RETRY));
+        }
+        if history.is_on_trial(now) {
+            return denied(TRIAL_RETRY);
+        }
+        if now < first_trials {
+            return denied(first_trials.since(now));
+        }
+        history.trial_until = Some(now + left + TRIAL_MARGIN);
+        TrialReply::Granted
+    }
+
+    /// Records that trials have ended.
+    pub fn end_trials(&mut self, requests: &[Fingerprint]) {
+        for request in requests {
+            if let Some(history) = self.histories.get_mut(request) {
+                history.trial_until = None;
+            }
+        }
+    }
+
+    /// Time without heartbeats after which a target counts as ended.
+    fn silence(&self) -> Duration {
+        self.heartbeat * MISSED_HEARTBEATS + HEARTBEAT_DELAY
+    }
+
     /// Records what an entry reports. Returns whether it names requests that were not refused yet.
     pub fn record(&mut self, now: Moment, report: &SuspectReport) -> bool {
         let age = |ms: u32| Duration::from_millis(u64::from(ms));
         for reported in &report.breaks {
             let history = self.histories.entry(reported.request).or_default();
             let at = now - age(reported.age);
-            if !history.is_cleared(at) && !history.ended.contains_key(&reported.target) {
-                history.breaks.entry(reported.target).or_insert(at);
+            if history.is_cleared(at) || history.ended.contains_key(&reported.target) {
+                continue;
             }
+            let was_trial = history.is_on_trial(now);
+            let broken = history.breaks.entry(reported.target);
+            let broken = broken.or_insert(Broken {
+                at,
+                runs: 0,
+                was_trial,
+            });
+            broken.runs += 1;
+            broken.was_trial |= was_trial;
         }
         for (request, ms) in &report.answered {
             if let Some(history) = self.histories.get_mut(request) {
@@ -207,28 +328,28 @@
         now: Moment,
         life: impl Fn(TargetId) -> TargetLife,
     ) -> Vec<(Fingerprint, BTreeSet<TargetId>)> {
-        let (heartbeat, started) = (self.heartbeat, self.started);
+        let (silence, started) = (self.silence(), self.started);
         for history in self.histories.values_mut() {
             history.clear(now);
             let ended = &mut history.ended;
-            history.breaks.retain(|target, at| {
-                let silence = heartbeat * MISSED_HEARTBEATS + HEARTBEAT_DELAY;
+            history.breaks.retain(|target, broken| {
+                let at = broken.at;
                 let has_ended = match life(*target) {
                     TargetLife::Ended => true,
-                    TargetLife::Heard(heard) if heard > *at + HEARTBEAT_DELAY => return false,
+                    TargetLife::Heard(heard) if heard > at + HEARTBEAT_DELAY => return false,
                     TargetLife::Heard(_) | TargetLife::Unheard => {
-                        now.since((*at).max(started)) >= silence
+                        now.since(at.max(started)) >= silence
                     }
                 };
                 if has_ended {
-                    ended.insert(*target, *at);
+                    ended.insert(*target, *broken);
                 }
                 !has_ended
             });
         }
         let mut refused = Vec::new();
         // What the worst one explains is not held against others.
-        while let Some(worst) = self.worst() {
+        while let Some(worst) = self.worst(now) {
             let Some(history) = self.histories.remove(&worst) else {
                 break;
             };
@@ -245,9 +366,11 @@
         refused
     }
 
-    /// Request under which most targets have ended, if these are enough to refuse it.
-    fn worst(&self) -> Option<Fingerprint> {
-        let counts = self.histories.iter().map(|(f, h)| (h.ended.len(), *f));
+    /// Request under which most targets have ended, if these are enough to refuse it. One on trial
+    /// may be answered yet.
+    fn worst(&self, now: Moment) -> Option<Fingerprint> {
+        let histories = self.histories.iter().filter(|(_, h)| !h.is_on_trial(now));
+        let counts = histories.map(|(f, h)| (h.ended.len(), *f));
         let (count, worst) = counts.max_by_key(|(count, _)| *count)?;
         (count >= ENDED_MAX).then_some(worst)
     }
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -6,7 +6,7 @@
     version::{
         catalog::TargetId,
         command::Fingerprint,
-        suspects::{ENDED_MAX, SuspectReport, Suspects, TargetLife},
+        suspects::{ENDED_MAX, SuspectReport, Suspects, TargetLife, TrialReply},
     },
 };
 use rand_chacha::{
@@ -134,6 +134,98 @@
     );
 }
 
+fn trial(suspects: &mut Suspects, millis: u64) -> bool {
+    let left = Duration::from_millis(1_000);
+    suspects.request_trial(at(millis), CRASHING, left) == TrialReply::Granted
+}
+
+#[test]
+fn copies_that_end_one_target_together_run_once_at_a_time_from_then_on() {
+    let mut suspects = suspects();
+    suspects.record(at(5_000), &broke(CRASHING, 7, 5_000));
+    let after_one = (suspects.update_suspected(), trial(&mut suspects, 5_000));
+    suspects.record(at(5_001), &broke(CRASHING, 7, 5_001));
+    let after_two = suspects.update_suspected();
+
+    let granted = [trial(&mut suspects, 5_010), trial(&mut suspects, 5_020)];
+    suspects.end_trials(&[CRASHING]);
+    let next = trial(&mut suspects, 5_200);
+
+    assert_eq!((after_one, after_two), ((false, true), true));
+    assert_eq!((granted, next), ([true, false], true));
+}
+
+#[test]
+fn a_request_whose_trials_broke_is_not_tried_again_before_its_targets_are_judged() {
+    let mut suspects = suspects();
+    for (target, millis) in [(1, 5_000), (1, 5_000), (2, 9_000), (3, 9_200)] {
+        trial(&mut suspects, millis);
+        suspects.record(at(millis), &broke(CRASHING, target, millis));
+        suspects.end_trials(&[CRASHING]);
+    }
+
+    let waiting = trial(&mut suspects, 9_300);
+    let first = refused(&mut suspects, 9_300, TargetLife::Heard(at(4_900)));
+    let judged = refused(&mut suspects, 12_000, TargetLife::Heard(at(4_900)));
+    let after = trial(&mut suspects, 12_000);
+
+    assert_eq!((waiting, first), (false, vec![]));
+    assert_eq!((judged, after), (vec![CRASHING], false));
+}
+
+/// A zone goes dark under a request that many callers repeat.
+#[test]
+fn a_busy_request_whose_targets_end_together_is_tried_before_it_is_refused() {
+    let mut suspects = suspects();
+    let mut entry = Breaks::default();
+    for target in 0..2 * ENDED_MAX as u32 {
+        suspects.record(at(5_000), &broke(CRASHING, target, 5_000));
+        suspects.record(at(5_000), &broke(CRASHING, target, 5_000));
+    }
+    suspects.update_suspected();
+    entry.apply_suspected(suspects.suspected().iter().copied().collect());
+
+    let is_granted = trial(&mut suspects, 5_100);
+    let on_trial = refused(&mut suspects, 6_500, TargetLife::Ended);
+    entry.record_answer(at(6_550), CRASHING);
+    suspects.record(at(6_550), &entry.take_news(at(6_550)));
+    suspects.end_trials(&[CRASHING]);
+    let answered = refused(&mut suspects, 6_600, TargetLife::Ended);
+
+    assert!(is_granted);
+    assert_eq!((on_trial, answered), (vec![], vec![]));
+    assert!(suspects.update_suspected() && suspects.suspected().is_empty());
+}
+
+#[test]
+fn a_new_leader_grants_no_trial_while_one_of_the_former_may_be_under_way() {
+    let mut leader = Suspects::new(HEARTBEAT, at(60_000));
+    for target in 0..2 {
+        leader.record(at(60_100), &broke(CRASHING, target, 59_000));
+    }
+
+    let granted = [trial(&mut leader, 60_900), trial(&mut leader, 61_100)];
+
+    assert_eq!(granted, [false, true]);
+}
+
+#[test]
+fn an_entry_without_a_reply_runs_a_suspected_request_once_at_a_time_and_not_for_ever() {
+    let mut entry = Breaks::default();
+    for target in 0..2 {
+        entry.record_break(at(5_000), CRASHING, TargetId(target));
+    }
+
+    let first = entry.begin_trial(CRASHING, false);
+    let beside = entry.begin_trial(CRASHING, false);
+    entry.record_break(at(6_000), CRASHING, TargetId(2));
+    entry.end_trial(CRASHING);
+    let next = entry.begin_trial(CRASHING, false);
+
+    assert!(entry.needs_trial(CRASHING));
+    assert_eq!((first, beside, next), (true, false, false));
+}
+
 /// A leader, entries and targets. Callers repeat a request that ends its targets at any entry, and
 /// send others; connections are reset, leaders change, entries restart, messages are late.
 struct Play {
--- a/node/src/connection/core_link.rs
+++ b/node/src/connection/core_link.rs
@@ -4,7 +4,7 @@
 //! connection that brings nothing for a while is made anew, since it may have fallen silent without
 //! a reset.
 
-use super::message::{MessageError, MessageStream, encode};
+use super::message::{MessageError, MessageStream, encode, encode_greeting};
 use bytes::Bytes;
 use cornelrail_lib::version::feed::{FromCore, Handshake, ToCore};
 use std::{net::SocketAddr, time::Duration};
@@ -75,7 +75,7 @@
     rx: &mut mpsc::Receiver<ToCore>,
     inbox: &mpsc::Sender<FromCore>,
 ) -> Result<(), MessageError> {
-    stream.send([encode(greeting)?]).await?;
+    stream.send([encode_greeting(greeting)?]).await?;
     let mut burst = Vec::with_capacity(BURST);
     let mut ping = Instant::now() + PING_PAUSE;
     loop {
--- a/node/src/connection/message.rs
+++ b/node/src/connection/message.rs
@@ -5,8 +5,12 @@
 //! between messages, so one task can serve both directions of a connection. A peer counts as silent
 //! once no byte passes; a long message may take its time on a slow link. The network between the
 //! processes is trusted: nobody hands out keys there (see `docs/design/platform.md`).
+//!
+//! The first message in each direction is a greeting: behind it stands the level of its sender (see
+//! [`wire_level`](cornelrail_lib::version::wire_level)), which releases without levels do not read.
 
 use bytes::Bytes;
+use cornelrail_lib::version::wire_level::WireLevel;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{io, net::SocketAddr, pin::Pin, time::Duration};
@@ -87,10 +91,29 @@
 
     /// Waits for the next message.
     pub async fn receive<M: DeserializeOwned>(&mut self) -> Result<M, MessageError> {
-        let frame = self.framed.next().await.ok_or(MessageError::Closed)??;
-        match frame.split_first() {
-            Some((&PLAIN, body)) => Ok(postcard::from_bytes(body)?),
-            Some((&COMPRESSED, body)) => Ok(postcard::from_bytes(&expand(body)?)?),
+        let body = self.receive_body().await?;
+        Ok(postcard::from_bytes(&body)?)
+    }
+
+    /// Waits for the first message, and the level that its sender tells.
+    pub async fn receive_greeting<M: DeserializeOwned>(
+        &mut self,
+    ) -> Result<(M, WireLevel), MessageError> {
+        let body = self.receive_body().await?;
+        let (message, rest) = postcard::take_from_bytes(&body)?;
+        let level = match rest.is_empty() {
+            true => WireLevel::BASE,
+            false => postcard::from_bytes(rest)?,
+        };
+        Ok((message, level))
+    }
+
+    /// Waits for the encoding of the next message.
+    async fn receive_body(&mut self) -> Result<Bytes, MessageError> {
+        let mut frame = self.framed.next().await.ok_or(MessageError::Closed)??;
+        match frame.first() {
+            Some(&PLAIN) => Ok(frame.split_off(1).freeze()),
+            Some(&COMPRESSED) => Ok(Bytes::from(expand(&frame[1..])?)),
             _ => Err(MessageError::Damaged),
         }
     }
@@ -109,14 +132,24 @@
 
 /// Encodes a message.
 pub fn encode<M: Serialize>(message: &M) -> Result<Bytes, postcard::Error> {
-    let mut bytes = postcard::to_extend(message, vec![PLAIN])?;
+    Ok(pack(postcard::to_extend(message, vec![PLAIN])?))
+}
+
+/// Encodes the first message on a connection, with the level of this process behind it.
+pub fn encode_greeting<M: Serialize>(message: &M) -> Result<Bytes, postcard::Error> {
+    let bytes = postcard::to_extend(message, vec![PLAIN])?;
+    Ok(pack(postcard::to_extend(&WireLevel::OWN, bytes)?))
+}
+
+/// Compresses what is long.
+fn pack(mut bytes: Vec<u8>) -> Bytes {
     if bytes.len() > COMPRESS_BYTES {
         let packed = lz4_flex::compress_prepend_size(&bytes[1..]);
         bytes.clear();
         bytes.push(COMPRESSED);
         bytes.extend(packed);
     }
-    Ok(Bytes::from(bytes))
+    Bytes::from(bytes)
 }
 
 fn expand(packed: &[u8]) -> Result<Vec<u8>, MessageError> {
--- a/node/src/process/core/feed.rs
+++ b/node/src/process/core/feed.rs
@@ -6,7 +6,7 @@
 //! besides.
 
 use bytes::Bytes;
-use cornelrail_lib::version::feed::Peer;
+use cornelrail_lib::version::{feed::Peer, wire_level::WireLevel};
 use tokio::sync::{mpsc, watch};
 
 /// Updates and confirmations that wait for one entry; one that is further behind has to follow anew.
@@ -61,6 +61,8 @@
 pub struct Subscriber {
     /// Name in logs.
     pub name: String,
+    /// Level of the messages that it knows.
+    pub level: WireLevel,
     /// Updates and confirmations for the entry.
     pub updates: mpsc::Sender<Bytes>,
     /// How other entries reach it, once it has told.
@@ -68,6 +70,11 @@
 }
 
 impl Subscriber {
+    /// Queues a message, unless the entry does not know its kind. Returns whether it goes on.
+    pub fn send(&self, level: WireLevel, bytes: &Bytes) -> bool {
+        self.level < level || self.updates.try_send(bytes.clone()).is_ok()
+    }
+
     /// Whether few messages wait for the entry.
     pub fn is_prompt(&self) -> bool {
         self.waiting() < PROMPT_MESSAGES
@@ -90,7 +97,11 @@
 
 impl Feed {
     /// Feed of an entry, with the subscriber that fills it. Earlier statuses are not for it.
-    pub fn new(name: String, mut statuses: watch::Receiver<LatestStatuses>) -> (Subscriber, Feed) {
+    pub fn new(
+        name: String,
+        level: WireLevel,
+        mut statuses: watch::Receiver<LatestStatuses>,
+    ) -> (Subscriber, Feed) {
         let (tx, rx) = mpsc::channel(UPDATES_HELD);
         let taken = statuses.borrow_and_update().number;
         let feed = Feed {
@@ -100,6 +111,7 @@
         };
         let subscriber = Subscriber {
             name,
+            level,
             updates: tx,
             peer: None,
         };
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -57,6 +57,7 @@
             return;
         };
         let refused = leading.leader.judge_suspects(now, &self.catalog);
+        let has_changed = leading.leader.suspects().update_suspected();
         for planned in leading.leader.plan(now, &self.catalog) {
             let then = planned.completes.map_or(Then::Nothing, Then::Replan);
             self.propose(&planned.update, then);
@@ -72,6 +73,9 @@
         if !refused.is_empty() {
             self.send_quarantine();
         }
+        if has_changed {
+            self.send_suspected();
+        }
     }
 
     /// Takes in what an entry reports of requests that may have ended targets.
@@ -80,9 +84,14 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        if leading.leader.record_suspects(now, report) {
+        let is_refused = leading.leader.record_suspects(now, report);
+        let has_changed = leading.leader.suspects().update_suspected();
+        if is_refused {
             self.send_quarantine();
         }
+        if has_changed {
+            self.send_suspected();
+        }
     }
 
     /// Whether no other host can lead at this moment.
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -8,7 +8,10 @@
 use cornelrail_lib::{
     name::Node,
     process::{control_call::ControlReply, event::Event},
-    version::feed::{FromCore, Handshake, ToCore},
+    version::{
+        feed::{FromCore, Handshake, ToCore},
+        wire_level::WireLevel,
+    },
 };
 use std::time::Duration;
 use tokio::{
@@ -42,9 +45,9 @@
     let Ok(mut stream) = MessageStream::new(stream, SILENCE) else {
         return;
     };
-    let ended = match stream.receive().await {
-        Ok(Handshake::Core { node }) => serve_core(stream, node, &voter, &core).await,
-        Ok(Handshake::Entry { name, .. }) => serve_entry(stream, name, &core).await,
+    let ended = match stream.receive_greeting().await {
+        Ok((Handshake::Core { node }, _)) => serve_core(stream, node, &voter, &core).await,
+        Ok((Handshake::Entry { name, .. }, level)) => serve_entry(stream, name, level, &core).await,
         Err(error) => Err(error),
     };
     if let (Err(error @ (MessageError::Decode(_) | MessageError::Damaged)), Ok(address)) =
@@ -81,7 +84,9 @@
                     | ToCore::Limits(_)
                     | ToCore::Suspects(_)
                     | ToCore::Peer(_)
-                    | ToCore::Permit(..) => {}
+                    | ToCore::Permit(..)
+                    | ToCore::Trial(..)
+                    | ToCore::TrialsEnded(_) => {}
                 }
             }
             Some((number, reply)) = replies.recv() => {
@@ -95,9 +100,10 @@
 async fn serve_entry(
     mut stream: MessageStream,
     name: String,
+    level: WireLevel,
     core: &CoreHandle,
 ) -> Result<(), MessageError> {
-    let mut feed = core.follow(name.clone()).await;
+    let mut feed = core.follow(name.clone(), level).await;
     loop {
         tokio::select! {
             messages = feed.next() => match messages {
@@ -111,6 +117,10 @@
                     ToCore::Limits(reports) => core.report_limits(reports).await,
                     ToCore::Suspects(report) => core.report_suspects(report).await,
                     ToCore::Peer(peer) => core.report_peer(name.clone(), peer).await,
+                    ToCore::Trial(number, request, left) => {
+                        core.request_trial(name.clone(), number, request, left).await;
+                    }
+                    ToCore::TrialsEnded(requests) => core.end_trials(requests).await,
                     ToCore::Permit(number, request) => {
                         core.request_permit(name.clone(), number, request).await;
                     }
--- a/node/src/process/core/spread.rs
+++ b/node/src/process/core/spread.rs
@@ -4,14 +4,19 @@
 //! confirmations of the leader.
 
 use super::{feed::Subscriber, leading::Leading, task::Task};
-use crate::{connection::message::encode, process::logging::EventLog};
+use crate::{
+    connection::message::{encode, encode_greeting},
+    process::logging::EventLog,
+};
 use bytes::Bytes;
 use cornelrail_lib::{
     moment::Moment,
     process::event::Event,
     version::{
+        command::Fingerprint,
         feed::{FromCore, Peer},
         permits::PermitRequest,
+        wire_level::WireLevel,
     },
 };
 use std::time::Duration;
@@ -143,7 +148,7 @@
 
     /// The core hosts and the leader, as far as this host knows.
     fn encoded_members(&self) -> Result<Bytes, postcard::Error> {
-        encode(&FromCore::Members {
+        encode_greeting(&FromCore::Members {
             leader: self.leader,
             nodes: self.members.clone(),
         })
@@ -160,9 +165,19 @@
 
     /// Notes how other entries reach an entry.
     pub(super) fn take_peer(&mut self, entry: &str, peer: Peer) {
+        let quarantine = self.encoded_quarantine();
         let mut subscribers = self.subscribers.iter_mut();
-        if let Some(subscriber) = subscribers.find(|s| s.name == entry) {
-            subscriber.peer = Some(peer);
+        let Some(subscriber) = subscribers.find(|s| s.name == entry) else {
+            return;
+        };
+        subscriber.peer = Some(peer);
+        if subscriber.level < WireLevel::DETOURS {
+            // Whoever tells this knows what came with it, though it does not tell its level.
+            subscriber.level = WireLevel::DETOURS;
+            if let Some(Ok(bytes)) = quarantine {
+                // A full feed ends with the next message to all.
+                subscriber.send(WireLevel::DETOURS, &bytes);
+            }
         }
     }
 
@@ -181,7 +196,7 @@
         if let Ok(bytes) = encode(&FromCore::Peers(self.peers.clone())) {
             let entries = self.subscribers.len();
             self.meter.count("peers", bytes.len(), entries);
-            self.keep_subscribers(|s| s.updates.try_send(bytes.clone()).is_ok());
+            self.keep_subscribers(|s| s.send(WireLevel::DETOURS, &bytes));
         }
     }
 
@@ -190,7 +205,7 @@
         if let Some(Ok(bytes)) = self.encoded_quarantine() {
             let entries = self.subscribers.len();
             self.meter.count("quarantined", bytes.len(), entries);
-            self.keep_subscribers(|s| s.updates.try_send(bytes.clone()).is_ok());
+            self.keep_subscribers(|s| s.send(WireLevel::DETOURS, &bytes));
         }
     }
 
@@ -200,26 +215,79 @@
         (!list.is_empty()).then(|| encode(&FromCore::Quarantined(list)))
     }
 
+    /// Tells the entries that follow which requests need a trial.
+    pub(super) fn send_suspected(&mut self) {
+        if let Some(Ok(bytes)) = self.encoded_suspected() {
+            let entries = self.subscribers.len();
+            self.meter.count("suspected", bytes.len(), entries);
+            self.keep_subscribers(|s| s.send(WireLevel::TRIALS, &bytes));
+        }
+    }
+
+    /// The requests that need a trial.
+    fn encoded_suspected(&mut self) -> Option<Result<Bytes, postcard::Error>> {
+        let suspects = self.leading.as_mut()?.leader.suspects();
+        let list = suspects.suspected().iter().copied().collect();
+        Some(encode(&FromCore::Suspected(list)))
+    }
+
+    /// Replies to an entry that asks for a trial. Only one host may give leave at a time, so one that
+    /// may lead no more does not reply.
+    pub(super) async fn give_trial(
+        &mut self,
+        entry: &str,
+        number: u64,
+        request: Fingerprint,
+        left: u32,
+    ) {
+        if !self.has_lease().await {
+            return;
+        }
+        let now = self.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let mut subscribers = self.subscribers.iter();
+        // An entry that is far behind would use the leave too late.
+        let Some(subscriber) = subscribers.find(|s| s.name == entry && s.is_prompt()) else {
+            return;
+        };
+        let left = Duration::from_millis(u64::from(left));
+        let reply = leading.leader.suspects().request_trial(now, request, left);
+        let Ok(bytes) = encode(&FromCore::Trial(number, reply)) else {
+            return;
+        };
+        self.meter.count("trial", bytes.len(), 1);
+        // A full feed ends with the next message to all.
+        subscriber.send(WireLevel::TRIALS, &bytes);
+    }
+
     pub(super) fn take_follower(&mut self, subscriber: Subscriber) {
         self.spread();
-        let mut messages = vec![self.encoded_members()];
+        let (base, detours) = (WireLevel::BASE, WireLevel::DETOURS);
+        let mut messages = vec![("members", base, self.encoded_members())];
         if self.leading.is_some() {
-            messages.push(self.encoded_copy());
-            messages.extend(self.encoded_quarantine());
-        }
-        let kinds = ["members", "snapshot", "quarantined"];
-        for (kind, message) in kinds.into_iter().zip(messages) {
-            let sent = message.map(|bytes| {
-                self.meter.count(kind, bytes.len(), 1);
-                subscriber.updates.try_send(bytes)
-            });
-            if !matches!(sent, Ok(Ok(()))) {
+            messages.push(("snapshot", base, self.encoded_copy()));
+            let quarantine = self.encoded_quarantine();
+            messages.extend(quarantine.map(|message| ("quarantined", detours, message)));
+            let suspected = self.encoded_suspected();
+            messages.extend(suspected.map(|message| ("suspected", WireLevel::TRIALS, message)));
+        }
+        for (kind, level, message) in messages {
+            let Ok(bytes) = message else {
+                return;
+            };
+            self.meter.count(kind, bytes.len(), 1);
+            if !subscriber.send(level, &bytes) {
                 return;
             }
         }
         if let Some(leading) = &mut self.leading {
             leading.leader.hasten_status();
-            Event::EntryUp.log(format_args!("entry={}", subscriber.name));
+            Event::EntryUp.log(format_args!(
+                "entry={} level={}",
+                subscriber.name, subscriber.level
+            ));
             self.subscribers.push(subscriber);
         }
     }
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -26,9 +26,11 @@
     },
     version::{
         catalog::{Applied, Catalog, Update},
+        command::Fingerprint,
         feed::{FromCore, Handshake, Peer, ToCore, TrafficReport},
         permits::{LimitReport, PermitRequest},
         suspects::SuspectReport,
+        wire_level::WireLevel,
     },
 };
 use std::{
@@ -69,6 +71,11 @@
     Peer(String, Peer),
     /// An entry of this name asks for a permit, with the number that the reply repeats.
     Permit(String, u64, PermitRequest),
+    /// An entry of this name asks for a trial of a request that has so many ms left, with the number
+    /// that the reply repeats.
+    Trial(String, u64, Fingerprint, u32),
+    /// Trials have ended.
+    TrialsEnded(Vec<Fingerprint>),
     /// An entry of this name wants to know that its copy is not behind.
     Confirm(String, Moment),
     /// A command was not taken into the log, or its outcome is not known.
@@ -93,8 +100,8 @@
     }
 
     /// Asks to follow; gives the messages for the entry.
-    pub async fn follow(&self, name: String) -> Feed {
-        let (subscriber, feed) = Feed::new(name, self.statuses.clone());
+    pub async fn follow(&self, name: String, level: WireLevel) -> Feed {
+        let (subscriber, feed) = Feed::new(name, level, self.statuses.clone());
         self.send(CoreEvent::Follow(subscriber)).await;
         feed
     }
@@ -124,6 +131,17 @@
         self.send(CoreEvent::Permit(entry, number, request)).await;
     }
 
+    /// Asks for a trial for an entry, which gets the reply with its feed.
+    pub async fn request_trial(&self, entry: String, number: u64, request: Fingerprint, left: u32) {
+        let event = CoreEvent::Trial(entry, number, request, left);
+        self.send(event).await;
+    }
+
+    /// Hands in the trials that have ended at an entry.
+    pub async fn end_trials(&self, requests: Vec<Fingerprint>) {
+        self.send(CoreEvent::TrialsEnded(requests)).await;
+    }
+
     /// Confirms to an entry, behind all that it was sent, what it has asked.
     pub async fn confirm(&self, entry: String, at: Moment) {
         self.send(CoreEvent::Confirm(entry, at)).await;
@@ -294,6 +312,14 @@
             CoreEvent::Permit(entry, number, request) => {
                 self.give_permit(&entry, number, request).await;
             }
+            CoreEvent::Trial(entry, number, request, left) => {
+                self.give_trial(&entry, number, request, left).await;
+            }
+            CoreEvent::TrialsEnded(requests) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.leader.suspects().end_trials(&requests);
+                }
+            }
             CoreEvent::Confirm(entry, at) => self.confirm(&entry, at).await,
             CoreEvent::Failed(number, error) => self.fail(number, error),
             CoreEvent::Stop(_) => {}
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -6,10 +6,10 @@
 
 use super::{
     Entry,
-    permits::{Question, Questions},
+    questions::{Question, Questions, Reply},
 };
 use crate::{
-    connection::message::{MessageError, MessageStream, encode},
+    connection::message::{MessageError, MessageStream, encode, encode_greeting},
     process::{
         core::{address_of, node_of},
         logging::EventLog,
@@ -22,7 +22,7 @@
     version::{
         feed::{FromCore, Handshake, ToCore},
         leader_search::{Finding, LeaderSearch},
-        suspects::SuspectReport,
+        wire_level::WireLevel,
     },
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -70,6 +70,7 @@
 /// Answer of a core host, and the connection on which it came.
 struct Answer {
     stream: MessageStream,
+    level: WireLevel,
     leader: Option<Node>,
     nodes: Vec<Node>,
 }
@@ -83,12 +84,13 @@
         };
         let sent = stream.send([self.greeting.clone()]).await;
         let received = match sent {
-            Ok(()) => stream.receive::<FromCore>().await,
+            Ok(()) => stream.receive_greeting::<FromCore>().await,
             Err(error) => Err(error),
         };
         let answer = match received {
-            Ok(FromCore::Members { leader, nodes }) => Ok(Answer {
+            Ok((FromCore::Members { leader, nodes }, level)) => Ok(Answer {
                 stream,
+                level,
                 leader,
                 nodes,
             }),
@@ -118,7 +120,7 @@
         name: settings.name.clone(),
         zone: settings.zone.clone(),
     };
-    let Ok(greeting) = encode(&greeting) else {
+    let Ok(greeting) = encode_greeting(&greeting) else {
         return;
     };
     let asker = Asker {
@@ -129,9 +131,11 @@
     loop {
         let hosts = directory.hosts(&seeds.borrow());
         let mut has_followed = false;
-        if let Some((host, stream)) = find_leader(&entry, &asker, hosts, &mut directory).await {
+        if let Some((host, level, stream)) =
+            find_leader(&entry, &asker, hosts, &mut directory).await
+        {
             let address = SocketAddr::new(address_of(host), settings.port);
-            let mut follower = Follower::new(&entry, address, &mut directory);
+            let mut follower = Follower::new(&entry, address, level, &mut directory);
             let Err(error) = follower.run(stream).await;
             log_refusal(address, &error);
             has_followed = follower.following;
@@ -148,7 +152,7 @@
     asker: &Asker,
     hosts: Vec<Node>,
     directory: &mut Directory,
-) -> Option<(Node, MessageStream)> {
+) -> Option<(Node, WireLevel, MessageStream)> {
     let mut search = LeaderSearch::new(entry.clock.now());
     let mut asking = FuturesUnordered::new();
     for host in hosts {
@@ -174,7 +178,7 @@
                 if answer.leader == Some(host) {
                     directory.leader = answer.leader;
                     entry.router().observe_leader();
-                    return Some((host, answer.stream));
+                    return Some((host, answer.level, answer.stream));
                 }
                 answer.leader.map_or(Finding::Leaderless, Finding::Leader)
             }
@@ -196,6 +200,8 @@
 struct Follower<'a> {
     entry: &'a Arc<Entry>,
     address: SocketAddr,
+    /// Level of the messages that the leader knows.
+    level: WireLevel,
     directory: &'a mut Directory,
     following: bool,
     /// Permits that were asked for.
@@ -203,10 +209,16 @@
 }
 
 impl<'a> Follower<'a> {
-    fn new(entry: &'a Arc<Entry>, address: SocketAddr, directory: &'a mut Directory) -> Self {
+    fn new(
+        entry: &'a Arc<Entry>,
+        address: SocketAddr,
+        level: WireLevel,
+        directory: &'a mut Directory,
+    ) -> Self {
         Follower {
             entry,
             address,
+            level,
             directory,
             following: false,
             questions: Questions::default(),
@@ -221,8 +233,11 @@
         loop {
             tokio::select! {
                 message = stream.receive::<FromCore>() => {
-                    let was_following = self.following;
-                    self.take(message?);
+                    let message = message?;
+                    let (had_level, was_following) = (self.level, self.following);
+                    // Whoever sends a message knows what came with it.
+                    self.level = self.level.max(message.level());
+                    self.take(message);
                     if self.following && !was_following {
                         // A new copy is not used before it is confirmed.
                         report.reset_immediately();
@@ -230,18 +245,16 @@
                         if let Some(limits) = self.limit_reports()? {
                             stream.send([limits]).await?;
                         }
-                        let now = self.entry.clock.now();
-                        let suspects = self.entry.router().breaks().report(now);
-                        let mut known = suspects_message(suspects)?;
-                        known.push(encode(&ToCore::Peer(self.entry.as_peer()))?);
-                        stream.send(known).await?;
                         asked = self.entry.open_leader();
                     }
+                    if self.following && (!was_following || had_level < self.level) {
+                        stream.send(self.known()?).await?;
+                    }
                 }
                 Some(question) = asked.recv() => {
-                    let request = question.request;
-                    let number = self.questions.push(question);
-                    stream.send([encode(&ToCore::Permit(number, request))?]).await?;
+                    let message = self.questions.push(question);
+                    // Without a reply the entry decides by itself.
+                    stream.send(self.encode_known([message])?).await?;
                 }
                 () = self.entry.news.notified(), if self.following => {
                     stream.send(self.news()?).await?;
@@ -270,22 +283,41 @@
         Ok(message.transpose()?)
     }
 
+    /// What a new leader has to know of suspected requests and of this entry.
+    fn known(&self) -> Result<Vec<Bytes>, MessageError> {
+        let suspects = {
+            let now = self.entry.clock.now();
+            self.entry.router().breaks().report(now)
+        };
+        let peer = ToCore::Peer(self.entry.as_peer());
+        self.encode_known([ToCore::Suspects(suspects), peer])
+    }
+
     /// What the leader has to know at once.
     fn news(&self) -> Result<Vec<Bytes>, MessageError> {
         let now = self.entry.clock.now();
-        let (limits, suspects) = {
+        let (limits, suspects, trials) = {
             let mut router = self.entry.router();
             (
                 router.take_limit_changes(now),
                 router.breaks().take_news(now),
+                router.breaks().take_ended_trials(),
             )
         };
-        let mut messages = suspects_message(suspects)?;
-        messages.push(encode(&ToCore::Peer(self.entry.as_peer()))?);
-        if !limits.is_empty() {
-            messages.push(encode(&ToCore::Limits(limits))?);
-        }
-        Ok(messages)
+        let peer = ToCore::Peer(self.entry.as_peer());
+        // A trial ends after the report of what it broke.
+        let (suspects, trials) = (ToCore::Suspects(suspects), ToCore::TrialsEnded(trials));
+        self.encode_known([suspects, trials, peer, ToCore::Limits(limits)])
+    }
+
+    /// Encodes the messages that the leader knows and that say anything.
+    fn encode_known(
+        &self,
+        messages: impl IntoIterator<Item = ToCore>,
+    ) -> Result<Vec<Bytes>, MessageError> {
+        let is_sent = |message: &ToCore| message.level() <= self.level && !message.is_empty();
+        let sent = messages.into_iter().filter(is_sent);
+        sent.map(|message| Ok(encode(&message)?)).collect()
     }
 
     fn take(&mut self, message: FromCore) {
@@ -320,7 +352,13 @@
                 let mut router = self.entry.router();
                 router.peers().update(peers, self.entry.address);
             }
-            FromCore::Permit(number, reply) => return self.questions.resolve(number, reply),
+            FromCore::Permit(number, reply) => {
+                return self.questions.resolve(number, Reply::Permit(reply));
+            }
+            FromCore::Trial(number, reply) => {
+                return self.questions.resolve(number, Reply::Trial(reply));
+            }
+            FromCore::Suspected(list) => self.entry.router().breaks().apply_suspected(list),
             FromCore::Status(_)
             | FromCore::LimitedStatus(..)
             | FromCore::Confirmed(_)
@@ -331,14 +369,6 @@
     }
 }
 
-/// Encodes a report, unless there is nothing to report.
-fn suspects_message(report: SuspectReport) -> Result<Vec<Bytes>, MessageError> {
-    match report.is_empty() {
-        true => Ok(Vec::new()),
-        false => Ok(vec![encode(&ToCore::Suspects(report))?]),
-    }
-}
-
 impl Drop for Follower<'_> {
     fn drop(&mut self) {
         self.entry.close_leader();
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -8,7 +8,7 @@
 mod follow;
 mod front;
 mod links;
-mod permits;
+mod questions;
 mod watch_replica;
 
 use super::{
@@ -34,7 +34,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use permits::Question;
+use questions::Question;
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -5,6 +5,7 @@
 //! the request may have run.
 
 mod detour;
+mod trial;
 
 use self::detour::Detour;
 use super::{
@@ -229,8 +230,12 @@
                 .record_arrival(now, &self.routed.service, key);
         }
         loop {
-            let next = match self.next(entry).await {
-                Ok(next) => next,
+            let placed = match self.trial(entry, &body).await {
+                Ok(trial) => self.next(entry).await.map(|next| (trial, next)),
+                Err(refusal) => Err(refusal),
+            };
+            let (trial, next) = match placed {
+                Ok(placed) => placed,
                 Err(refusal) => {
                     if let RequestBody::Stream(body) = body {
                         discard(body);
@@ -246,6 +251,7 @@
             let tried = self.attempt(entry, &next, body).await;
             self.tried.push(target);
             self.record_end(entry, target, &tried, again.as_ref());
+            drop(trial);
             let refusal = match tried {
                 Tried::Answer(response) => return self.answer(entry, response),
                 Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_pool;
 mod test_processes;
 mod test_program;
+mod test_releases;
 mod test_replica;
 mod test_seeded;
 mod test_stopping;
--- a/node/tests/test_crashing.rs
+++ b/node/tests/test_crashing.rs
@@ -43,6 +43,8 @@
     /// Number of its incarnation; an odd one is down.
     life: AtomicU64,
     ends: Ends,
+    runs: Ends,
+    back_after: Duration,
 }
 
 impl Fragile {
@@ -67,6 +69,9 @@
             }
             let is_crashing = head.starts_with("GET /r/crash");
             sleep(Duration::from_millis(20)).await;
+            if is_crashing {
+                self.runs.lock().expect("whole").push(Instant::now());
+            }
             if is_crashing && self.life.load(Ordering::Relaxed) == life {
                 self.end();
             }
@@ -91,7 +96,7 @@
         self.ends.lock().expect("whole").push(Instant::now());
         let target = self.clone();
         tokio::spawn(async move {
-            sleep(BACK_AFTER).await;
+            sleep(target.back_after).await;
             target.life.fetch_add(1, Ordering::Relaxed);
         });
     }
@@ -122,18 +127,24 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
-struct Fleet {
+pub(crate) struct Fleet {
     folder: TempDir,
     host: String,
     port: u16,
-    callers: Vec<SocketAddr>,
+    pub(crate) callers: Vec<SocketAddr>,
     ends: Ends,
+    /// When runs of the request ended with their targets; one end may be that of several runs.
+    runs: Ends,
     _core: CoreHandle,
     entries: Vec<EntryHandle>,
     _targets: JoinSet<()>,
 }
 
-async fn fleet(entries: usize) -> Fleet {
+pub(crate) async fn fleet(entries: usize) -> Fleet {
+    fleet_of(entries, TARGETS, BACK_AFTER).await
+}
+
+async fn fleet_of(entries: usize, count: usize, back_after: Duration) -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let host = host();
     let port = ports::next_port();
@@ -141,15 +152,17 @@
     let listen = format!("control: \"{control}\"");
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
     let core = core::start(core).await.expect("a core host");
-    let ends = Ends::default();
+    let (ends, runs) = (Ends::default(), Ends::default());
     let mut targets = JoinSet::new();
-    for number in 0..TARGETS {
+    for number in 0..count {
         let listener = TcpListener::bind((host.as_str(), 0)).await.expect("bound");
         let address = listener.local_addr().expect("bound");
         let target = Arc::new(Fragile {
             name: format!("t-{number}"),
             life: AtomicU64::new(0),
             ends: ends.clone(),
+            runs: runs.clone(),
+            back_after,
         });
         targets.spawn(target.clone().run(listener));
         targets.spawn(target.beat(control, address));
@@ -160,6 +173,7 @@
         port,
         callers: Vec::new(),
         ends,
+        runs,
         _core: core,
         entries: Vec::new(),
         _targets: targets,
@@ -205,13 +219,24 @@
         }
     }
 
+    /// Address at which entries follow the core host.
+    pub(crate) fn core(&self) -> SocketAddr {
+        SocketAddr::new(self.host.parse().expect("an address"), self.port)
+    }
+
+    /// Whether an entry refuses the request.
+    pub(crate) async fn refuses_crash(&self) -> bool {
+        let (_, reply) = ask(self.callers[0], "/r/crash", "refused").await;
+        reply.contains("quarantined")
+    }
+
     fn ends(&self) -> Vec<Instant> {
         self.ends.lock().expect("whole").clone()
     }
 
     /// Sends the request again and again, each time to the next entry, while others are sent too.
     /// Returns how many of the others were served, and of how many.
-    async fn repeat(&self, entries: &[SocketAddr], time: Duration) -> (usize, usize) {
+    pub(crate) async fn repeat(&self, entries: &[SocketAddr], time: Duration) -> (usize, usize) {
         let start = Instant::now();
         let (mut served, mut asked) = (0, 0);
         for number in 0.. {
@@ -231,6 +256,24 @@
         (served, asked)
     }
 
+    /// Sends copies of the request at the same moment, again and again, to all entries.
+    async fn repeat_copies(&self, copies: usize, time: Duration) {
+        let start = Instant::now();
+        for round in 0.. {
+            if start.elapsed() >= time {
+                return;
+            }
+            let mut asking = JoinSet::new();
+            for copy in 0..copies {
+                let callers = self.callers[copy % self.callers.len()];
+                let id = format!("crash-{round}-{copy}");
+                asking.spawn(async move { ask(callers, "/r/crash", &id).await });
+            }
+            asking.join_all().await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     /// Checks how often the request has reached a target since every entry must refuse it.
     fn check_bound(&self) {
         let ends = self.ends();
@@ -312,3 +355,17 @@
     fleet.check_bound();
     assert!(refused.is_empty(), "{refused:?}");
 }
+
+/// Copies of a request that run at the same time end their target together, and each has ended it.
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_of_a_request_that_has_ended_three_runs_are_sent_again_together() {
+    let fleet = fleet_of(4, 1, Duration::from_secs(2)).await;
+
+    fleet.repeat_copies(8, Duration::from_secs(12)).await;
+
+    let runs = fleet.runs.lock().expect("whole").clone();
+    assert!(runs.len() >= 3, "only {} runs", runs.len());
+    let from = runs[2] + KNOWN_AFTER;
+    let late = runs.iter().filter(|at| **at > from).count();
+    assert!(late <= ALLOWED, "{late} later runs of {}", runs.len());
+}
--- a/node/tests/test_detour.rs
+++ b/node/tests/test_detour.rs
@@ -14,7 +14,7 @@
     },
 };
 use cornelrail_node::{
-    connection::message::{MessageError, MessageStream, encode},
+    connection::message::{MessageError, MessageStream, encode, encode_greeting},
     process::{
         core::node_of,
         entry::{self, EntryHandle},
@@ -118,7 +118,8 @@
             nodes: vec![node_of(address)],
         };
         let snapshot = FromCore::snapshot(1, &self.catalogs[&name]);
-        stream.send([encode(&members)?, encode(&snapshot)?]).await?;
+        let greeting = encode_greeting(&members)?;
+        stream.send([greeting, encode(&snapshot)?]).await?;
         let mut statuses = interval(STATUS_INTERVAL);
         let mut peers = self.peers.subscribe();
         loop {
--- a/node/tests/test_feed.rs
+++ b/node/tests/test_feed.rs
@@ -3,6 +3,7 @@
 
 use crate::test_seeded::{PATIENCE, StandIn, call, exchange, host, settings, split};
 use bytes::Bytes;
+use cornelrail_lib::version::wire_level::WireLevel;
 use cornelrail_node::process::{
     core::{self, CoreHandle, Feed, LatestStatuses, Subscriber},
     entry::{self, EntryHandle},
@@ -297,7 +298,7 @@
 /// Statuses of a leader, with an entry that follows it and the entry's feed.
 fn feed() -> (watch::Sender<LatestStatuses>, Subscriber, Feed) {
     let statuses = watch::Sender::new(LatestStatuses::default());
-    let (subscriber, feed) = Feed::new("e-1".to_owned(), statuses.subscribe());
+    let (subscriber, feed) = Feed::new("e-1".to_owned(), WireLevel::OWN, statuses.subscribe());
     (statuses, subscriber, feed)
 }
 
@@ -346,7 +347,7 @@
 async fn an_entry_gets_no_status_from_before_it_followed() {
     let statuses = watch::Sender::new(LatestStatuses::default());
     push(&statuses, "earlier", true);
-    let (_subscriber, mut feed) = Feed::new("e-1".to_owned(), statuses.subscribe());
+    let (_subscriber, mut feed) = Feed::new("e-1".to_owned(), WireLevel::OWN, statuses.subscribe());
     push(&statuses, "later", false);
 
     let sent = feed.next().await;
--- a/node/tests/test_replica.rs
+++ b/node/tests/test_replica.rs
@@ -82,7 +82,7 @@
 }
 
 /// A catalog with a route to a service without targets.
-fn catalog() -> Catalog {
+pub(crate) fn catalog() -> Catalog {
     let mut change = Change::default();
     let service = Service::from("pool");
     let spec = ServiceSpec {
@@ -184,7 +184,7 @@
 }
 
 /// Reason of the entry's rejection of a request.
-async fn reason(callers: SocketAddr) -> String {
+pub(crate) async fn reason(callers: SocketAddr) -> String {
     let request = b"GET /r/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: one\r\n\
         Deadline-Ms: 1000\r\nConnection: close\r\n\r\n";
     let reply = exchange(callers, request).await.expect("an answer");
@@ -194,7 +194,7 @@
 }
 
 /// Waits until the entry routes requests, to a service without targets.
-async fn routes(callers: SocketAddr) {
+pub(crate) async fn routes(callers: SocketAddr) {
     let start = Instant::now();
     while reason(callers).await != "unowned" {
         assert!(start.elapsed() < PATIENCE, "the entry does not route");
