--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -169,8 +169,14 @@
     LimitEnded = 67, Info, "limit-ended";
     /// The connection to a target broke while the target may have run a request.
     ConnectionBroke = 68, Info, "connection-broke";
+    /// A request may have ended targets and runs once at a time.
+    RequestSuspected = 69, Info, "request-suspected";
     /// The trace span of one hop of a request ended.
     SpanEnded = 70, Debug, "span-ended";
+    /// A request is under suspicion no more.
+    SuspicionEnded = 71, Info, "suspicion-ended";
+    /// A request under suspicion is sent, alone.
+    TrialBegun = 72, Info, "trial-begun";
 }
 
 impl Event {
--- a/lib/src/version/suspects.rs
+++ b/lib/src/version/suspects.rs
@@ -93,6 +93,22 @@
     Denied(u32),
 }
 
+/// Change of the requests under suspicion.
+#[derive(Debug, PartialEq, Eq)]
+pub struct SuspicionChange {
+    /// Requests that are suspected from now on.
+    pub begun: Vec<Fingerprint>,
+    /// Requests that are suspected no more.
+    pub ended: Vec<Fingerprint>,
+}
+
+impl SuspicionChange {
+    /// Whether nothing has changed.
+    pub fn is_empty(&self) -> bool {
+        self.begun.is_empty() && self.ended.is_empty()
+    }
+}
+
 /// Requests that are refused, each until some time.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -232,13 +248,16 @@
         &self.suspected
     }
 
-    /// Looks which requests are under suspicion. Returns whether these are others than before.
-    pub fn update_suspected(&mut self) -> bool {
+    /// Looks which requests are under suspicion. Returns what has changed since the last call.
+    pub fn update_suspected(&mut self) -> SuspicionChange {
         let histories = self.histories.iter();
         let suspected = histories.filter(|(_, history)| history.is_suspected());
         let suspected = suspected.map(|(request, _)| *request).collect();
         let former = std::mem::replace(&mut self.suspected, suspected);
-        self.suspected != former
+        SuspicionChange {
+            begun: self.suspected.difference(&former).copied().collect(),
+            ended: former.difference(&self.suspected).copied().collect(),
+        }
     }
 
     /// Gives leave to run a request that has `left`, or denies it.
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -143,15 +143,18 @@
 fn copies_that_end_one_target_together_run_once_at_a_time_from_then_on() {
     let mut suspects = suspects();
     suspects.record(at(5_000), &broke(CRASHING, 7, 5_000));
-    let after_one = (suspects.update_suspected(), trial(&mut suspects, 5_000));
+    let after_one = (
+        suspects.update_suspected().begun,
+        trial(&mut suspects, 5_000),
+    );
     suspects.record(at(5_001), &broke(CRASHING, 7, 5_001));
-    let after_two = suspects.update_suspected();
+    let after_two = suspects.update_suspected().begun;
 
     let granted = [trial(&mut suspects, 5_010), trial(&mut suspects, 5_020)];
     suspects.end_trials(&[CRASHING]);
     let next = trial(&mut suspects, 5_200);
 
-    assert_eq!((after_one, after_two), ((false, true), true));
+    assert_eq!((after_one, after_two), ((vec![], true), vec![CRASHING]));
     assert_eq!((granted, next), ([true, false], true));
 }
 
@@ -194,7 +197,7 @@
 
     assert!(is_granted);
     assert_eq!((on_trial, answered), (vec![], vec![]));
-    assert!(suspects.update_suspected() && suspects.suspected().is_empty());
+    assert_eq!(suspects.update_suspected().ended, vec![CRASHING]);
 }
 
 #[test]
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -17,7 +17,7 @@
     version::{
         catalog::{Applied, TargetId, Update},
         leader::LeaderState,
-        suspects::SuspectReport,
+        suspects::{SuspectReport, SuspicionChange},
     },
 };
 use std::time::Duration;
@@ -57,7 +57,7 @@
             return;
         };
         let refused = leading.leader.judge_suspects(now, &self.catalog);
-        let has_changed = leading.leader.suspects().update_suspected();
+        let change = leading.leader.suspects().update_suspected();
         for planned in leading.leader.plan(now, &self.catalog) {
             let then = planned.completes.map_or(Then::Nothing, Then::Replan);
             self.propose(&planned.update, then);
@@ -73,9 +73,7 @@
         if !refused.is_empty() {
             self.send_quarantine();
         }
-        if has_changed {
-            self.send_suspected();
-        }
+        self.tell_suspicion(&change);
     }
 
     /// Takes in what an entry reports of requests that may have ended targets.
@@ -85,13 +83,25 @@
             return;
         };
         let is_refused = leading.leader.record_suspects(now, report);
-        let has_changed = leading.leader.suspects().update_suspected();
+        let change = leading.leader.suspects().update_suspected();
         if is_refused {
             self.send_quarantine();
         }
-        if has_changed {
-            self.send_suspected();
+        self.tell_suspicion(&change);
+    }
+
+    /// Tells the log and the entries that other requests are under suspicion.
+    fn tell_suspicion(&mut self, change: &SuspicionChange) {
+        if change.is_empty() {
+            return;
+        }
+        for request in &change.begun {
+            Event::RequestSuspected.log(format_args!("fingerprint={:016x}", request.0));
+        }
+        for request in &change.ended {
+            Event::SuspicionEnded.log(format_args!("fingerprint={:016x}", request.0));
         }
+        self.send_suspected();
     }
 
     /// Whether no other host can lead at this moment.
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -7,7 +7,7 @@
 mod detour;
 mod trial;
 
-use self::detour::Detour;
+use self::{detour::Detour, trial::Trial};
 use super::{
     body::{self, WHOLE_BYTES},
     proxy_body::{ReplyBody, RequestBody, read_short},
@@ -230,11 +230,7 @@
                 .record_arrival(now, &self.routed.service, key);
         }
         loop {
-            let placed = match self.trial(entry, &body).await {
-                Ok(trial) => self.next(entry).await.map(|next| (trial, next)),
-                Err(refusal) => Err(refusal),
-            };
-            let (trial, next) = match placed {
+            let (trial, next) = match self.place(entry, &body).await {
                 Ok(placed) => placed,
                 Err(refusal) => {
                     if let RequestBody::Stream(body) = body {
@@ -288,6 +284,22 @@
         }
     }
 
+    /// Waits for the target that gets the request next, and for its trial if it needs one.
+    async fn place(
+        &self,
+        entry: &Arc<Entry>,
+        body: &RequestBody,
+    ) -> Result<(Option<Trial>, Next), Refusal> {
+        loop {
+            let trial = self.trial(entry, body).await?;
+            let next = self.next(entry).await?;
+            // It may have come under suspicion while it waited for its target.
+            if trial.is_some() || self.suspicion(entry, body).is_none() {
+                return Ok((trial, next));
+            }
+        }
+    }
+
     /// Time for which the request is refused because targets ended under it.
     fn quarantine(&self, entry: &Entry, body: &RequestBody) -> Option<Duration> {
         let mut router = entry.router();
--- a/node/tests/test_crashing.rs
+++ b/node/tests/test_crashing.rs
@@ -369,3 +369,16 @@
     let late = runs.iter().filter(|at| **at > from).count();
     assert!(late <= ALLOWED, "{late} later runs of {}", runs.len());
 }
+
+/// Copies that wait while the targets of a trial are judged are refused with the judgement.
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_that_wait_for_their_trial_are_sent_once_the_request_is_refused() {
+    let (copies, trials) = (4, 2);
+    let fleet = fleet_of(4, 1, BACK_AFTER).await;
+
+    fleet.repeat_copies(copies, Duration::from_secs(6)).await;
+
+    let runs = fleet.runs.lock().expect("whole").len();
+    assert!(runs <= copies + trials, "{runs} runs");
+    assert!(fleet.refuses_crash().await);
+}
--- a/node/tests/test_docs.rs
+++ b/node/tests/test_docs.rs
@@ -320,3 +320,19 @@
         }
     }
 }
+
+/// An upgrade begins with the landing before, whose messages the page on releases lists.
+#[test]
+fn the_release_in_production_is_one_that_the_page_on_releases_lists() {
+    let deploy = read("deploy/system.toml");
+    let production = deploy
+        .lines()
+        .find_map(|line| line.strip_prefix("production = \"")?.strip_suffix('"'));
+
+    let commit = production.expect("`production` in deploy/system.toml");
+
+    assert_eq!(commit.len(), 40, "{commit}");
+    let listed = rows("docs/design/releases.md");
+    let is_listed = |row: &Vec<String>| row[0].len() == 7 && commit.starts_with(&row[0]);
+    assert!(listed.iter().any(is_listed), "{commit} is not listed");
+}
