--- a/lib/tests/test_pull_lease.rs
+++ b/lib/tests/test_pull_lease.rs
@@ -28,6 +28,8 @@
 const LEASE_MS: u64 = 1_200;
 /// Targets ignore an answer that arrives later, and one to any but the latest heartbeat.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
+/// Targets ignore a longer answer.
+const MAX_ANSWER_BYTES: usize = 4_096;
 const SERVICE: &str = "s";
 
 fn config() -> LeaseConfig {
@@ -61,6 +63,13 @@
     catalog
 }
 
+/// Length of an answer with this lease, at the longest fences.
+fn answer_bytes(lease: &Lease) -> usize {
+    let rows = lease.grants.iter();
+    let row = |handover: &str| r#"[65535,65535,4294967296,""],"#.len() + handover.len();
+    64 + rows.map(|grant| row(&grant.handover)).sum::<usize>()
+}
+
 /// Key span that a target holds until its lease ends.
 #[derive(Debug, Clone)]
 struct HeldKeys {
@@ -195,6 +204,10 @@
 
 impl World {
     fn new(seed: u64) -> Self {
+        World::with_targets(seed, 5)
+    }
+
+    fn with_targets(seed: u64, count: usize) -> Self {
         World {
             now: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -203,7 +216,7 @@
             next_leader: 0,
             commits: Vec::new(),
             messages: Vec::new(),
-            targets: (0..5).map(SimulatedTarget::new).collect(),
+            targets: (0..count).map(SimulatedTarget::new).collect(),
             moves: 0,
         }
     }
@@ -282,7 +295,8 @@
                     let state = &mut self.targets[target];
                     let is_awake = state.up && state.frozen_until <= now;
                     let is_latest = state.incarnation == incarnation && state.last_sent == sent;
-                    if is_awake && is_latest && now < sent + ANSWER_TIMEOUT_MS {
+                    let is_read = answer_bytes(&lease) <= MAX_ANSWER_BYTES;
+                    if is_awake && is_latest && is_read && now < sent + ANSWER_TIMEOUT_MS {
                         state.apply_lease(sent, &lease);
                     }
                 }
@@ -403,6 +417,33 @@
         None
     }
 
+    /// Number of keys that running targets hold under unexpired leases.
+    fn held_keys(&self) -> u32 {
+        let holders = self.targets.iter();
+        let holders = holders.filter(|t| t.up && self.now < t.lease_end);
+        let held = holders.flat_map(|t| &t.holds);
+        held.map(|h| h.span.width()).sum()
+    }
+
+    /// Passes time without faults, under a leader that stays.
+    fn run_calmly(&mut self, duration_ms: u64) {
+        let end = self.now + duration_ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.send_heartbeats();
+            self.deliver();
+            self.apply();
+            let now = self.moment();
+            let hot = self.random_below(4_096) as u16;
+            let leader = (self.leader).get_or_insert_with(|| LeaderState::new(config(), now));
+            leader.record_traffic(now, traffic_report(hot, &self.catalog));
+            for planned in leader.plan(now, &self.catalog) {
+                self.propose(planned.update, planned.completes, None);
+            }
+            assert_eq!(self.conflict(), None);
+        }
+    }
+
     fn step(&mut self) {
         self.now += STEP_MS;
         self.inject_fault();
@@ -475,9 +516,7 @@
                 world.next_leader = 0;
             }
             world.run_leader();
-            let held = world.targets.iter().filter(|t| world.now < t.lease_end);
-            let keys: u32 = held.flat_map(|t| &t.holds).map(|h| h.span.width()).sum();
-            served |= keys > KeySpan::FULL.width() * 9 / 10;
+            served |= world.held_keys() > KeySpan::FULL.width() * 9 / 10;
         }
         assert!(served, "seed {seed}");
     }
@@ -507,3 +546,66 @@
     assert_eq!(status.pending, Vec::new());
     assert!(!later_status.pending.is_empty());
 }
+
+/// How the targets of a service end in [`keys_are_served_again_after_targets_end_together`].
+#[derive(Debug, Clone, Copy)]
+struct End {
+    /// Targets that stay.
+    survivors: usize,
+    /// Time from the end of one target to the end of the next one.
+    gap_ms: u64,
+    /// Time from the last end to the first return; `None` if no target returns.
+    pause_ms: Option<u64>,
+    /// Whether a new leader takes over once all have ended.
+    new_leader: bool,
+}
+
+/// One target gets the keys of all others when they end one after the other. The answers that carry
+/// its lease must stay readable, and targets that return must get keys.
+#[test]
+fn keys_are_served_again_after_targets_end_together() {
+    let ends = [
+        (0, 0, Some(600)),
+        (0, 40, Some(4_000)),
+        (1, 40, Some(4_000)),
+        (1, 150, Some(2_000)),
+        (1, 40, None),
+        (2, 40, Some(25_000)),
+        (7, 40, None),
+    ];
+    for (seed, (survivors, gap_ms, pause_ms)) in (0..).zip(ends) {
+        for new_leader in [false, true] {
+            let end = End {
+                survivors,
+                gap_ms,
+                pause_ms,
+                new_leader,
+            };
+            let mut world = World::with_targets(seed, 21);
+            world.run_calmly(5 * LEASE_MS);
+            assert_eq!(world.held_keys(), KeySpan::FULL.width(), "at first");
+
+            for target in end.survivors..21 {
+                world.targets[target].up = false;
+                world.run_calmly(end.gap_ms);
+            }
+            if end.new_leader {
+                world.leader = None;
+                world.commits.clear();
+            }
+            if let Some(pause_ms) = end.pause_ms {
+                world.run_calmly(pause_ms);
+                for target in end.survivors..21 {
+                    world.targets[target].restart();
+                    world.run_calmly(end.gap_ms);
+                }
+            }
+            world.run_calmly(5 * LEASE_MS);
+
+            assert_eq!(world.held_keys(), KeySpan::FULL.width(), "{end:?}");
+            let shares = world.targets.iter().filter(|t| t.up);
+            let empty = shares.filter(|t| t.holds.is_empty()).count();
+            assert_eq!(empty, 0, "{end:?}: targets without keys");
+        }
+    }
+}
