--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -29,6 +29,11 @@
 /// Heartbeats of an incarnation that a new leader must have received before it accepts that a span
 /// is released. The first one may be stale.
 const MIN_HEARTBEATS_FOR_RELEASE: u32 = 2;
+/// Rows that the answer to a heartbeat has room for: it takes at most 4 KiB, and a row up to 28 bytes
+/// besides its handover proof.
+pub const MAX_LEASE_ROWS: usize = 120;
+/// Bytes of the handover proofs in one answer.
+const MAX_HANDOVER_BYTES: usize = 512;
 /// Weight of the latest interval in the mean interval between heartbeats, in eighths.
 const LATEST_INTERVAL_EIGHTHS: u32 = 2;
 
@@ -148,17 +153,21 @@
         tracked.cold_until = tracked.cold_until.max(cold_until.unwrap_or(Moment::ZERO));
     }
 
-    /// Grants the lease for the answer to a heartbeat of the target, and records it.
+    /// Grants the lease for the answer to a heartbeat of the target, and records it. Keys beyond
+    /// [`MAX_LEASE_ROWS`] are left out, those that the target does not hold yet first.
     pub fn grant(&mut self, now: Moment, catalog: &Catalog, id: TargetId) -> Lease {
-        let rows = catalog.retained_rows(id);
+        let mut rows = catalog.retained_rows(id);
         let leaving = rows_moving_from(catalog, id).map(|row| row.fence);
         let excluded: BTreeSet<Fence> = leaving.collect();
         let max_duration = self.config.max_duration();
         let tracked = self.get_or_track(now, id);
         let held = &tracked.held;
+        rows.sort_by_key(|row| !held.contains(&row.fence));
+        rows.truncate(MAX_LEASE_ROWS);
+        let mut handover_bytes = MAX_HANDOVER_BYTES;
         let grants: Vec<GrantedSpan> = rows
             .iter()
-            .map(|row| granted_span(row, held.contains(&row.fence)))
+            .map(|row| granted_span(row, held.contains(&row.fence), &mut handover_bytes))
             .collect();
         tracked.active = grants.iter().map(|grant| grant.fence).collect();
         tracked.excluded = excluded;
@@ -237,15 +246,20 @@
             .retain(|_, cold_until| now.since(*cold_until) < max_age);
     }
 
-    /// Grants for moves in progress whose current owner holds no lease any more.
-    pub fn moves_after_expiry(&self, now: Moment, catalog: &Catalog) -> Vec<(Service, SpanGrant)> {
-        let mut due = Vec::new();
+    /// Grants for moves in progress whose current owner holds no lease any more, by service.
+    pub fn moves_after_expiry(
+        &self,
+        now: Moment,
+        catalog: &Catalog,
+    ) -> BTreeMap<Service, Vec<SpanGrant>> {
+        let mut due: BTreeMap<Service, Vec<SpanGrant>> = BTreeMap::new();
         for (service, table) in &catalog.shards {
             for row in table.rows() {
                 if let (Some(owner), Some(next)) = (row.owner, row.next)
                     && !self.may_hold(now, owner)
                 {
-                    due.push((service.clone(), grant_to(row, next, "")));
+                    let grants = due.entry(service.clone()).or_default();
+                    grants.push(grant_to(row, next, ""));
                 }
             }
         }
@@ -346,10 +360,12 @@
     }
 }
 
-/// Converts a row for an answer. The handover proof is left out once the target holds the span, so
-/// that more rows fit into an answer.
-fn granted_span(row: &ShardRow, held: bool) -> GrantedSpan {
-    let handover = if held { "" } else { row.handover.as_str() };
+/// Converts a row for an answer. The handover proof is left out once the target holds the span, and
+/// if it exceeds the bytes left for proofs, so that all rows fit into an answer.
+fn granted_span(row: &ShardRow, held: bool, bytes_left: &mut usize) -> GrantedSpan {
+    let is_sent = !held && row.handover.len() <= *bytes_left;
+    let handover = if is_sent { row.handover.as_str() } else { "" };
+    *bytes_left -= handover.len();
     GrantedSpan {
         span: row.span,
         fence: row.fence,
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -228,8 +228,7 @@
                 }));
             }
         }
-        for (service, grant) in self.leases.moves_after_expiry(now, catalog) {
-            let grants = vec![grant];
+        for (service, grants) in self.leases.moves_after_expiry(now, catalog) {
             planned.push(PlannedUpdate::single(Update::Assign { service, grants }));
         }
         planned
--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -9,6 +9,10 @@
 //! While keys move, nobody serves them from the heartbeat of the source to the heartbeat of the
 //! destination. A move therefore begins just before the heartbeat of the source is due, and prefers
 //! a destination whose heartbeat follows soon.
+//!
+//! After most targets have ended and are back, a few own nearly all keys and serve a small part of
+//! the requests. Moving a few spans at a time would take minutes, and requests for keys that move are
+//! lost in any case, so such a target gives all keys above the mean demand at one heartbeat.
 
 use super::{Candidate, Candidates, KeyLoad, MAX_ROWS_PER_TARGET, TargetLoads, load::bucket_range};
 use crate::{
@@ -43,6 +47,14 @@
 /// Largest number of spans that one source gives at one heartbeat.
 const MAX_MOVES_PER_SOURCE: usize = 4;
 
+/// Demand above which a target gives all keys above the mean demand at one heartbeat.
+const RELIEF_DEMAND: f64 = 1.25;
+/// Targets for each one that is nearly idle, at most, for such a relief. With fewer idle ones the load
+/// is uneven because some keys are busy, and few moves suffice.
+const TARGETS_PER_IDLE: usize = 4;
+/// Largest piece that is moved for relief, as a share of the mean demand.
+const RELIEF_PIECE: f64 = 0.25;
+
 /// Target with its demand.
 #[derive(Debug, Clone, Copy)]
 struct TargetDemand {
@@ -56,6 +68,55 @@
     rows: usize,
 }
 
+/// Returns the moves that bring targets far above their slots down to the mean demand. Each
+/// destination gets adjacent keys up to the mean.
+pub(super) fn relief_moves(
+    table: &ShardTable,
+    candidates: &Candidates,
+    load: &KeyLoad,
+    targets: &TargetLoads,
+) -> Vec<(KeySpan, TargetId)> {
+    let demands = target_demands(table, candidates, load, targets);
+    let total: f64 = demands.iter().map(|target| target.demand).sum();
+    let mean = total / demands.len().max(1) as f64;
+    let is_source = |target: &TargetDemand| {
+        let is_overloaded = target.demand > RELIEF_DEMAND && target.demand > 2.0 * mean;
+        is_overloaded && target.candidate.may_hold && !is_moving(table, target.id)
+    };
+    let is_destination = |target: &TargetDemand| {
+        let is_idle = target.demand < mean / 2.0 && target.rows < MAX_ROWS_PER_TARGET;
+        is_idle && target.candidate.cold_left.is_zero() && !is_moving(table, target.id)
+    };
+    let mut destinations = demands.clone();
+    destinations.retain(is_destination);
+    if destinations.len() * TARGETS_PER_IDLE < demands.len() {
+        return Vec::new();
+    }
+    let mut moves = Vec::new();
+    for mut source in demands.into_iter().filter(is_source) {
+        let max_weight = mean * RELIEF_PIECE / source.cost;
+        let rows = table.rows().iter();
+        let rows = rows.filter(|row| row.owner == Some(source.id));
+        for span in rows.flat_map(|row| load.split(row.span, max_weight)) {
+            let Some(destination) = destinations.last_mut() else {
+                return moves;
+            };
+            let weight = load.weight(span);
+            source.demand -= weight * source.cost;
+            if source.demand < mean {
+                break;
+            }
+            destination.demand += weight * destination.cost;
+            destination.rows += 1;
+            moves.push((span, destination.id));
+            if destination.demand >= mean || destination.rows >= MAX_ROWS_PER_TARGET {
+                destinations.pop();
+            }
+        }
+    }
+    moves
+}
+
 /// Returns the moves that reduce the demand on overloaded targets enough to be worthwhile.
 pub(super) fn balancing_moves(
     now: Moment,
@@ -70,7 +131,8 @@
     demands.retain(|target| !is_moving(table, target.id));
     let mut sources = demands.clone();
     sources.retain(|target| {
-        target.candidate.next_heartbeat.since(now) <= SOURCE_HEARTBEAT_WINDOW
+        target.candidate.may_hold
+            && target.candidate.next_heartbeat.since(now) <= SOURCE_HEARTBEAT_WINDOW
             && target.demand > MIN_SOURCE_DEMAND
     });
     sources.sort_by(|a, b| b.demand.total_cmp(&a.demand));
@@ -153,9 +215,7 @@
     load: &KeyLoad,
     targets: &TargetLoads,
 ) -> Vec<TargetDemand> {
-    let movable = candidates
-        .iter()
-        .filter(|(_, c)| c.accepts_keys && c.may_hold);
+    let movable = candidates.iter().filter(|(_, c)| c.accepts_keys);
     movable
         .map(|(id, candidate)| {
             let slots = f64::from(candidate.slots.max(1));
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -5,18 +5,23 @@
 //! balance the load. It is called often, and each call proposes only a few changes.
 //!
 //! Load pattern: busy keys are adjacent, so keys are assigned in narrow stripes at first and split
-//! by their load later.
+//! by their load later. When many targets end together, the few that are left cannot get the stripes
+//! of all others as single rows, since the answer to a heartbeat has room for some rows only. Adjacent
+//! free rows are then assigned as wide spans, see [`free_spans`].
 
 mod balance;
+mod free_spans;
 mod load;
 
 pub use self::load::{KEYS_PER_BUCKET, KeyLoad, MIN_RELIABLE_RATE, TargetLoad, TargetLoads};
 
+use self::free_spans::FreeSpans;
 use crate::{
+    connection::pull_lease::MAX_LEASE_ROWS,
     moment::Moment,
     name::Service,
     version::{
-        catalog::{Catalog, KeySpan, ShardRow, ShardTable, SpanGrant, TargetId, Update},
+        catalog::{Catalog, KeySpan, ShardTable, TargetId, Update},
         permits::RateLimit,
     },
 };
@@ -27,13 +32,8 @@
 /// Largest share of a mean target's load that one piece of a split span may have, so that the keys
 /// of a lost target go to several others.
 const MAX_PIECE_SHARE: f64 = 0.5;
-/// Stripes of keys per target in the first assignment. With 21 targets a stripe has 97 keys, so 200
-/// adjacent busy keys are spread over three targets.
-const STRIPES_PER_TARGET: usize = 32;
-/// Largest number of stripes of all targets together.
-const MAX_STRIPES: usize = 2_048;
-/// Number of rows from which a target gets no more. The reply to a heartbeat has room for 4 KiB; a
-/// row takes up to 28 bytes, or up to 44 with a handover proof, which few rows have.
+/// Number of rows from which a target gets no more by moves that balance the load. Below
+/// [`MAX_LEASE_ROWS`], to leave room for the keys of lost targets.
 const MAX_ROWS_PER_TARGET: usize = 80;
 
 /// State of a target that the leader knows beyond the catalog.
@@ -82,11 +82,18 @@
         return Vec::new();
     }
     let mut projected = ProjectedLoads::new(table, candidates, load);
-    let grants = grant_free_spans(table, candidates, &mut projected, load);
+    let FreeSpans { grants, mut merges } =
+        free_spans::grant_free_spans(table, candidates, &mut projected, load);
     let mut spans = drain_moves(table, candidates, &mut projected, load);
+    if spans.is_empty() && grants.is_empty() {
+        spans = balance::relief_moves(table, candidates, load, targets);
+    }
     if spans.is_empty() && grants.is_empty() {
         spans = balance::balancing_moves(now, table, candidates, load, targets);
     }
+    if spans.is_empty() && grants.is_empty() {
+        merges = free_spans::merge_owned_rows(table, &projected);
+    }
     let mut updates = Vec::new();
     if !spans.is_empty() {
         updates.push(Update::Move {
@@ -94,11 +101,14 @@
             spans,
         });
     }
-    if !grants.is_empty() {
-        updates.push(Update::Assign {
-            service: service.clone(),
-            grants,
-        });
+    // The merges rely on the owners that the grants name, so they are applied after them.
+    for grants in [grants, merges] {
+        if !grants.is_empty() {
+            updates.push(Update::Assign {
+                service: service.clone(),
+                grants,
+            });
+        }
     }
     updates
 }
@@ -147,18 +157,26 @@
         self.capacities.values().sum()
     }
 
+    /// Number of rows for which the leases of all targets together still have room.
+    fn free_rows(&self) -> usize {
+        let rows = |id| self.rows.get(id).copied().unwrap_or_default();
+        let room = self.capacities.keys();
+        room.map(|id| MAX_LEASE_ROWS.saturating_sub(rows(id))).sum()
+    }
+
     /// Picks the target whose load relative to its capacity is the lowest with the added weight,
-    /// and adds one row of this weight to it.
+    /// and adds one row of this weight to it. `None` if no target has room for another row.
     fn place(&mut self, weight: f64) -> Option<TargetId> {
         let loads = &self.loads;
         let after = |id: &TargetId, capacity: f64| {
             (loads.get(id).copied().unwrap_or_default() + weight) / capacity
         };
         let rows = |id: &TargetId| self.rows.get(id).copied().unwrap_or_default();
-        // Keys need an owner in any case, so a target with too many rows is the last choice.
         let rank =
             |id: &TargetId, capacity: f64| (rows(id) >= MAX_ROWS_PER_TARGET, after(id, capacity));
-        let (id, _) = self.capacities.iter().min_by(|a, b| {
+        let with_room = self.capacities.iter();
+        let with_room = with_room.filter(|(id, _)| rows(id) < MAX_LEASE_ROWS);
+        let (id, _) = with_room.min_by(|a, b| {
             let (one, other) = (rank(a.0, *a.1), rank(b.0, *b.1));
             one.0.cmp(&other.0).then(one.1.total_cmp(&other.1))
         })?;
@@ -169,82 +187,6 @@
     }
 }
 
-/// Assigns owners to the keys that no target may hold.
-fn grant_free_spans(
-    table: &ShardTable,
-    candidates: &Candidates,
-    projected: &mut ProjectedLoads,
-    load: &KeyLoad,
-) -> Vec<SpanGrant> {
-    let is_free = |row: &&ShardRow| match row.owner {
-        None => true,
-        Some(owner) => {
-            let is_active = candidates
-                .get(&owner)
-                .is_some_and(|c| c.may_hold || c.responsive);
-            row.next.is_none() && !is_active
-        }
-    };
-    let free: Vec<&ShardRow> = table.rows().iter().filter(is_free).collect();
-    if free.len() == 1 && free[0].span == KeySpan::FULL {
-        return initial_grants(candidates);
-    }
-    let mut grants = Vec::new();
-    for row in free {
-        for span in split_span(row.span, projected, load) {
-            if let Some(owner) = projected.place(load.weight(span)) {
-                grants.push(SpanGrant {
-                    span,
-                    former: row.owner,
-                    owner,
-                    handover: String::new(),
-                });
-            }
-        }
-    }
-    grants
-}
-
-/// Assigns all keys in stripes to the targets that accept keys, by smooth weighted round robin over
-/// their slots. Busy keys are adjacent and no load is known yet, so with one wide span per target a
-/// single target could own all busy keys.
-fn initial_grants(candidates: &Candidates) -> Vec<SpanGrant> {
-    let accepting: Vec<(TargetId, i64)> = candidates
-        .iter()
-        .filter(|(_, c)| c.accepts_keys)
-        .map(|(id, c)| (*id, i64::from(c.slots.max(1))))
-        .collect();
-    let total: i64 = accepting.iter().map(|(_, slots)| slots).sum();
-    let count = (accepting.len() * STRIPES_PER_TARGET)
-        .min(MAX_STRIPES)
-        .max(accepting.len()) as u64;
-    let keys = u64::from(KeySpan::FULL.width());
-    let mut credits = vec![0; accepting.len()];
-    let mut grants = Vec::new();
-    for stripe in 0..count {
-        let first = keys * stripe / count;
-        let last = keys * (stripe + 1) / count - 1;
-        for (credit, (_, slots)) in credits.iter_mut().zip(&accepting) {
-            *credit += slots;
-        }
-        let next =
-            (0..accepting.len()).max_by_key(|index| (credits[*index], std::cmp::Reverse(*index)));
-        let Some(index) = next else {
-            break;
-        };
-        credits[index] -= total;
-        if let Some(span) = KeySpan::new(first as u16, last as u16) {
-            grants.push(SpanGrant {
-                span,
-                former: None,
-                owner: accepting[index].0,
-                handover: String::new(),
-            });
-        }
-    }
-    grants
-}
-
 /// Moves the keys off targets that may get no keys but still own some.
 fn drain_moves(
     table: &ShardTable,
@@ -276,8 +218,12 @@
 
 /// Splits a span so that no piece has a large share of one target's load.
 fn split_span(span: KeySpan, projected: &ProjectedLoads, load: &KeyLoad) -> Vec<KeySpan> {
+    load.split(span, max_piece_weight(projected, load))
+}
+
+/// Largest weight of a piece of a split span.
+fn max_piece_weight(projected: &ProjectedLoads, load: &KeyLoad) -> f64 {
     let mean = load.total() / projected.total_capacity().max(1.0);
     let largest = projected.capacities.values().copied().fold(1.0, f64::max);
-    let max_weight = mean * largest * MAX_PIECE_SHARE;
-    load.split(span, max_weight)
+    mean * largest * MAX_PIECE_SHARE
 }
