--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::BTreeSet,
     fs,
-    path::Path,
+    path::{Path, PathBuf},
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -240,3 +240,59 @@
     assert_eq!(seen[0].1, b"state");
     assert_eq!(seen.last().unwrap().1, b"last");
 }
+
+/// Makes the next snapshot of a voter fail to be written, as a full disk does, until it is undone.
+fn obstruct(root: &Path, node: u64) -> PathBuf {
+    let path = root.join(format!("voter-{node}")).join("snapshot.tmp");
+    fs::create_dir(&path).unwrap();
+    path
+}
+
+#[tokio::test]
+async fn voters_whose_disks_were_full_vote_again_once_there_is_room() {
+    let root = tempfile::tempdir().unwrap();
+    let mut group = start(root.path(), 3);
+    for n in 0..10 {
+        propose(&group, &[n]).await;
+    }
+    commits_of(&mut group, 10).await;
+
+    // One after the other, so that the leader is among them; a majority is always left.
+    for node in 1..=3 {
+        let obstacle = obstruct(root.path(), node);
+        let handle = handles(&group)[node as usize - 1].clone();
+        let index = handle.status().await.unwrap().commit;
+        handle.snapshot(index, b"state".to_vec()).await;
+        propose(&group, &[9 + node as u8]).await;
+        let lease = handle.lease().await;
+        fs::remove_dir(&obstacle).unwrap();
+        assert_eq!(lease, None, "voter {node} leads without a disk");
+        let committed = propose(&group, b"later").await;
+        let caught_up = async {
+            while handle.status().await.is_none_or(|s| s.commit < committed) {
+                time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let caught_up = time::timeout(PATIENCE, caught_up).await;
+        assert!(caught_up.is_ok(), "voter {node} does not come back");
+    }
+    // The other two need the vote of the third.
+    handles(&group)[0].stop().await;
+    propose(&group, b"last").await;
+
+    for commits in &mut group.commits[1..] {
+        let mut seen = Vec::new();
+        while seen.last().is_none_or(|(_, command)| command != b"last") {
+            seen.push(
+                time::timeout(PATIENCE, commits.recv())
+                    .await
+                    .unwrap()
+                    .unwrap(),
+            );
+        }
+        assert!(
+            seen.is_sorted_by(|a, b| a.0 < b.0),
+            "applied twice: {seen:?}"
+        );
+    }
+}
