--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -151,6 +151,8 @@
     SnapshotInstalled = 54, Info, "snapshot-installed";
     /// The data folder is empty or from another incarnation: this voter rejoins as a learner.
     DiskReplaced = 55, Warn, "disk-replaced";
+    /// The data folder takes writes again after it had failed.
+    StoreRecovered = 56, Info, "store-recovered";
     /// A request that crashed targets was quarantined: every entry refuses it.
     RequestQuarantined = 60, Warn, "request-quarantined";
     /// The quarantine of a request was lifted.
--- a/node/src/process/control/beat.rs
+++ b/node/src/process/control/beat.rs
@@ -22,7 +22,7 @@
     /// Sends a heartbeat, with the home task's part of the report.
     pub(super) fn beat(&mut self) {
         self.publish();
-        if self.surrendered {
+        if self.surrendered || self.disk_failed {
             return;
         }
         let Some((to, way)) = self.way() else {
@@ -115,7 +115,7 @@
             self.apply(logged.index, &logged.command);
         }
         // The lease says that the state is current, so it counts only once that is so.
-        if self.replica.fleet().index >= grant.latest && !self.surrendered {
+        if self.replica.fleet().index >= grant.latest && !self.surrendered && !self.disk_failed {
             self.lease.renew(sent, grant.lease);
         }
     }
--- a/node/src/process/control/mod.rs
+++ b/node/src/process/control/mod.rs
@@ -151,6 +151,8 @@
     lease: EntryLease,
     held: bool,
     surrendered: bool,
+    /// Whether the data folder takes no writes at present.
+    disk_failed: bool,
     departing: Option<oneshot::Sender<()>>,
     departed: bool,
     leader: Option<Node>,
@@ -183,6 +185,7 @@
         lease: EntryLease::new(),
         held: false,
         surrendered: false,
+        disk_failed: false,
         departing: None,
         departed: false,
         leader: None,
@@ -297,11 +300,16 @@
             VoterEvent::Role { leader, term, ours } => self.role(leader, term, ours),
             VoterEvent::Failed(error) => {
                 Event::StoreFailed.log(format_args!("why={error}"));
-                self.surrendered = true;
+                self.disk_failed = true;
                 self.lease.release();
                 self.leading = None;
                 self.publish();
             }
+            VoterEvent::Recovered => {
+                Event::StoreRecovered.log(format_args!("index={}", self.replica.fleet().index));
+                self.disk_failed = false;
+                self.publish();
+            }
         }
     }
 
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -21,7 +21,7 @@
     clock::Clock,
     logging::EventLog,
     store::StoreError,
-    voter::{self, VoterConfig},
+    voter::{self, VoterConfig, VoterEvent, VoterHandle},
 };
 use cornelrail_lib::{
     name::Node,
@@ -34,7 +34,11 @@
 use miette::Diagnostic;
 use std::{io, net::IpAddr, net::SocketAddr, path::PathBuf, time::Duration};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    sync::mpsc,
+    time::sleep,
+};
 
 /// Name of every seeded fleet in its log; processes of another fleet are not reachable.
 const FLEET: &str = "seeded";
@@ -48,6 +52,8 @@
 const BACKLOG: u32 = 1_024;
 /// How much two clocks may run apart during an election timeout.
 const DRIFT: Duration = Duration::from_millis(20);
+/// Pause between two attempts to start on a full disk.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(500);
 /// Log entries kept behind a snapshot.
 const ENTRIES_RETAINED: u64 = 500;
 
@@ -120,7 +126,7 @@
     let peers = bind("port", peer_address)?;
     let control = bind("listen.control", control)?;
     let clock = Clock::start();
-    let (voter, events) = voter::start(voter_config(&settings, data, clock))?;
+    let (voter, events) = start_voter(voter_config(&settings, data, clock)).await?;
     let handle = task::start(settings, clock, voter.clone(), events);
     tokio::spawn(peers::run(peers, voter, handle.clone()));
     tokio::spawn(control::run(control, handle.clone()));
@@ -128,6 +134,21 @@
     Ok(handle)
 }
 
+/// Starts the voter, once the disk has room for its data folder.
+async fn start_voter(
+    config: VoterConfig,
+) -> Result<(VoterHandle, mpsc::Receiver<VoterEvent>), StoreError> {
+    loop {
+        match voter::start(config.clone()) {
+            Err(error) if error.is_full() => {
+                Event::StoreFailed.log(format_args!("why={error}"));
+                sleep(FULL_DISK_PAUSE).await;
+            }
+            started => return started,
+        }
+    }
+}
+
 fn voter_config(settings: &SeededSettings, folder: PathBuf, clock: Clock) -> VoterConfig {
     VoterConfig {
         clock,
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -259,9 +259,7 @@
                         return;
                     }
                     for event in voted.drain(..) {
-                        if !self.take_voter(event).await {
-                            return;
-                        }
+                        self.take_voter(event).await;
                     }
                 }
                 count = events.recv_many(&mut burst, BURST) => {
@@ -358,19 +356,17 @@
         }
     }
 
-    /// Takes an event of the voter in; false if the process cannot go on.
-    async fn take_voter(&mut self, event: VoterEvent) -> bool {
+    async fn take_voter(&mut self, event: VoterEvent) {
         match event {
             VoterEvent::Send { to, message } => self.link(to).send(ToCore::Raft(message)),
             VoterEvent::Committed { index, command, .. } => self.commit(index, &command).await,
             VoterEvent::Install { index, snapshot } => self.install(index, &snapshot),
             VoterEvent::Role { leader, term, ours } => self.change_role(leader, term, ours).await,
-            VoterEvent::Failed(error) => {
-                Event::StoreFailed.log(format_args!("why={error}"));
-                return false;
+            VoterEvent::Failed(error) => Event::StoreFailed.log(format_args!("why={error}")),
+            VoterEvent::Recovered => {
+                Event::StoreRecovered.log(format_args!("index={}", self.index))
             }
         }
-        true
     }
 
     fn link(&mut self, node: Node) -> &CoreLink {
--- a/node/src/process/seeded.rs
+++ b/node/src/process/seeded.rs
@@ -62,6 +62,13 @@
     Entry(EntryHandle),
 }
 
+async fn start(settings: SeededSettings) -> Result<Running> {
+    Ok(match settings.role {
+        Role::Core => Running::Core(core::start(settings).await?),
+        Role::Entry => Running::Entry(entry::start(settings).await?),
+    })
+}
+
 async fn serve(settings: SeededSettings, text: String, path: &Path) -> Result<()> {
     let mut term = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
@@ -69,9 +76,11 @@
     if let Some(address) = settings.listen.metrics {
         Telemetry::serve_metrics(address).await.into_diagnostic()?;
     }
-    let running = match settings.role {
-        Role::Core => Running::Core(core::start(settings).await?),
-        Role::Entry => Running::Entry(entry::start(settings).await?),
+    // A core host whose disk is full waits for room before it has started.
+    let running = tokio::select! {
+        running = start(settings) => running?,
+        _ = term.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
     };
     let mut look = interval(RELOAD_PAUSE);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/node/src/process/store.rs
+++ b/node/src/process/store.rs
@@ -19,7 +19,7 @@
 use cornelrail_lib::{
     name::Node,
     process::{
-        raft::{Batch, HardState, Identity, RestoredState, Snapshot},
+        raft::{Batch, HardState, Identity, LogEntry, RestoredState, Snapshot},
         record::{FleetDigest, Record, encode},
     },
 };
@@ -81,8 +81,27 @@
         })
     }
 
-    /// Writes a batch and syncs it once. After an error the state on disk is not known and the
-    /// process must stop.
+    /// Opens the folder after a failed write, and writes all that it holds once more. What a failed
+    /// sync left may be readable without being on disk.
+    pub fn reopen(path: &Path, fleet: &str, node: Node) -> Result<Opened, StoreError> {
+        let mut opened = Store::open(path, fleet, node)?;
+        let restored = &opened.restored;
+        opened.store.rewrite(restored)?;
+        Ok(opened)
+    }
+
+    fn rewrite(&mut self, restored: &RestoredState) -> Result<(), StoreError> {
+        if let Some(snapshot) = &restored.snapshot {
+            let bytes = self.encode(&[Record::Snapshot(snapshot.clone())]);
+            self.folder.replace(&self.folder.snapshot(), &bytes)?;
+        }
+        let snapshot = restored.snapshot.as_ref();
+        let (index, term) = snapshot.map_or((0, 0), |s| (s.index, s.term));
+        self.replace_log(index, term, &restored.entries)
+    }
+
+    /// Writes a batch and syncs it once. After an error the state on disk is not known and the folder
+    /// has to be opened again.
     pub fn write(&mut self, batch: &Batch) -> Result<(), StoreError> {
         if let Some(hard) = batch.hard_state {
             self.hard = hard;
@@ -119,12 +138,19 @@
     fn write_snapshot(&mut self, snapshot: &Snapshot, batch: &Batch) -> Result<(), StoreError> {
         let bytes = self.encode(&[Record::Snapshot(snapshot.clone())]);
         self.folder.replace(&self.folder.snapshot(), &bytes)?;
-        let begin = Record::LogStart {
-            index: snapshot.index,
-            term: snapshot.term,
-        };
+        self.replace_log(snapshot.index, snapshot.term, &batch.entries)
+    }
+
+    /// Starts a segment that replaces all others, with the entries after an index.
+    fn replace_log(
+        &mut self,
+        index: u64,
+        term: u64,
+        entries: &[LogEntry],
+    ) -> Result<(), StoreError> {
+        let begin = Record::LogStart { index, term };
         let mut records = vec![begin, Record::HardState(self.hard)];
-        records.extend(batch.entries.iter().cloned().map(Record::LogEntry));
+        records.extend(entries.iter().cloned().map(Record::LogEntry));
         let head = self.encode(&records);
         let old = self.folder.segments()?;
         self.start_segment(&head)?;
--- a/node/src/process/store/error.rs
+++ b/node/src/process/store/error.rs
@@ -91,6 +91,17 @@
         }
     }
 
+    /// Whether the folder can be used once the disk has room.
+    pub fn is_full(&self) -> bool {
+        let StoreError::Io { source, .. } = self else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+        )
+    }
+
     /// Error for a record that cannot be used.
     pub(super) fn record(path: impl Into<PathBuf>, error: &RecordError) -> Self {
         let path = path.into();
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -4,12 +4,15 @@
 //! commands of one burst share a sync. Batches are written on a blocking thread, one at a time.
 //! What the layer above has to do comes out as [`VoterEvent`]s; when it is slow, messages to other
 //! voters are dropped, never commits.
+//!
+//! When a write fails, the voter takes part in nothing until its folder takes writes again. It then
+//! starts over from what is on disk, as after a restart of the process. Commits that were handed out
+//! before are not handed out again.
 
 pub use super::voter_handle::{ProposeError, VoterConfig, VoterEvent, VoterHandle, VoterStatus};
 use super::{
-    clock::Clock,
     logging::EventLog,
-    store::{Store, StoreError},
+    store::{Opened, Store, StoreError},
     voter_handle::Request,
 };
 use cornelrail_lib::{
@@ -17,7 +20,8 @@
     process::{
         event::Event,
         raft::{
-            Action, Batch, LeaderInfo, LogEntry, Member, Membership, Payload, Raft, RaftConfig,
+            Action, Batch, Identity, LeaderInfo, LogEntry, Member, Membership, MembershipError,
+            Payload, Raft, RaftConfig,
         },
     },
 };
@@ -40,34 +44,28 @@
 /// Events kept when those places are full; beyond, messages to other voters are dropped.
 const OUTBOX: usize = 4096;
 
+/// Pause between two attempts to write to a data folder that has failed.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Opens the data folder and starts the voter's task on the present runtime. The task ends when
-/// it is told to stop, when all handles are dropped, or when the data folder fails.
+/// it is told to stop, when all handles are dropped, or when the data folder is damaged.
 pub fn start(config: VoterConfig) -> Result<(VoterHandle, mpsc::Receiver<VoterEvent>), StoreError> {
     let opened = Store::open(&config.folder, &config.fleet, config.node).inspect_err(log_damage)?;
     if opened.torn > 0 {
         let folder = config.folder.display();
         Event::TornTail.log(format_args!("folder={folder} bytes={}", opened.torn));
     }
-    let raft_config = RaftConfig {
-        node: config.node,
-        identity: opened.identity,
-        configured_voters: config.listed,
-        join_policy: config.joining,
-        election_timeout: config.election,
-        heartbeat_interval: config.heartbeat,
-        clock_drift: config.drift,
-        retained_entries: config.retain,
-        rng_seed: rand::random(),
-    };
     let (requests, inbox) = mpsc::channel(REQUESTS);
     let (events, receiver) = mpsc::channel(EVENTS);
-    let raft = Raft::new(raft_config, opened.restored, config.clock.now());
+    let clock = config.clock;
+    let raft_config = raft_config(&config, opened.identity);
+    let raft = Raft::new(raft_config, opened.restored, clock.now());
     let voter = Voter {
         membership: raft.membership().clone(),
         raft,
-        clock: config.clock,
-        election: config.election,
+        config,
         disk: Disk::Idle(opened.store),
+        emitted: 0,
         inbox,
         events,
         outbox: VecDeque::new(),
@@ -76,13 +74,24 @@
         batches: 0,
     };
     tokio::spawn(voter.run());
-    let handle = VoterHandle {
-        requests,
-        clock: config.clock,
-    };
+    let handle = VoterHandle { requests, clock };
     Ok((handle, receiver))
 }
 
+fn raft_config(config: &VoterConfig, identity: Identity) -> RaftConfig {
+    RaftConfig {
+        node: config.node,
+        identity,
+        configured_voters: config.listed.clone(),
+        join_policy: config.joining,
+        election_timeout: config.election,
+        heartbeat_interval: config.heartbeat,
+        clock_drift: config.drift,
+        retained_entries: config.retain,
+        rng_seed: rand::random(),
+    }
+}
+
 /// Writes to the log that a data folder lost what may have been acknowledged.
 fn log_damage(error: &StoreError) {
     if matches!(
@@ -124,9 +133,10 @@
     raft: Raft,
     /// Membership that the log of events told of last.
     membership: Membership,
-    clock: Clock,
-    election: Duration,
+    config: VoterConfig,
     disk: Disk,
+    /// Index up to which commits were handed out.
+    emitted: u64,
     inbox: mpsc::Receiver<Request>,
     events: mpsc::Sender<VoterEvent>,
     outbox: VecDeque<VoterEvent>,
@@ -141,14 +151,14 @@
         let events = self.events.clone();
         loop {
             self.carry_out();
-            if matches!(self.disk, Disk::Failed) {
+            if matches!(self.disk, Disk::Failed) && !self.reopen().await {
                 self.flush().await;
                 return;
             }
             if self.stopping.is_some() {
                 return self.stop().await;
             }
-            let wakeup = self.clock.instant(self.raft.next_wakeup());
+            let wakeup = self.config.clock.instant(self.raft.next_wakeup());
             tokio::select! {
                 count = self.inbox.recv_many(&mut burst, BURST) => {
                     if count == 0 {
@@ -174,7 +184,84 @@
     }
 
     fn now(&self) -> Moment {
-        self.clock.now()
+        self.config.clock.now()
+    }
+
+    /// Waits until the data folder takes writes again, and starts over from its content. Returns false
+    /// if the voter is to end.
+    async fn reopen(&mut self) -> bool {
+        self.step_down();
+        let events = self.events.clone();
+        let mut retry = time::interval(REOPEN_PAUSE);
+        loop {
+            tokio::select! {
+                request = self.inbox.recv() => match request {
+                    Some(Request::Stop(answer)) => {
+                        reply(answer, ());
+                        return false;
+                    }
+                    Some(request) => self.reject(request),
+                    None => return false,
+                },
+                permit = events.reserve(), if !self.outbox.is_empty() => {
+                    match (permit, self.outbox.pop_front()) {
+                        (Ok(permit), Some(event)) => permit.send(event),
+                        _ => return false,
+                    }
+                }
+                _ = retry.tick() => match self.open_again().await {
+                    Ok(opened) => {
+                        let config = raft_config(&self.config, opened.identity);
+                        self.raft = Raft::new(config, opened.restored, self.now());
+                        self.disk = Disk::Idle(opened.store);
+                        self.emit(VoterEvent::Recovered);
+                        return true;
+                    }
+                    Err(StoreError::Io { .. }) => {}
+                    Err(error) => {
+                        log_damage(&error);
+                        return false;
+                    }
+                },
+            }
+        }
+    }
+
+    async fn open_again(&self) -> Result<Opened, StoreError> {
+        let config = self.config.clone();
+        let open = move || Store::reopen(&config.folder, &config.fleet, config.node);
+        match task::spawn_blocking(open).await {
+            Ok(opened) => opened,
+            Err(error) => match error.try_into_panic() {
+                Ok(panic) => std::panic::resume_unwind(panic),
+                Err(_) => std::future::pending().await,
+            },
+        }
+    }
+
+    /// Tells the layer above and those who wait for commits that this voter takes part in nothing.
+    fn step_down(&mut self) {
+        self.change_role(LeaderInfo {
+            leader: None,
+            is_ready: false,
+            ..self.raft.leader_info()
+        });
+    }
+
+    /// Answers a request while the data folder takes no writes.
+    fn reject(&mut self, request: Request) {
+        match request {
+            Request::Propose(_, answer) => reply(answer, Err(ProposeError::NotLeader(None))),
+            Request::Change(_, answer) => reply(answer, Err(MembershipError::NotLeader(None))),
+            Request::Status(answer) => {
+                let mut status = self.status(self.now());
+                status.lease = None;
+                status.role.leader = None;
+                status.role.is_ready = false;
+                reply(answer, status);
+            }
+            Request::Receive(..) | Request::Snapshot(..) | Request::Stop(_) => {}
+        }
     }
 
     fn take(&mut self, request: Request) {
@@ -199,7 +286,7 @@
 
     fn status(&self, now: Moment) -> VoterStatus {
         let lease = self.raft.lease_end().filter(|end| now < *end);
-        let longest = now + self.election;
+        let longest = now + self.config.election;
         VoterStatus {
             member: self.raft.member(),
             role: self.raft.leader_info(),
@@ -220,6 +307,8 @@
                 self.raft.persisted(self.now(), number);
             }
             Err(error) => {
+                // Frees the folder, which is locked.
+                drop(store);
                 self.disk = Disk::Failed;
                 self.outbox.push_back(VoterEvent::Failed(error));
             }
@@ -235,10 +324,14 @@
                 Action::Send { .. } => {}
                 Action::Persist(batch) => self.write(batch),
                 Action::Apply(entry) => self.commit(entry),
-                Action::InstallSnapshot(snapshot) => self.emit(VoterEvent::Install {
-                    index: snapshot.index,
-                    snapshot: snapshot.data,
-                }),
+                Action::InstallSnapshot(snapshot) if snapshot.index > self.emitted => {
+                    self.emitted = snapshot.index;
+                    self.emit(VoterEvent::Install {
+                        index: snapshot.index,
+                        snapshot: snapshot.data,
+                    });
+                }
+                Action::InstallSnapshot(_) => {}
                 Action::LeaderChanged(info) => self.change_role(info),
             }
         }
@@ -289,11 +382,14 @@
             Payload::Command(command) => command,
             _ => Vec::new(),
         };
-        self.emit(VoterEvent::Committed {
-            index,
-            term,
-            command,
-        });
+        if index > self.emitted {
+            self.emitted = index;
+            self.emit(VoterEvent::Committed {
+                index,
+                term,
+                command,
+            });
+        }
         if let Some(proposal) = self.proposals.remove(&index) {
             let outcome = match proposal.term == term {
                 true => Ok(index),
--- a/node/src/process/voter_handle.rs
+++ b/node/src/process/voter_handle.rs
@@ -73,8 +73,11 @@
         /// an event before this one. Act on it only within [`VoterHandle::lease`].
         ours: bool,
     },
-    /// The data folder failed; the voter has stopped and the process should too.
+    /// The data folder failed. The voter takes part in nothing until [`VoterEvent::Recovered`], which
+    /// never comes if the folder is damaged.
     Failed(StoreError),
+    /// The data folder takes writes again, and the voter takes part.
+    Recovered,
 }
 
 /// Why a command is not known to be committed.
--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -79,7 +79,7 @@
                 VoterEvent::Install { index, snapshot } => {
                     let _ = sender.send((index, snapshot));
                 }
-                VoterEvent::Role { .. } | VoterEvent::Failed(_) => {}
+                VoterEvent::Role { .. } | VoterEvent::Failed(_) | VoterEvent::Recovered => {}
             }
         }
     });
