--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_limits;
 mod test_logging;
 mod test_message;
+mod test_notices;
 mod test_operator;
 mod test_pool;
 mod test_processes;
