balance: a target's word to rest and that it leaves are heard (BUDGET, DRAIN)

What callers saw: requests to an overloaded target were sent to it again and again, up to twice for one caller, and rejected; the target had asked for 3 s of rest. Cause: the adapter did not parse Retry-After or Server-Leaving of a target's answer, so such an answer counted as one of a full queue. Class: a header that nobody reads. Change: balance::open is the one place that tells whether a target takes requests of this entry now, by the catalog and by the target's word; the router asks it when it chooses and again before it sends. Callers of a paused owner are rejected at once with the rest of the pause.

--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -179,6 +179,10 @@
     SuspicionEnded = 71, Info, "suspicion-ended";
     /// A request under suspicion is sent, alone.
     TrialBegun = 72, Info, "trial-begun";
+    /// A target asked this entry for a pause.
+    TargetPaused = 73, Info, "target-paused";
+    /// A target said in an answer that it leaves.
+    LeavingHeard = 74, Info, "leaving-heard";
 }
 
 impl Event {
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -12,6 +12,7 @@
 mod entry_count;
 mod freshness;
 mod limits;
+mod open;
 mod reach;
 mod router;
 mod split;
@@ -26,6 +27,7 @@
     entry_count::EntryCount,
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
+    open::{ClosingTimes, OpenTargets, Openness, TargetNotice},
     reach::{LinkCheck, NoPeer, Peers, Reach},
     router::{
         RejectReason, ResolvedRoute, RouteError, Router, RouterConfig, RoutingDecision,
--- /dev/null
+++ b/lib/src/request/balance/open.rs
@@ -0,0 +1,155 @@
+//! Decides whether a target takes requests of this entry now: by its state in the catalog replica, and
+//! by what it said of itself in its answers to this entry.
+//!
+//! Load pattern: a target that is overloaded turns requests away and asks for a pause, or one that
+//! leaves says so in its answers, while the leader's word is late or never reaches this entry. A pool
+//! target that leaves gets nothing from then on. The owner of a key gets requests for most of the
+//! drain time, since nobody else serves the key until it has moved. During a pause callers are
+//! rejected at once with its rest as the time to come back, which they do spread out after its end.
+
+use crate::{
+    moment::Moment,
+    version::catalog::{Catalog, TargetId, TargetRecord},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+/// Share of the drain or evacuation time for which keys still go to their old owner. The rest is
+/// for connecting to it.
+const CLOSED_OWNER_SHARE: f64 = 0.85;
+/// Longest pause that one answer causes, so that no answer shuts a target out for good.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
+
+/// What a target says of itself in an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether it leaves.
+    pub leaves: bool,
+    /// Time for which it wants no requests of this entry.
+    pub pause: Option<Duration>,
+}
+
+/// Whether a target takes requests of this entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Openness {
+    /// It does.
+    Open,
+    /// It leaves, its zone is out of service, or it is gone.
+    Closed,
+    /// It asked for a pause that lasts for this time yet.
+    Paused(Duration),
+}
+
+/// How long a target that closes still gets requests for the keys that it owns.
+#[derive(Debug, Clone, Copy)]
+pub struct ClosingTimes {
+    /// Time from the leave message of a target.
+    pub drain: Duration,
+    /// Time from when a zone is taken out of service.
+    pub evacuate: Duration,
+}
+
+/// What this entry was told by one target.
+#[derive(Debug, Default)]
+struct HeardNotices {
+    leaves_since: Option<Moment>,
+    paused_until: Moment,
+}
+
+/// Which targets take requests of this entry.
+#[derive(Debug)]
+pub struct OpenTargets {
+    times: ClosingTimes,
+    /// Latest time at which each closed target is known to have been open; `None` if it was closed
+    /// in the first replica.
+    last_open: BTreeMap<TargetId, Option<Moment>>,
+    heard: HashMap<TargetId, HeardNotices>,
+}
+
+impl OpenTargets {
+    /// Creates the state of an entry that has heard nothing yet.
+    pub fn new(times: ClosingTimes) -> Self {
+        OpenTargets {
+            times,
+            last_open: BTreeMap::new(),
+            heard: HashMap::new(),
+        }
+    }
+
+    /// Records what a target said in an answer; returns what of it is news.
+    pub fn record(&mut self, now: Moment, id: TargetId, notice: TargetNotice) -> TargetNotice {
+        let mut news = TargetNotice::default();
+        if notice == news {
+            return news;
+        }
+        let heard = self.heard.entry(id).or_default();
+        if notice.leaves && heard.leaves_since.is_none() {
+            heard.leaves_since = Some(now);
+            news.leaves = true;
+        }
+        if let Some(pause) = notice.pause.map(|pause| pause.min(MAX_PAUSE)) {
+            news.pause = (heard.paused_until <= now).then_some(pause);
+            heard.paused_until = heard.paused_until.max(now + pause);
+        }
+        news
+    }
+
+    /// Whether a target takes requests now. The owner of a key serves it for a while after it closed.
+    pub fn state(&self, now: Moment, catalog: &Catalog, id: TargetId, keyed: bool) -> Openness {
+        let Some(record) = catalog.targets.get(&id) else {
+            return Openness::Closed;
+        };
+        let heard = self.heard.get(&id);
+        let told = heard.and_then(|heard| heard.leaves_since);
+        let told_closed = told.is_some_and(|at| !keyed || !is_within(now, at, self.times.drain));
+        if told_closed || self.is_closed(now, catalog, id, record, keyed) {
+            return Openness::Closed;
+        }
+        match heard.map(|heard| heard.paused_until.since(now)) {
+            Some(left) if !left.is_zero() => Openness::Paused(left),
+            _ => Openness::Open,
+        }
+    }
+
+    /// Whether a target gets nothing by the catalog.
+    fn is_closed(
+        &self,
+        now: Moment,
+        catalog: &Catalog,
+        id: TargetId,
+        record: &TargetRecord,
+        keyed: bool,
+    ) -> bool {
+        if catalog.accepts_work(record) {
+            return false;
+        }
+        let period = match record.leaving {
+            true => self.times.drain,
+            false => self.times.evacuate,
+        };
+        let last_open = self.last_open.get(&id).copied().flatten();
+        !keyed || last_open.is_none_or(|at| !is_within(now, at, period))
+    }
+
+    /// Records until when targets that accept no new requests were open, and forgets targets that
+    /// are gone. What the last confirmation does not cover may have been acknowledged right after
+    /// it, however late it arrives.
+    pub fn refresh(&mut self, catalog: &Catalog, confirmed_at: Option<Moment>) {
+        for (id, record) in &catalog.targets {
+            if catalog.accepts_work(record) {
+                self.last_open.remove(id);
+            } else {
+                self.last_open.entry(*id).or_insert(confirmed_at);
+            }
+        }
+        let is_known = |id: &TargetId| catalog.targets.contains_key(id);
+        self.last_open.retain(|id, _| is_known(id));
+        self.heard.retain(|id, _| is_known(id));
+    }
+}
+
+fn is_within(now: Moment, since: Moment, period: Duration) -> bool {
+    now.since(since) < period.mul_f64(CLOSED_OWNER_SHARE)
+}
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -15,6 +15,7 @@
     entry_count::EntryCount,
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
+    open::{ClosingTimes, OpenTargets, Openness, TargetNotice},
     reach::{NoPeer, Peers, Reach},
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
@@ -34,17 +35,10 @@
     ChaCha8Rng,
     rand_core::{RngCore, SeedableRng},
 };
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 /// Age up to which the times in a leader status are used: four status intervals.
 const STATUS_MAX_AGE: Duration = Duration::from_millis(1_000);
-/// Share of the drain or evacuation time for which keys still go to their old owner. The rest is
-/// for connecting to it.
-const CLOSED_OWNER_SHARE: f64 = 0.85;
 /// Delay before a request is routed again whose target reported that it does not own the key.
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(60);
 /// Maximum share of the time left for which a request waits for an owner of its key.
@@ -133,6 +127,8 @@
     Unowned,
     /// The target failed recently.
     Failing,
+    /// The target asked for a pause.
+    Paused,
     /// The request has no key, but its service requires one.
     Keyless,
 }
@@ -146,6 +142,7 @@
             RejectReason::Limited => "limited",
             RejectReason::Unowned => "unowned",
             RejectReason::Failing => "failing",
+            RejectReason::Paused => "paused",
             RejectReason::Keyless => "keyless",
         }
     }
@@ -200,9 +197,7 @@
     breaks: Breaks,
     reach: Reach,
     peers: Peers,
-    /// Latest time at which each closed target is known to have been open; `None` if it was closed
-    /// in the first replica.
-    last_open: BTreeMap<TargetId, Option<Moment>>,
+    open: OpenTargets,
     splitters: HashMap<String, Splitter>,
     retry_budgets: HashMap<Service, RetryBudget>,
     key_counts: HashMap<(Service, u16), u32>,
@@ -212,6 +207,10 @@
 impl Router {
     /// Creates a router that has no catalog replica yet.
     pub fn new(config: RouterConfig) -> Self {
+        let times = ClosingTimes {
+            drain: config.drain,
+            evacuate: config.evacuate,
+        };
         Router {
             rng: ChaCha8Rng::seed_from_u64(config.seed),
             freshness: Freshness::new(config.in_force),
@@ -229,7 +228,7 @@
             breaks: Breaks::default(),
             reach: Reach::default(),
             peers: Peers::default(),
-            last_open: BTreeMap::new(),
+            open: OpenTargets::new(times),
             splitters: HashMap::new(),
             retry_budgets: HashMap::new(),
             key_counts: HashMap::new(),
@@ -265,7 +264,7 @@
         self.index = Some(index.max(held));
         match routes_changed {
             true => self.rebuild_routing(),
-            false => self.refresh_last_open(),
+            false => self.refresh_open(),
         }
     }
 
@@ -452,10 +451,19 @@
 
     /// Whether a selected target still accepts requests, checked again once a connection is open.
     pub fn still_accepts(&self, now: Moment, id: TargetId, keyed: bool) -> bool {
-        let record = self.catalog.targets.get(&id);
-        match keyed {
-            true => self.accepts_keys(now, id),
-            false => record.is_some_and(|record| self.catalog.accepts_work(record)),
+        self.open.state(now, &self.catalog, id, keyed) == Openness::Open
+    }
+
+    /// Records what a target said of itself in an answer; returns what of it is news.
+    pub fn record_notice(
+        &mut self,
+        now: Moment,
+        id: TargetId,
+        notice: TargetNotice,
+    ) -> TargetNotice {
+        match self.has_target(id) {
+            true => self.open.record(now, id, notice),
+            false => TargetNotice::default(),
         }
     }
 
@@ -633,19 +641,28 @@
         if request.misdirected.contains(&id) {
             return self.wait_or_reject(request, MISDIRECTED_DELAY);
         }
-        if !self.accepts_keys(now, id) {
-            return self.wait_or_reject(request, NO_OWNER_DELAY);
+        match self.open.state(now, &self.catalog, id, true) {
+            Openness::Open => self.admit(now, request, id),
+            Openness::Closed => self.wait_or_reject(request, NO_OWNER_DELAY),
+            Openness::Paused(left) => RoutingDecision::Reject(RejectReason::Paused, left),
         }
-        self.admit(now, request, id)
     }
 
     fn route_pool(&mut self, now: Moment, request: RoutingRequest<'_>) -> RoutingDecision {
-        let targets = self.catalog.targets_of(request.service);
-        let open: Vec<(TargetId, bool)> = targets
-            .filter(|(id, record)| self.catalog.accepts_work(record) && !request.tried.contains(id))
-            .filter(|(id, _)| !self.status.unresponsive.contains(id))
-            .map(|(id, record)| (id, record.zone == self.config.zone))
-            .collect();
+        let mut shortest_pause: Option<Duration> = None;
+        let mut open: Vec<(TargetId, bool)> = Vec::new();
+        for (id, record) in self.catalog.targets_of(request.service) {
+            if request.tried.contains(&id) || self.status.unresponsive.contains(&id) {
+                continue;
+            }
+            match self.open.state(now, &self.catalog, id, false) {
+                Openness::Open => open.push((id, record.zone == self.config.zone)),
+                Openness::Closed => {}
+                Openness::Paused(left) => {
+                    shortest_pause = Some(shortest_pause.map_or(left, |pause| pause.min(left)));
+                }
+            }
+        }
         for (id, _) in &open {
             self.model(*id);
         }
@@ -655,7 +672,7 @@
             let other = at + self.rng.next_u32() as usize % (pool.len() - at);
             pool.swap(at, other);
         }
-        let mut rejected: Option<(RejectReason, Duration)> = None;
+        let mut rejected = shortest_pause.map(|pause| (RejectReason::Paused, pause));
         // If a target has no room the next best one is tried, in the end also those not sampled.
         while !pool.is_empty() {
             let candidates = pool.iter().take(count.max(1)).filter_map(|(id, local)| {
@@ -746,22 +763,6 @@
         })
     }
 
-    /// Whether a target still accepts requests for the keys it owns.
-    fn accepts_keys(&self, now: Moment, id: TargetId) -> bool {
-        let Some(record) = self.catalog.targets.get(&id) else {
-            return false;
-        };
-        if self.catalog.accepts_work(record) {
-            return true;
-        }
-        let period = match record.leaving {
-            true => self.config.drain,
-            false => self.config.evacuate,
-        };
-        let last_open = self.last_open.get(&id).copied().flatten();
-        last_open.is_some_and(|at| now.since(at) < period.mul_f64(CLOSED_OWNER_SHARE))
-    }
-
     fn entry_count(&self) -> u32 {
         self.entry_count.get()
     }
@@ -776,24 +777,13 @@
 
     fn rebuild_routing(&mut self) {
         self.routing = Routing::of(&self.catalog.desired);
-        self.refresh_last_open();
+        self.refresh_open();
     }
 
-    /// Records until when targets that accept no new requests were open, and removes targets that
-    /// are gone. What the last confirmation does not cover may have been acknowledged right after
-    /// it, however late it arrives.
-    fn refresh_last_open(&mut self) {
+    /// Takes over which targets accept requests, and forgets those that are gone.
+    fn refresh_open(&mut self) {
         let catalog = &self.catalog;
-        let confirmed_at = self.freshness.confirmed_at();
-        for (id, record) in &catalog.targets {
-            if catalog.accepts_work(record) {
-                self.last_open.remove(id);
-            } else {
-                self.last_open.entry(*id).or_insert(confirmed_at);
-            }
-        }
-        self.last_open
-            .retain(|id, _| catalog.targets.contains_key(id));
+        self.open.refresh(catalog, self.freshness.confirmed_at());
         self.models.retain(|id, _| catalog.targets.contains_key(id));
         self.limits.retain(|id| catalog.targets.contains_key(&id));
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_membership;
 mod test_note;
 mod test_once;
+mod test_open;
 mod test_operator_api;
 mod test_owner;
 mod test_owner_lease;
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -24,7 +24,7 @@
     request::{
         balance::{
             LatencyBounds, LimitNotice, LoadReport, RejectReason, ResolvedRoute, RouteError,
-            RoutingDecision, RoutingRequest, SendOutcome,
+            RoutingDecision, RoutingRequest, SendOutcome, TargetNotice,
         },
         header,
     },
@@ -555,6 +555,7 @@
             return Tried::Broken;
         }
         flight.record_limit(head.limit);
+        flight.record_notice(head.notice);
         let place = PoolPlace {
             pool: entry.pool.clone(),
             id: flight.id,
@@ -718,6 +719,18 @@
         }
     }
 
+    /// Records what the answer says of the target's own state.
+    fn record_notice(&self, notice: TargetNotice) {
+        let now = self.entry.clock.now();
+        let news = self.entry.router().record_notice(now, self.id, notice);
+        if news.leaves {
+            Event::LeavingHeard.log(format_args!("id={}", self.id));
+        }
+        if let Some(pause) = news.pause {
+            Event::TargetPaused.log(format_args!("id={} ms={}", self.id, pause.as_millis()));
+        }
+    }
+
     fn end(mut self, outcome: SendOutcome, load: Option<LoadReport>) {
         self.tell(outcome, load);
     }
