--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -153,6 +153,10 @@
     DiskReplaced = 55, Warn, "disk-replaced";
     /// The data folder takes writes again after it had failed.
     StoreRecovered = 56, Info, "store-recovered";
+    /// Voters do not answer, so that the group bears fewer losses than its size allows.
+    VotersSilent = 57, Warn, "voters-silent";
+    /// All voters answer again.
+    VotersWhole = 58, Info, "voters-whole";
     /// A request that crashed targets was quarantined: every entry refuses it.
     RequestQuarantined = 60, Warn, "request-quarantined";
     /// The quarantine of a request was lifted.
--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -249,6 +249,15 @@
         candidate.filter(|_| is_even || unresponsive.next().is_some())
     }
 
+    /// Number of voters that have not answered this leader for a few election timeouts; 0 if this
+    /// voter does not lead.
+    pub fn silent_voters(&self, now: Moment) -> usize {
+        let timeout = self.config.election_timeout * EVEN_REMOVAL_FACTOR;
+        let voters = self.membership().voters.iter();
+        let silent = voters.filter(|m| self.unresponsive_for(now, **m) >= timeout);
+        silent.count()
+    }
+
     /// Time since the leader sent the last message that a member answered, or since its election.
     fn unresponsive_for(&self, now: Moment, member: Member) -> Duration {
         let Role::Leader(replication) = &self.role else {
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -1,7 +1,7 @@
 //! What a core host does while it leads: answers calls, and proposes what is due.
 
 use super::task::{Task, Then};
-use crate::process::logging::EventLog;
+use crate::process::{logging::EventLog, voter::VoterStatus};
 use cornelrail_lib::{
     connection::{
         heartbeat::Heartbeat,
@@ -31,6 +31,8 @@
 pub(super) struct Leading {
     pub(super) leader: LeaderState,
     lease_end: Moment,
+    /// Losses that the group of voters could bear when it was asked last.
+    bearable_losses: Option<usize>,
 }
 
 impl Leading {
@@ -42,6 +44,27 @@
         Leading {
             leader: LeaderState::new(config, now),
             lease_end: Moment::ZERO,
+            bearable_losses: None,
+        }
+    }
+
+    /// Tells the metrics, and the log when it changes, how many losses the group can bear.
+    fn watch_voters(&mut self, status: &VoterStatus) {
+        let (bearable, tolerated) = (status.bearable_losses(), status.tolerated_losses());
+        let former = self.bearable_losses.replace(bearable);
+        metrics::gauge!("cornelrail_voters_silent").set(status.silent as f64);
+        metrics::gauge!("cornelrail_bearable_losses").set(bearable as f64);
+        if former == Some(bearable) || (former.is_none() && bearable == tolerated) {
+            return;
+        }
+        let losses = format_args!(
+            "voters={} silent={} bearable={bearable} tolerated={tolerated}",
+            status.membership.voters.len(),
+            status.silent
+        );
+        match bearable < tolerated {
+            true => Event::VotersSilent.log(losses),
+            false => Event::VotersWhole.log(losses),
         }
     }
 }
@@ -113,10 +136,15 @@
         if now + LEASE_MARGIN < leading.lease_end {
             return true;
         }
-        let end = self.voter.lease().await.unwrap_or(Moment::ZERO);
+        let status = self.voter.status().await;
+        let end = status.as_ref().and_then(|status| status.lease);
+        let end = end.unwrap_or(Moment::ZERO);
         let now = self.now();
         if let Some(leading) = &mut self.leading {
             leading.lease_end = end;
+            if let Some(status) = status {
+                leading.watch_voters(&status);
+            }
         }
         now < end
     }
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -294,6 +294,7 @@
             last: self.raft.last_index(),
             snapshot: self.raft.snapshot_index(),
             membership: self.raft.membership().clone(),
+            silent: self.raft.silent_voters(now),
             batches: self.batches,
             lease: lease.map(|end| end.min(longest)),
         }
--- a/node/src/process/voter_handle.rs
+++ b/node/src/process/voter_handle.rs
@@ -108,10 +108,28 @@
     pub membership: Membership,
     /// End of the lease that this voter holds as leader.
     pub lease: Option<Moment>,
+    /// Voters that have not answered for a while, if this voter leads.
+    pub silent: usize,
     /// Batches synced to disk since the start.
     pub batches: u64,
 }
 
+impl VoterStatus {
+    /// Number of further voters that the group can lose and still commit.
+    pub fn bearable_losses(&self) -> usize {
+        let answering = self.membership.voters.len().saturating_sub(self.silent);
+        answering.saturating_sub(self.membership.quorum())
+    }
+
+    /// Number of voters that a whole group of this size can lose.
+    pub fn tolerated_losses(&self) -> usize {
+        self.membership
+            .voters
+            .len()
+            .saturating_sub(self.membership.quorum())
+    }
+}
+
 /// What the voter's task is asked.
 pub(super) enum Request {
     Receive(Node, Message),
--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -279,6 +279,19 @@
     // The other two need the vote of the third.
     handles(&group)[0].stop().await;
     propose(&group, b"last").await;
+    let warned = async {
+        loop {
+            for handle in &handles(&group)[1..] {
+                let status = handle.status().await.unwrap();
+                if status.silent == 1 {
+                    return (status.bearable_losses(), status.tolerated_losses());
+                }
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let losses = time::timeout(PATIENCE, warned).await.unwrap();
+    assert_eq!(losses, (0, 1), "losses that two of three voters bear");
 
     for commits in &mut group.commits[1..] {
         let mut seen = Vec::new();
