--- a/lib/tests/test_pull_lease.rs
+++ b/lib/tests/test_pull_lease.rs
@@ -11,7 +11,7 @@
     moment::Moment,
     name::{Fence, Incarnation, Service, Target, Zone},
     version::{
-        catalog::{Catalog, KeySpan, TargetId, Update},
+        catalog::{Catalog, KeySpan, SpanGrant, TargetId, Update},
         desired::{Change, Item, ItemVersion, ServiceSpec},
         feed::{BucketTraffic, TargetTraffic, TrafficReport},
         leader::LeaderState,
@@ -656,3 +656,34 @@
         }
     }
 }
+
+/// A former leader or release may have left more rows with one target than its answer holds.
+#[test]
+fn an_answer_carries_what_the_target_reads_and_first_what_it_holds() {
+    let mut world = World::with_targets(1, 1);
+    world.run_calmly(5 * LEASE_MS);
+    let now = world.moment();
+    let id = TargetId(1);
+    let grant = |first: u16| SpanGrant {
+        span: KeySpan::new(first * 100, first * 100 + 99).unwrap(),
+        former: Some(id),
+        owner: id,
+        handover: "0123456789abcdef".to_owned(),
+    };
+    world.catalog.apply(&Update::Assign {
+        service: Service::from(SERVICE),
+        grants: (0..400).map(grant).collect(),
+    });
+    let held = world.catalog.retained_rows(id)[390];
+    let (span, fence) = (held.span, held.fence);
+    let mut heartbeat = world.targets[0].heartbeat(false);
+    heartbeat.holds = vec![HeldSpan { span, fence }];
+    let leader = world.leader.as_mut().unwrap();
+    leader.heartbeat(now, &world.catalog, &heartbeat);
+
+    let lease = leader.renew_lease(now, &world.catalog, id).unwrap();
+
+    assert!(answer_bytes(&lease) <= MAX_ANSWER_BYTES);
+    assert_eq!(lease.grants[0].fence, fence);
+    assert!(lease.grants.len() >= 100, "{} rows", lease.grants.len());
+}
--- a/lib/tests/test_sharding.rs
+++ b/lib/tests/test_sharding.rs
@@ -2,6 +2,7 @@
 //! over several targets, and targets that leave or are lost are drained.
 
 use cornelrail_lib::{
+    connection::pull_lease::MAX_LEASE_ROWS,
     moment::Moment,
     name::{Incarnation, Service, Target, Zone},
     version::{
@@ -303,3 +304,75 @@
     assert!(before > 3.0 * limit, "{before} requests a second before");
     assert!(after < 1.5 * limit, "{after} requests a second after");
 }
+
+/// Marks all targets but the first `survivors` as lost.
+fn lose_all_but(candidates: &mut Candidates, survivors: u32) {
+    for (id, candidate) in candidates.iter_mut().filter(|(id, _)| id.0 > survivors) {
+        assert!(candidate.responsive, "{id}");
+        (candidate.accepts_keys, candidate.responsive) = (false, false);
+        candidate.may_hold = false;
+    }
+}
+
+#[test]
+fn the_last_target_gets_all_keys_in_as_many_rows_as_an_answer_holds() {
+    let mut catalog = catalog();
+    settle(&mut catalog, &candidates(), &Loads::default(), 1);
+    let mut candidates = candidates();
+    lose_all_but(&mut candidates, 1);
+
+    settle(&mut catalog, &candidates, &Loads::default(), 3);
+
+    let rows = catalog.retained_rows(TargetId(1));
+    let keys: u32 = rows.iter().map(|row| row.span.width()).sum();
+    assert_eq!(keys, KeySpan::FULL.width());
+    assert!(rows.len() <= MAX_LEASE_ROWS, "{} rows", rows.len());
+}
+
+#[test]
+fn rows_of_a_full_target_are_merged() {
+    let mut catalog = catalog();
+    let grant = |first: u16| SpanGrant {
+        span: KeySpan::new(first * 100, first * 100 + 99).unwrap(),
+        former: None,
+        owner: TargetId(1),
+        handover: String::new(),
+    };
+    catalog.apply(&Update::Assign {
+        service: Service::from(SERVICE),
+        grants: (0..300).map(grant).collect(),
+    });
+
+    settle(&mut catalog, &candidates(), &Loads::default(), 3);
+
+    let rows = catalog.retained_rows(TargetId(1)).len();
+    assert!(rows <= MAX_LEASE_ROWS, "{rows} rows");
+    assert_eq!(owned_key_count(&catalog), KeySpan::FULL.width());
+}
+
+#[test]
+fn targets_that_were_never_owners_relieve_an_overloaded_one() {
+    let mut catalog = catalog();
+    let all = SpanGrant {
+        span: KeySpan::FULL,
+        former: None,
+        owner: TargetId(1),
+        handover: String::new(),
+    };
+    catalog.apply(&Update::Assign {
+        service: Service::from(SERVICE),
+        grants: vec![all],
+    });
+    let load = measured_load(&catalog, 0..0, 0);
+    let mut candidates = candidates();
+    for (_, candidate) in candidates.iter_mut().filter(|(id, _)| id.0 > 1) {
+        candidate.may_hold = false;
+    }
+
+    settle(&mut catalog, &candidates, &load, 1);
+
+    let highest = utilizations(&catalog, &load)
+        .into_iter()
+        .fold(0.0, f64::max);
+    assert!(highest < 1.0, "{highest}");
+}
