sharding: demands are computed once for a plan

Cause: the relief computed the demand of every target a second time at each plan. Change: one function for both, no decision changed. Result: test_sharding and test_pull_lease pass (19 tests).

--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -68,15 +68,29 @@
     rows: usize,
 }
 
-/// Returns the moves that bring targets far above their slots down to the mean demand. Each
-/// destination gets adjacent keys up to the mean.
-pub(super) fn relief_moves(
+/// Returns the moves that balance the load, if they are worthwhile.
+pub(super) fn load_moves(
+    now: Moment,
     table: &ShardTable,
     candidates: &Candidates,
     load: &KeyLoad,
     targets: &TargetLoads,
 ) -> Vec<(KeySpan, TargetId)> {
     let demands = target_demands(table, candidates, load, targets);
+    let relief = relief_moves(table, &demands, load);
+    match relief.is_empty() {
+        true => balancing_moves(now, table, demands, load),
+        false => relief,
+    }
+}
+
+/// Returns the moves that bring targets far above their slots down to the mean demand. Each
+/// destination gets adjacent keys up to the mean.
+fn relief_moves(
+    table: &ShardTable,
+    demands: &[TargetDemand],
+    load: &KeyLoad,
+) -> Vec<(KeySpan, TargetId)> {
     let total: f64 = demands.iter().map(|target| target.demand).sum();
     let mean = total / demands.len().max(1) as f64;
     let is_source = |target: &TargetDemand| {
@@ -87,13 +101,13 @@
         let is_idle = target.demand < mean / 2.0 && target.rows < MAX_ROWS_PER_TARGET;
         is_idle && target.candidate.cold_left.is_zero() && !is_moving(table, target.id)
     };
-    let mut destinations = demands.clone();
+    let mut destinations: Vec<TargetDemand> = demands.to_vec();
     destinations.retain(is_destination);
     if destinations.len() * TARGETS_PER_IDLE < demands.len() {
         return Vec::new();
     }
     let mut moves = Vec::new();
-    for mut source in demands.into_iter().filter(is_source) {
+    for mut source in demands.iter().copied().filter(is_source) {
         let max_weight = mean * RELIEF_PIECE / source.cost;
         let rows = table.rows().iter();
         let rows = rows.filter(|row| row.owner == Some(source.id));
@@ -118,16 +132,14 @@
 }
 
 /// Returns the moves that reduce the demand on overloaded targets enough to be worthwhile.
-pub(super) fn balancing_moves(
+fn balancing_moves(
     now: Moment,
     table: &ShardTable,
-    candidates: &Candidates,
+    mut demands: Vec<TargetDemand>,
     load: &KeyLoad,
-    targets: &TargetLoads,
 ) -> Vec<(KeySpan, TargetId)> {
     let moving = table.rows().iter().filter(|row| row.next.is_some());
     let mut free_moves = MAX_CONCURRENT_MOVES.saturating_sub(moving.count());
-    let mut demands = target_demands(table, candidates, load, targets);
     demands.retain(|target| !is_moving(table, target.id));
     let mut sources = demands.clone();
     sources.retain(|target| {
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -86,10 +86,7 @@
         free_spans::grant_free_spans(table, candidates, &mut projected, load);
     let mut spans = drain_moves(table, candidates, &mut projected, load);
     if spans.is_empty() && grants.is_empty() {
-        spans = balance::relief_moves(table, candidates, load, targets);
-    }
-    if spans.is_empty() && grants.is_empty() {
-        spans = balance::balancing_moves(now, table, candidates, load, targets);
+        spans = balance::load_moves(now, table, candidates, load, targets);
     }
     if spans.is_empty() && grants.is_empty() {
         merges = free_spans::merge_owned_rows(table, &projected);
