--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -7,7 +7,7 @@
 //! Load pattern: busy keys are adjacent, so keys are assigned in narrow stripes at first and split
 //! by their load later. When many targets end together, the few that are left cannot get the stripes
 //! of all others as single rows, since the answer to a heartbeat has room for some rows only. Adjacent
-//! free rows are then assigned as wide spans, see [`free_spans`].
+//! free rows are then assigned as wide spans.
 
 mod balance;
 mod free_spans;
