--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_intent;
 mod test_limits;
 mod test_logging;
+mod test_lost_words;
 mod test_message;
 mod test_notices;
 mod test_operator;
--- /dev/null
+++ b/node/tests/test_lost_words.rs
@@ -0,0 +1,102 @@
+//! What a target says of itself in an answer that comes after its caller has left.
+
+use crate::test_seeded::{Fleet, PATIENCE, fleet_with, set_up};
+use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+    time::{Instant, interval, timeout},
+};
+
+/// Pause that the target asks for.
+const PAUSE: Duration = Duration::from_secs(3);
+/// Time after which the target answers.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Interval between two callers.
+const CALLER_INTERVAL: Duration = Duration::from_millis(25);
+/// Requests that a target may get in the rest of a pause.
+const ALLOWED: usize = 2;
+
+/// How long callers wait for an answer.
+#[derive(Debug, Clone, Copy)]
+struct Patience {
+    deadline: u32,
+    leaves_after: Duration,
+}
+
+async fn fleet_of(script: impl Fn(&Ask) -> Reply + Send + Sync + 'static) -> (Fleet, Arc<Record>) {
+    let record = Arc::<Record>::default();
+    let served = record.clone();
+    let fleet = fleet_with(|listener, _| scripted::serve(listener, served, script)).await;
+    set_up(&fleet).await;
+    (fleet, record)
+}
+
+/// Target that is overloaded from the first request for `/r/load` on.
+fn overloaded(ask: &Ask) -> Reply {
+    match ask.path.starts_with("/r/load") {
+        true => Reply::refusal(ask).with_pause(PAUSE).after(ANSWER_TIME),
+        false => Reply::answer(ask, "fine"),
+    }
+}
+
+/// Sends a request of a caller that leaves after a while.
+async fn ask_briefly(callers: SocketAddr, number: u32, patience: Patience) {
+    let request = format!(
+        "GET /r/load HTTP/1.1\r\nHost: h.example\r\nRequest-Id: load-{number}\r\n\
+         Deadline-Ms: {}\r\n\r\n",
+        patience.deadline
+    );
+    let Ok(mut stream) = TcpStream::connect(callers).await else {
+        return;
+    };
+    let talking = async {
+        stream.write_all(request.as_bytes()).await?;
+        stream.read(&mut [0; 1_024]).await
+    };
+    // A caller that leaves closes its connection.
+    let _ = timeout(patience.leaves_after, talking).await;
+}
+
+/// Most requests that reach an overloaded target in the rest of a pause.
+async fn most_in_pause(patience: Patience) -> usize {
+    let (fleet, record) = fleet_of(overloaded).await;
+    let mut callers = JoinSet::new();
+    let mut ticks = interval(CALLER_INTERVAL);
+    let begun = Instant::now();
+    let mut number = 0;
+    while begun.elapsed() < ANSWER_TIME + PAUSE {
+        ticks.tick().await;
+        number += 1;
+        callers.spawn(ask_briefly(fleet.callers, number, patience));
+    }
+    callers.join_all().await;
+    assert!(record.first_pause().is_some(), "the target asked for none");
+    record.most_in_pause()
+}
+
+#[tokio::test]
+async fn a_pause_in_an_answer_after_the_deadline_is_not_heard() {
+    let patience = Patience {
+        deadline: 300,
+        leaves_after: PATIENCE,
+    };
+
+    let arrived = most_in_pause(patience).await;
+
+    assert!(arrived <= ALLOWED, "{arrived} requests in a pause");
+}
+
+#[tokio::test]
+async fn a_pause_in_an_answer_whose_caller_has_left_is_not_heard() {
+    let patience = Patience {
+        deadline: 2_000,
+        leaves_after: Duration::from_millis(200),
+    };
+
+    let arrived = most_in_pause(patience).await;
+
+    assert!(arrived <= ALLOWED, "{arrived} requests in a pause");
+}
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -103,6 +103,7 @@
 
 /// A target: answers with what it was asked, and sends heartbeats until it is dropped.
 pub(crate) struct StandIn {
+    pub(crate) address: SocketAddr,
     seen: Arc<Mutex<Vec<String>>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -126,6 +127,7 @@
         let serving = serve(listener, seen.clone());
         let beating = tokio::spawn(beat(control, address));
         StandIn {
+            address,
             seen,
             tasks: vec![serving, beating],
         }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for targets, callers and links, shared by the tests and the demo.
 //!
 //! - [`target`] stands in for the users' servers and reports every run to the [`ledger`],
+//! - [`scripted`] stands in for targets of a seeded fleet that fail as a script says,
 //! - [`caller`] stands in for parents, sellers and clerks and checks every answer,
 //! - [`link`] delays, cuts and thins the traffic between two processes,
 //! - [`ports`] gives tests addresses that nobody else uses,
@@ -13,6 +14,7 @@
 pub mod ledger;
 pub mod link;
 pub mod ports;
+pub mod scripted;
 pub mod target;
 pub mod timer;
 pub mod tls;
