--- a/node/tests/test_lost_words.rs
+++ b/node/tests/test_lost_words.rs
@@ -1,13 +1,15 @@
-//! What a target says of itself in an answer that comes after its caller has left.
+//! What a target says of itself in an answer that comes after its caller has left, or was there before
+//! on the same connection.
 
-use crate::test_seeded::{Fleet, PATIENCE, fleet_with, set_up};
+use crate::test_seeded::{Fleet, PATIENCE, call, exchange, fleet_with, order, set_up, split};
 use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
+use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::JoinSet,
-    time::{Instant, interval, timeout},
+    time::{Instant, interval, sleep, timeout},
 };
 
 /// Pause that the target asks for.
@@ -100,3 +102,49 @@
 
     assert!(arrived <= ALLOWED, "{arrived} requests in a pause");
 }
+
+/// Order by which each key of the service has one owner.
+fn keyed_order() -> Value {
+    let mut order = order(8, "2000ms");
+    order["upsert"]["services"]["pool"]["useShards"] = json!(true);
+    order
+}
+
+/// Refuses the first sending of a request, runs the next ones, and writes each refusal twice.
+fn refusing_twice(ask: &Ask) -> Reply {
+    match ask.path.starts_with("/w/twice") && ask.earlier == 0 {
+        true => Reply::refusal(ask).copied(),
+        false => Reply::answer(ask, &ask.id),
+    }
+}
+
+async fn ask_keyed(fleet: &Fleet, path: &str, id: &str) -> (u16, String) {
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\n\
+         Shard-Key: 7\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    );
+    let reply = exchange(fleet.callers, request.as_bytes()).await;
+    split(&reply.expect("the answer reaches the caller")).expect("an answer")
+}
+
+#[tokio::test]
+async fn a_refusal_that_is_written_twice_is_believed_for_the_run_that_follows() {
+    let (fleet, record) = fleet_of(refusing_twice).await;
+    let keyed = call(fleet.control, "config.patch", &keyed_order()).await;
+    assert_eq!(keyed.map(|(status, _)| status), Some(200));
+    let begun = Instant::now();
+    while ask_keyed(&fleet, "/w/up", "up").await.0 != 200 {
+        assert!(begun.elapsed() < PATIENCE, "no request is served");
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    for number in 0..10 {
+        let id = format!("twice-{number}");
+        let (status, body) = ask_keyed(&fleet, "/w/twice", &id).await;
+
+        let runs = record.runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(status != 503 || runs == 0, "{id} ran and is told not run");
+        assert!(status != 200 || body == id, "{id} got {body}");
+    }
+}
