tests: one odd heartbeat shuts a target out (LOST), listed as red

Cause: the start or the serial number of a heartbeat by another writer counts as the latest for good, so those of the target itself are stale until it is forgotten as silent. Addresses at which nobody can listen are accepted.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_lost_words;
 mod test_message;
 mod test_notices;
+mod test_odd_heartbeats;
 mod test_operator;
 mod test_pool;
 mod test_processes;
