--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -187,6 +187,8 @@
     TargetPaused = 73, Info, "target-paused";
     /// A target said in an answer that it leaves.
     LeavingHeard = 74, Info, "leaving-heard";
+    /// A request was written to a target within a pause that it had asked this entry for.
+    SentInPause = 75, Warn, "sent-in-pause";
 }
 
 impl Event {
--- a/lib/src/request/balance/open.rs
+++ b/lib/src/request/balance/open.rs
@@ -107,12 +107,18 @@
         if told_closed || self.is_closed(now, catalog, id, record, keyed) {
             return Openness::Closed;
         }
-        match heard.map(|heard| heard.paused_until.since(now)) {
-            Some(left) if !left.is_zero() => Openness::Paused(left),
-            _ => Openness::Open,
+        match self.pause_left(now, id) {
+            Some(left) => Openness::Paused(left),
+            None => Openness::Open,
         }
     }
 
+    /// Rest of the pause that a target has asked for.
+    pub fn pause_left(&self, now: Moment, id: TargetId) -> Option<Duration> {
+        let left = self.heard.get(&id)?.paused_until.since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Whether a target gets nothing by the catalog.
     fn is_closed(
         &self,
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -454,6 +454,11 @@
         self.open.state(now, &self.catalog, id, keyed) == Openness::Open
     }
 
+    /// Rest of the pause that a target has asked this entry for.
+    pub fn pause_left(&self, now: Moment, id: TargetId) -> Option<Duration> {
+        self.open.pause_left(now, id)
+    }
+
     /// Records what a target said of itself in an answer; returns what of it is news.
     pub fn record_notice(
         &mut self,
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -5,9 +5,10 @@
 //! the request may have run.
 
 mod detour;
+mod flight;
 mod trial;
 
-use self::{detour::Detour, trial::Trial};
+use self::{detour::Detour, flight::Flight, trial::Trial};
 use super::{
     body::{self, WHOLE_BYTES},
     proxy_body::{ReplyBody, RequestBody, read_short},
@@ -23,8 +24,8 @@
     process::event::Event,
     request::{
         balance::{
-            LatencyBounds, LimitNotice, LoadReport, RejectReason, ResolvedRoute, RouteError,
-            RoutingDecision, RoutingRequest, SendOutcome, TargetNotice,
+            LatencyBounds, RejectReason, ResolvedRoute, RouteError, RoutingDecision,
+            RoutingRequest, SendOutcome,
         },
         header,
     },
@@ -499,6 +500,7 @@
         }
         let request = self.target_request(&next.name, left, body);
         self.arrivals += 1;
+        flight.count_in_pause();
         let exchanging = self.exchange(entry, flight, connection, request);
         tokio::select! {
             tried = timeout_at(self.until, exchanging) => match tried {
@@ -676,80 +678,3 @@
         headers.remove(name);
     }
 }
-
-/// A sending under way. One that is dropped without an end was cancelled.
-#[derive(Debug)]
-struct Flight {
-    entry: Arc<Entry>,
-    id: TargetId,
-    since: Moment,
-    over: bool,
-}
-
-impl Flight {
-    fn begin(entry: &Arc<Entry>, id: TargetId) -> Self {
-        if entry.router().record_sent(id) {
-            metrics::counter!("cornelrail_limited_sends_total").increment(1);
-        }
-        Flight {
-            entry: entry.clone(),
-            id,
-            since: entry.clock.now(),
-            over: false,
-        }
-    }
-
-    /// Records what the answer says of the target's limit.
-    fn record_limit(&self, notice: LimitNotice) {
-        let now = self.entry.clock.now();
-        let change = {
-            let mut router = self.entry.router();
-            router.record_limit(now, self.id, self.since, notice)
-        };
-        let Some(change) = change else {
-            return;
-        };
-        self.entry.notify_leader();
-        let (id, sent, ms) = (self.id, change.sent, change.elapsed.as_millis());
-        match change.limit {
-            Some(limit) => {
-                Event::TargetLimited.log(format_args!("id={id} limit={limit} sent={sent} ms={ms}"))
-            }
-            None => Event::LimitEnded.log(format_args!("id={id} sent={sent} ms={ms}")),
-        }
-    }
-
-    /// Records what the answer says of the target's own state.
-    fn record_notice(&self, notice: TargetNotice) {
-        let now = self.entry.clock.now();
-        let news = self.entry.router().record_notice(now, self.id, notice);
-        if news.leaves {
-            Event::LeavingHeard.log(format_args!("id={}", self.id));
-        }
-        if let Some(pause) = news.pause {
-            Event::TargetPaused.log(format_args!("id={} ms={}", self.id, pause.as_millis()));
-        }
-    }
-
-    fn end(mut self, outcome: SendOutcome, load: Option<LoadReport>) {
-        self.tell(outcome, load);
-    }
-
-    fn tell(&mut self, outcome: SendOutcome, load: Option<LoadReport>) {
-        if self.over {
-            return;
-        }
-        self.over = true;
-        let now = self.entry.clock.now();
-        let spent = now.since(self.since);
-        self.entry
-            .router()
-            .record_outcome(now, self.id, outcome, spent, load);
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.tell(SendOutcome::Cancelled, None);
-    }
-}
--- /dev/null
+++ b/node/src/request/proxy/flight.rs
@@ -0,0 +1,97 @@
+//! A sending under way, and what the entry learns of its target.
+
+use crate::process::{entry::Entry, logging::EventLog};
+use cornelrail_lib::{
+    moment::Moment,
+    process::event::Event,
+    request::balance::{LimitNotice, LoadReport, SendOutcome, TargetNotice},
+    version::catalog::TargetId,
+};
+use std::sync::Arc;
+
+/// A sending under way. One that is dropped without an end was cancelled.
+#[derive(Debug)]
+pub(super) struct Flight {
+    pub(super) entry: Arc<Entry>,
+    pub(super) id: TargetId,
+    since: Moment,
+    over: bool,
+}
+
+impl Flight {
+    pub(super) fn begin(entry: &Arc<Entry>, id: TargetId) -> Self {
+        if entry.router().record_sent(id) {
+            metrics::counter!("cornelrail_limited_sends_total").increment(1);
+        }
+        Flight {
+            entry: entry.clone(),
+            id,
+            since: entry.clock.now(),
+            over: false,
+        }
+    }
+
+    /// Counts a request that is written although the target has asked for a pause.
+    pub(super) fn count_in_pause(&self) {
+        let now = self.entry.clock.now();
+        if let Some(left) = self.entry.router().pause_left(now, self.id) {
+            metrics::counter!("cornelrail_paused_sends_total").increment(1);
+            let (id, ms) = (self.id, left.as_millis());
+            Event::SentInPause.log(format_args!("id={id} left_ms={ms}"));
+        }
+    }
+
+    /// Records what the answer says of the target's limit.
+    pub(super) fn record_limit(&self, notice: LimitNotice) {
+        let now = self.entry.clock.now();
+        let change = {
+            let mut router = self.entry.router();
+            router.record_limit(now, self.id, self.since, notice)
+        };
+        let Some(change) = change else {
+            return;
+        };
+        self.entry.notify_leader();
+        let (id, sent, ms) = (self.id, change.sent, change.elapsed.as_millis());
+        match change.limit {
+            Some(limit) => {
+                Event::TargetLimited.log(format_args!("id={id} limit={limit} sent={sent} ms={ms}"))
+            }
+            None => Event::LimitEnded.log(format_args!("id={id} sent={sent} ms={ms}")),
+        }
+    }
+
+    /// Records what the answer says of the target's own state.
+    pub(super) fn record_notice(&self, notice: TargetNotice) {
+        let now = self.entry.clock.now();
+        let news = self.entry.router().record_notice(now, self.id, notice);
+        if news.leaves {
+            Event::LeavingHeard.log(format_args!("id={}", self.id));
+        }
+        if let Some(pause) = news.pause {
+            Event::TargetPaused.log(format_args!("id={} ms={}", self.id, pause.as_millis()));
+        }
+    }
+
+    pub(super) fn end(mut self, outcome: SendOutcome, load: Option<LoadReport>) {
+        self.tell(outcome, load);
+    }
+
+    fn tell(&mut self, outcome: SendOutcome, load: Option<LoadReport>) {
+        if self.over {
+            return;
+        }
+        self.over = true;
+        let now = self.entry.clock.now();
+        let spent = now.since(self.since);
+        self.entry
+            .router()
+            .record_outcome(now, self.id, outcome, spent, load);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.tell(SendOutcome::Cancelled, None);
+    }
+}
