--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -4,6 +4,7 @@
 //! An entry sees only its own requests and, with a delay, what other entries reported. The code has
 //! no side effects outside its own state: callers pass in the current time.
 
+mod abandoned;
 mod admit;
 mod breaks;
 mod budget;
@@ -19,6 +20,7 @@
 mod target;
 
 pub use self::{
+    abandoned::{ABANDONED_TIME, AbandonedAnswers},
     admit::{Admission, LatencyBounds, admit},
     breaks::Breaks,
     budget::RetryBudget,
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -7,6 +7,7 @@
 //! Load pattern: targets that start, slow down, move keys or fail while entries learn of it late.
 
 use super::{
+    abandoned::AbandonedAnswers,
     admit::{Admission, LatencyBounds, admit},
     breaks::Breaks,
     budget::RetryBudget,
@@ -198,6 +199,7 @@
     reach: Reach,
     peers: Peers,
     open: OpenTargets,
+    abandoned: AbandonedAnswers,
     splitters: HashMap<String, Splitter>,
     retry_budgets: HashMap<Service, RetryBudget>,
     key_counts: HashMap<(Service, u16), u32>,
@@ -229,6 +231,7 @@
             reach: Reach::default(),
             peers: Peers::default(),
             open: OpenTargets::new(times),
+            abandoned: AbandonedAnswers::default(),
             splitters: HashMap::new(),
             retry_budgets: HashMap::new(),
             key_counts: HashMap::new(),
@@ -531,6 +534,11 @@
         &mut self.breaks
     }
 
+    /// Answers that are awaited although their callers have left.
+    pub fn abandoned(&mut self) -> &mut AbandonedAnswers {
+        &mut self.abandoned
+    }
+
     /// Links of this entry to targets.
     pub fn reach(&mut self) -> &mut Reach {
         &mut self.reach
@@ -580,9 +588,6 @@
             return;
         };
         model.record_outcome(now, outcome, time);
-        if let Some(load) = load {
-            model.record_report(now, load);
-        }
         let stats = self.target_stats.entry(id).or_default();
         if outcome == SendOutcome::Answered {
             stats.busy_time += time;
@@ -592,7 +597,18 @@
             stats.unqueued_time += time;
             stats.unqueued += 1;
         }
-        stats.load = load.map(|load| (load, now)).or(stats.load);
+        if let Some(load) = load {
+            self.record_load(now, id, load);
+        }
+    }
+
+    /// Records the load that an answer names.
+    pub fn record_load(&mut self, now: Moment, id: TargetId, load: LoadReport) {
+        let Some(model) = self.models.get_mut(&id) else {
+            return;
+        };
+        model.record_report(now, load);
+        self.target_stats.entry(id).or_default().load = Some((load, now));
     }
 
     /// Takes one retry out of the budget of a service. Returns false if it is used up.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,6 +5,7 @@
 mod model;
 mod property;
 mod raft_cluster;
+mod test_abandoned;
 mod test_assigner;
 mod test_controller;
 mod test_desired;
--- a/node/src/connection/head_limit.rs
+++ b/node/src/connection/head_limit.rs
@@ -10,7 +10,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
 };
@@ -25,19 +25,33 @@
 /// Bytes read before the task gives way to others.
 const TURN_BYTES: usize = 16 << 10;
 
-/// Bytes that may still be read; shared by a stream and its user.
+#[derive(Debug)]
+struct Shared {
+    /// Bytes that may still be read.
+    left: AtomicUsize,
+    /// Whether the writing side is to be closed.
+    closes: AtomicBool,
+}
+
+/// Bytes that may still be read, and whether more will be written; shared by a stream and its user.
 #[derive(Debug, Clone)]
-pub struct HeadLimit(Arc<AtomicUsize>);
+pub struct HeadLimit(Arc<Shared>);
 
 impl HeadLimit {
     /// Bounds what is read from now on, as the next thing is a head.
     pub fn expect_head(&self) {
-        self.0.store(HEAD_BYTES, Ordering::Relaxed);
+        self.0.left.store(HEAD_BYTES, Ordering::Relaxed);
     }
 
     /// Lifts the bound, as the head is complete.
     pub fn lift(&self) {
-        self.0.store(usize::MAX, Ordering::Relaxed);
+        self.0.left.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Closes the writing side before the next read. To the target it looks as if the whole
+    /// connection was closed.
+    pub fn close_writing(&self) {
+        self.0.closes.store(true, Ordering::Relaxed);
     }
 }
 
@@ -53,7 +67,10 @@
 impl LimitedStream {
     /// Stream without a bound at first, and its limit.
     pub fn new(stream: TcpStream) -> (Self, HeadLimit) {
-        let limit = HeadLimit(Arc::new(AtomicUsize::new(usize::MAX)));
+        let limit = HeadLimit(Arc::new(Shared {
+            left: AtomicUsize::new(usize::MAX),
+            closes: AtomicBool::new(false),
+        }));
         let limited = LimitedStream {
             stream,
             limit: limit.clone(),
@@ -69,7 +86,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.limit.0.load(Ordering::Relaxed);
+        if self.limit.0.closes.swap(false, Ordering::Relaxed) {
+            // A connection that is broken shows at the read.
+            let _ = Pin::new(&mut self.stream).poll_shutdown(cx);
+        }
+        let left = self.limit.0.left.load(Ordering::Relaxed);
         if left == 0 {
             let message = format!("the head of the answer is longer than {HEAD_BYTES} bytes");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
@@ -85,7 +106,7 @@
         self.turn = if read == 0 { 0 } else { self.turn + read };
         if left != usize::MAX {
             let left = left.saturating_sub(read);
-            self.limit.0.store(left, Ordering::Relaxed);
+            self.limit.0.left.store(left, Ordering::Relaxed);
         }
         polled
     }
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -14,7 +14,10 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::{
     body::Incoming,
-    client::conn::http1::{self, Connection, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, Connection, SendRequest},
+    },
 };
 use hyper_util::rt::TokioIo;
 use std::{
@@ -103,27 +106,14 @@
         self.requests > 1
     }
 
-    /// Sends a request and waits for the head of the answer.
-    pub async fn send(
-        &mut self,
-        request: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, SendError> {
+    /// Sends a request, whose answer is then awaited.
+    pub fn send(mut self, request: Request<RequestBody>) -> Exchange {
         self.requests = self.requests.saturating_add(1);
         self.head_limit.expect_head();
-        let mut answer = Box::pin(self.sender.try_send_request(request));
-        loop {
-            tokio::select! {
-                biased;
-                answer = &mut answer => {
-                    self.head_limit.lift();
-                    return answer.map_err(|mut error| match error.take_message() {
-                        Some(_unsent) => SendError::NotSent,
-                        None => SendError::Broken,
-                    });
-                }
-                // A broken connection shows at the request that uses it.
-                _ = &mut self.driver, if !self.over => self.over = true,
-            }
+        let answer = Box::pin(self.sender.try_send_request(request));
+        Exchange {
+            connection: self,
+            answer,
         }
     }
 
@@ -142,6 +132,51 @@
     }
 }
 
+type Answered = Result<Response<Incoming>, TrySendError<Request<RequestBody>>>;
+
+/// A request on its connection, whose answer has not begun yet. Dropping it closes the connection.
+pub struct Exchange {
+    connection: TargetConnection,
+    answer: Pin<Box<dyn Future<Output = Answered> + Send>>,
+}
+
+impl std::fmt::Debug for Exchange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("Exchange").field(&self.connection).finish()
+    }
+}
+
+impl Exchange {
+    /// Waits for the head of the answer. Nothing is lost if the wait is given up.
+    pub async fn head(&mut self) -> Result<Response<Incoming>, SendError> {
+        let connection = &mut self.connection;
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut self.answer => {
+                    connection.head_limit.lift();
+                    return answer.map_err(|mut error| match error.take_message() {
+                        Some(_unsent) => SendError::NotSent,
+                        None => SendError::Broken,
+                    });
+                }
+                // A broken connection shows at the request that uses it.
+                _ = &mut connection.driver, if !connection.over => connection.over = true,
+            }
+        }
+    }
+
+    /// Tells the target that nobody waits for the answer, which may be read nevertheless.
+    pub fn abandon(&self) {
+        self.connection.head_limit.close_writing();
+    }
+
+    /// The connection, once the answer has begun.
+    pub fn into_connection(self) -> TargetConnection {
+        self.connection
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: TargetConnection,
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -4,11 +4,12 @@
 //! becomes of it, the caller gets one answer: the target's own, or one that says truthfully whether
 //! the request may have run.
 
+mod awaited;
 mod detour;
 mod flight;
 mod trial;
 
-use self::{detour::Detour, flight::Flight, trial::Trial};
+use self::{awaited::AwaitedAnswer, detour::Detour, flight::Flight, trial::Trial};
 use super::{
     body::{self, WHOLE_BYTES},
     proxy_body::{ReplyBody, RequestBody, read_short},
@@ -467,7 +468,7 @@
         let connection = match taking {
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) => {
-                flight.end(SendOutcome::Unreachable, None);
+                flight.end(SendOutcome::Unreachable);
                 record_failure(entry, id);
                 return Tried::Unreachable;
             }
@@ -480,7 +481,7 @@
         // The target may have named its limit while the connection was opened.
         let is_limited = !next.is_permitted && entry.router().is_limited(id);
         if is_limited && !self.is_permitted(entry, id).await {
-            flight.end(SendOutcome::Cancelled, None);
+            flight.end(SendOutcome::Cancelled);
             return Tried::Limited;
         }
         let left = self.until.saturating_duration_since(Instant::now());
@@ -491,11 +492,11 @@
             (router.may_serve(now), accepts)
         };
         if !may_serve {
-            flight.end(SendOutcome::Cancelled, None);
+            flight.end(SendOutcome::Cancelled);
             return Tried::Stale;
         }
         if left < LEAST_LEFT || !accepts {
-            flight.end(SendOutcome::Cancelled, None);
+            flight.end(SendOutcome::Cancelled);
             return Tried::Unreachable;
         }
         let request = self.target_request(&next.name, left, body);
@@ -535,29 +536,34 @@
         &self,
         entry: &Arc<Entry>,
         flight: Flight,
-        mut connection: TargetConnection,
+        connection: TargetConnection,
         request: Request<RequestBody>,
     ) -> Tried {
-        let response = match connection.send(request).await {
+        let exchange = connection.send(request);
+        let awaited = AwaitedAnswer::new(&self.id, flight, exchange);
+        let Some((mut flight, exchange, answered)) = awaited.head().await else {
+            return Tried::Broken;
+        };
+        let response = match answered {
             Ok(response) => response,
             Err(SendError::NotSent) => {
-                flight.end(SendOutcome::Shed, None);
+                flight.end(SendOutcome::Shed);
                 return Tried::Closed;
             }
             Err(SendError::Broken) => {
-                flight.end(SendOutcome::Broken, None);
+                flight.end(SendOutcome::Broken);
                 return Tried::Broken;
             }
         };
+        let connection = exchange.into_connection();
         let (mut parts, body) = response.into_parts();
         let head = AnswerHead::read(Some(&self.id), parts.status, &parts.headers);
-        let is_own = head.id_matches && (head.has_id || !connection.is_reused());
+        let is_own = head.is_own(connection.is_reused());
         if !is_own || (parts.status.is_success() && !head.has_signature) {
-            flight.end(SendOutcome::Broken, None);
+            flight.end(SendOutcome::Broken);
             return Tried::Broken;
         }
-        flight.record_limit(head.limit);
-        flight.record_notice(head.notice);
+        flight.record_head(&head);
         let place = PoolPlace {
             pool: entry.pool.clone(),
             id: flight.id,
@@ -566,19 +572,19 @@
         };
         let body = read_short(AnswerBody::new(body, connection, place), self.until).await;
         if head.not_run {
-            flight.end(SendOutcome::Shed, head.load);
+            flight.end(SendOutcome::Shed);
             let misdirected = head.misdirected;
             return Tried::NotRun { misdirected };
         }
         match body {
             Ok(body) => {
                 entry.router().reach().record_contact(flight.id);
-                flight.end(SendOutcome::Answered, head.load);
+                flight.end(SendOutcome::Answered);
                 strip(&mut parts.headers);
                 Tried::Answer(Response::from_parts(parts, body))
             }
             Err(_) => {
-                flight.end(SendOutcome::Broken, head.load);
+                flight.end(SendOutcome::Broken);
                 Tried::Broken
             }
         }
--- /dev/null
+++ b/node/src/request/proxy/awaited.rs
@@ -0,0 +1,100 @@
+//! Answers that are awaited, also after their callers have left.
+//!
+//! Dropping an [`AwaitedAnswer`] before its answer has begun tells the target at once that its caller
+//! has left, since the writing side of the connection is closed. Reading goes on in the background
+//! for a while, only for what the head says of the target itself.
+
+use super::flight::Flight;
+use crate::{
+    connection::pool::{Exchange, SendError},
+    process::entry::Entry,
+};
+use cornelrail_lib::{request::balance::ABANDONED_TIME, version::catalog::TargetId};
+use cornelrail_platform::target::AnswerHead;
+use http::Response;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use tokio::{runtime::Handle, time::timeout};
+
+/// An answer that has not begun yet.
+#[derive(Debug)]
+pub(super) struct AwaitedAnswer<'a> {
+    request: &'a str,
+    under_way: Option<(Flight, Exchange)>,
+}
+
+impl<'a> AwaitedAnswer<'a> {
+    pub(super) fn new(request: &'a str, flight: Flight, exchange: Exchange) -> Self {
+        AwaitedAnswer {
+            request,
+            under_way: Some((flight, exchange)),
+        }
+    }
+
+    /// Waits for the head of the answer; `None` only if it was awaited before.
+    pub(super) async fn head(
+        mut self,
+    ) -> Option<(Flight, Exchange, Result<Response<Incoming>, SendError>)> {
+        let (_, exchange) = self.under_way.as_mut()?;
+        let answered = exchange.head().await;
+        let (flight, exchange) = self.under_way.take()?;
+        Some((flight, exchange, answered))
+    }
+}
+
+impl Drop for AwaitedAnswer<'_> {
+    fn drop(&mut self) {
+        let Some((mut flight, exchange)) = self.under_way.take() else {
+            return;
+        };
+        flight.cancel();
+        // There is no runtime any more if the process ends.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        let Some(place) = ListeningPlace::take(&flight.entry, flight.id) else {
+            return;
+        };
+        exchange.abandon();
+        runtime.spawn(listen(self.request.to_owned(), flight, exchange, place));
+    }
+}
+
+/// Reads the head of an answer that nobody waits for, and records what it says of the target.
+async fn listen(
+    request: String,
+    mut flight: Flight,
+    mut exchange: Exchange,
+    _place: ListeningPlace,
+) {
+    let Ok(Ok(response)) = timeout(ABANDONED_TIME, exchange.head()).await else {
+        return;
+    };
+    let head = AnswerHead::read(Some(&request), response.status(), response.headers());
+    if head.is_own(exchange.into_connection().is_reused()) {
+        metrics::counter!("cornelrail_abandoned_answers_total").increment(1);
+        flight.record_head(&head);
+    }
+}
+
+/// Room for one answer that is awaited without a caller.
+struct ListeningPlace {
+    entry: Arc<Entry>,
+    id: TargetId,
+}
+
+impl ListeningPlace {
+    fn take(entry: &Arc<Entry>, id: TargetId) -> Option<Self> {
+        let has_room = entry.router().abandoned().begin(id);
+        has_room.then(|| ListeningPlace {
+            entry: entry.clone(),
+            id,
+        })
+    }
+}
+
+impl Drop for ListeningPlace {
+    fn drop(&mut self) {
+        self.entry.router().abandoned().end(self.id);
+    }
+}
--- a/node/src/request/proxy/detour.rs
+++ b/node/src/request/proxy/detour.rs
@@ -129,7 +129,7 @@
         &self,
         entry: &Arc<Entry>,
         number: TargetId,
-        mut connection: TargetConnection,
+        connection: TargetConnection,
         body: RequestBody,
     ) -> Sent {
         let left = self.until.saturating_duration_since(Instant::now());
@@ -144,7 +144,8 @@
         let headers = request.headers_mut();
         set_time_left(headers, left);
         headers.insert(header::DETOUR, HeaderValue::from_static("1"));
-        let response = match connection.send(request).await {
+        let mut exchange = connection.send(request);
+        let response = match exchange.head().await {
             Ok(response) => response,
             Err(SendError::NotSent) => return Sent::Unread,
             Err(SendError::Broken) => return Sent::Broken,
@@ -156,7 +157,11 @@
             room: IDLE_MAX,
             keep: None,
         };
-        let body = read_short(AnswerBody::new(body, connection, place), self.until).await;
+        let body = read_short(
+            AnswerBody::new(body, exchange.into_connection(), place),
+            self.until,
+        )
+        .await;
         match body {
             Ok(body) => {
                 super::strip(&mut parts.headers);
--- a/node/src/request/proxy/flight.rs
+++ b/node/src/request/proxy/flight.rs
@@ -7,6 +7,7 @@
     request::balance::{LimitNotice, LoadReport, SendOutcome, TargetNotice},
     version::catalog::TargetId,
 };
+use cornelrail_platform::target::AnswerHead;
 use std::sync::Arc;
 
 /// A sending under way. One that is dropped without an end was cancelled.
@@ -15,6 +16,8 @@
     pub(super) entry: Arc<Entry>,
     pub(super) id: TargetId,
     since: Moment,
+    /// Load that the answer names.
+    load: Option<LoadReport>,
     over: bool,
 }
 
@@ -27,6 +30,7 @@
             entry: entry.clone(),
             id,
             since: entry.clock.now(),
+            load: None,
             over: false,
         }
     }
@@ -41,8 +45,23 @@
         }
     }
 
-    /// Records what the answer says of the target's limit.
-    pub(super) fn record_limit(&self, notice: LimitNotice) {
+    /// Records what the head of an answer says of the target itself.
+    pub(super) fn record_head(&mut self, head: &AnswerHead) {
+        self.record_limit(head.limit);
+        self.record_notice(head.notice);
+        let Some(load) = head.load else {
+            return;
+        };
+        match self.over {
+            true => {
+                let now = self.entry.clock.now();
+                self.entry.router().record_load(now, self.id, load);
+            }
+            false => self.load = Some(load),
+        }
+    }
+
+    fn record_limit(&self, notice: LimitNotice) {
         let now = self.entry.clock.now();
         let change = {
             let mut router = self.entry.router();
@@ -61,8 +80,7 @@
         }
     }
 
-    /// Records what the answer says of the target's own state.
-    pub(super) fn record_notice(&self, notice: TargetNotice) {
+    fn record_notice(&self, notice: TargetNotice) {
         let now = self.entry.clock.now();
         let news = self.entry.router().record_notice(now, self.id, notice);
         if news.leaves {
@@ -73,11 +91,16 @@
         }
     }
 
-    pub(super) fn end(mut self, outcome: SendOutcome, load: Option<LoadReport>) {
-        self.tell(outcome, load);
+    pub(super) fn end(mut self, outcome: SendOutcome) {
+        self.tell(outcome);
+    }
+
+    /// Records that nobody waits for the answer any more.
+    pub(super) fn cancel(&mut self) {
+        self.tell(SendOutcome::Cancelled);
     }
 
-    fn tell(&mut self, outcome: SendOutcome, load: Option<LoadReport>) {
+    fn tell(&mut self, outcome: SendOutcome) {
         if self.over {
             return;
         }
@@ -86,12 +109,12 @@
         let spent = now.since(self.since);
         self.entry
             .router()
-            .record_outcome(now, self.id, outcome, spent, load);
+            .record_outcome(now, self.id, outcome, spent, self.load);
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.tell(SendOutcome::Cancelled, None);
+        self.cancel();
     }
 }
--- a/node/tests/test_lost_words.rs
+++ b/node/tests/test_lost_words.rs
@@ -21,6 +21,9 @@
 /// Requests that a target may get in the rest of a pause.
 const ALLOWED: usize = 2;
 
+/// Time within which a target hears that its caller has left.
+const GONE_TIME: Duration = Duration::from_millis(500);
+
 /// How long callers wait for an answer.
 #[derive(Debug, Clone, Copy)]
 struct Patience {
@@ -103,6 +106,26 @@
     assert!(arrived <= ALLOWED, "{arrived} requests in a pause");
 }
 
+#[tokio::test]
+async fn a_target_works_on_for_a_caller_that_has_left() {
+    let script = |ask: &Ask| match ask.path.starts_with("/r/load") {
+        true => Reply::silence(ask),
+        false => Reply::answer(ask, "fine"),
+    };
+    let (fleet, record) = fleet_of(script).await;
+    let patience = Patience {
+        deadline: 2_000,
+        leaves_after: Duration::from_millis(200),
+    };
+
+    ask_briefly(fleet.callers, 1, patience).await;
+    let left = Instant::now();
+    sleep(GONE_TIME).await;
+
+    let closed = record.closed("load-1").expect("the connection is closed");
+    assert!(closed - left <= GONE_TIME, "after {:?}", closed - left);
+}
+
 /// Order by which each key of the service has one owner.
 fn keyed_order() -> Value {
     let mut order = order(8, "2000ms");
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -40,16 +40,17 @@
 }
 
 async fn ask(pool: &Pool, id: TargetId, address: SocketAddr) {
-    let mut connection = pool.take(id, address, LEFT).await.expect("a connection");
+    let connection = pool.take(id, address, LEFT).await.expect("a connection");
     let request = Request::new(RequestBody::Whole(None));
-    let response = connection.send(request).await.expect("an answer");
+    let mut exchange = connection.send(request);
+    let response = exchange.head().await.expect("an answer");
     let place = PoolPlace {
         pool: pool.clone(),
         id,
         room: 4,
         keep: None,
     };
-    let body = AnswerBody::new(response.into_body(), connection, place);
+    let body = AnswerBody::new(response.into_body(), exchange.into_connection(), place);
     body.collect().await.expect("the whole answer");
 }
 
@@ -97,16 +98,17 @@
     tokio::spawn(flood(listener));
     let pool = Pool::default();
     let taken = pool.take(TargetId(1), address, LEFT).await;
-    let mut connection = taken.expect("a connection");
+    let connection = taken.expect("a connection");
     let request = Request::new(RequestBody::Whole(None));
-    let response = connection.send(request).await.expect("a head");
+    let mut exchange = connection.send(request);
+    let response = exchange.head().await.expect("a head");
     let place = PoolPlace {
         pool,
         id: TargetId(1),
         room: 1,
         keep: None,
     };
-    let mut body = AnswerBody::new(response.into_body(), connection, place);
+    let mut body = AnswerBody::new(response.into_body(), exchange.into_connection(), place);
     tokio::time::sleep(Duration::from_millis(200)).await;
 
     let mut largest = 0;
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -59,7 +59,7 @@
     Close,
     /// It is reset.
     Reset,
-    /// It stays open, and nothing more comes.
+    /// It stays open without a word until the other side closes it.
     Silent,
 }
 
@@ -101,6 +101,11 @@
         }
     }
 
+    /// The target runs the request and never answers.
+    pub fn silence(ask: &Ask) -> Self {
+        Reply::answer(ask, "").cut_at(0).ending(Ending::Silent)
+    }
+
     /// The target turns the request away.
     pub fn refusal(ask: &Ask) -> Self {
         let mut reply = Reply::answer(ask, "");
@@ -217,6 +222,7 @@
     arrivals: Mutex<Vec<Arrival>>,
     pauses: Mutex<Vec<(Instant, Duration)>>,
     seen: Mutex<HashMap<String, usize>>,
+    closed: Mutex<Vec<(String, Instant)>>,
 }
 
 impl Record {
@@ -247,6 +253,12 @@
         counts.max().unwrap_or_default()
     }
 
+    /// When the connection was closed on which the request got no answer.
+    pub fn closed(&self, id: &str) -> Option<Instant> {
+        let closed = lock(&self.closed);
+        closed.iter().find(|(one, _)| one == id).map(|(_, at)| *at)
+    }
+
     fn next_number(&self, id: &str) -> usize {
         let mut seen = lock(&self.seen);
         let count = seen.entry(id.to_owned()).or_default();
@@ -315,7 +327,12 @@
                 stream.get_ref().set_zero_linger().expect("an open socket");
                 return;
             }
-            Ending::Silent => std::future::pending().await,
+            Ending::Silent => {
+                // Nobody sends more before the answer, so what ends the wait is the end of it.
+                let _ = stream.read_u8().await;
+                lock(&record.closed).push((ask.id, Instant::now()));
+                return;
+            }
         }
     }
 }
