pool: a connection carries no request again that was turned away on it (REFUSED)

Callers were told 503, not run, for requests that a target had run. Cause: a target wrote the refusal of a request once more as the same request came again on that connection. The identity fits, so the copy was taken for the answer to the second sending. A request that may run once could then run twice. Change: a connection remembers the identities of the requests that were turned away on it, and is not lent to these; after 16 refusals it is closed, so that it remembers few. Result: test_lost_words, the first of ten requests ran and was told not run; now none of ten, nor of ten that the caller itself repeats.

--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -3,7 +3,9 @@
 //! A connection is driven by the request that uses it: nothing of it runs while it is idle, and
 //! dropping a request closes it, which is how a target learns that its caller has left. A connection
 //! goes back to the pool only when the answer and the request's body have both ended, so what a
-//! target sends beyond its answer is never taken for the next one.
+//! target sends beyond its answer is never taken for the next one. A connection on which a request
+//! was turned away never carries that request again, as a second copy of the refusal would look like
+//! its answer.
 
 use super::head_limit::{HEAD_BYTES, HeadLimit, LimitedStream};
 use crate::request::{body::Broken, proxy_body::RequestBody};
@@ -22,6 +24,7 @@
 use hyper_util::rt::TokioIo;
 use std::{
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
@@ -42,6 +45,8 @@
 /// Idle connections to all targets together. Each holds 16 KiB of buffers, and with hundreds of
 /// targets most of them would be closed unused.
 const IDLE_MOST: usize = 96;
+/// Refusals after which a connection is not used again, so that it holds few identities.
+const REFUSALS_MAX: usize = 16;
 /// Part of the target's own idle time that is used.
 const KEEP_SHARE: f64 = 0.6;
 
@@ -62,6 +67,8 @@
     driver: Pin<Box<Connection<TokioIo<LimitedStream>, RequestBody>>>,
     head_limit: HeadLimit,
     requests: u32,
+    /// Digests of the identities of requests that were turned away on it.
+    refused: Vec<u64>,
     over: bool,
 }
 
@@ -92,6 +99,7 @@
             driver: Box::pin(driver),
             head_limit,
             requests: 0,
+            refused: Vec::new(),
             over: false,
         })
     }
@@ -106,6 +114,17 @@
         self.requests > 1
     }
 
+    /// Records that the target turned the request with this identity away.
+    pub fn record_refusal(&mut self, request: &str) {
+        self.refused.push(digest(request));
+    }
+
+    /// Whether it may carry a request. The target may write the refusal of an earlier sending once
+    /// more, and nothing would tell that from the answer.
+    fn may_carry(&self, request: &str) -> bool {
+        self.refused.is_empty() || !self.refused.contains(&digest(request))
+    }
+
     /// Sends a request, whose answer is then awaited.
     pub fn send(mut self, request: Request<RequestBody>) -> Exchange {
         self.requests = self.requests.saturating_add(1);
@@ -190,14 +209,16 @@
 }
 
 impl Pool {
-    /// An idle connection, or a new one, for a request that has so much time left.
+    /// An idle connection, or a new one, for the request with this identity that has so much time
+    /// left.
     pub async fn take(
         &self,
         id: TargetId,
         address: SocketAddr,
+        request: &str,
         left: Duration,
     ) -> Result<TargetConnection, SendError> {
-        while let Some(mut idle) = self.pop(id) {
+        while let Some(mut idle) = self.pop(id, request) {
             if Instant::now() < idle.until && idle.connection.is_idle() {
                 return Ok(idle.connection);
             }
@@ -232,8 +253,14 @@
         self.with(HashMap::clear);
     }
 
-    fn pop(&self, id: TargetId) -> Option<Idle> {
-        self.with(|idle| idle.get_mut(&id)?.pop())
+    fn pop(&self, id: TargetId, request: &str) -> Option<Idle> {
+        self.with(|idle| {
+            let list = idle.get_mut(&id)?;
+            let fitting = list
+                .iter()
+                .rposition(|one| one.connection.may_carry(request))?;
+            Some(list.remove(fitting))
+        })
     }
 
     fn give_back(&self, lease: &PoolPlace, connection: TargetConnection) {
@@ -257,6 +284,12 @@
     }
 }
 
+fn digest(request: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn count(idle: &HashMap<TargetId, Vec<Idle>>) -> usize {
     idle.values().map(Vec::len).sum()
 }
@@ -313,7 +346,8 @@
             return;
         };
         connection.drive(cx);
-        if !connection.over && connection.sender.is_ready() {
+        let is_worn = connection.refused.len() >= REFUSALS_MAX;
+        if !connection.over && !is_worn && connection.sender.is_ready() {
             self.place.pool.give_back(&self.place, connection);
         }
     }
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -464,7 +464,11 @@
         let id = next.id;
         let flight = Flight::begin(entry, id);
         let left = self.until.saturating_duration_since(Instant::now());
-        let taking = timeout_at(self.until, entry.pool.take(id, next.address, left)).await;
+        let taking = timeout_at(
+            self.until,
+            entry.pool.take(id, next.address, &self.id, left),
+        )
+        .await;
         let connection = match taking {
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) => {
@@ -555,7 +559,7 @@
                 return Tried::Broken;
             }
         };
-        let connection = exchange.into_connection();
+        let mut connection = exchange.into_connection();
         let (mut parts, body) = response.into_parts();
         let head = AnswerHead::read(Some(&self.id), parts.status, &parts.headers);
         let is_own = head.is_own(connection.is_reused());
@@ -564,6 +568,9 @@
             return Tried::Broken;
         }
         flight.record_head(&head);
+        if head.not_run {
+            connection.record_refusal(&self.id);
+        }
         let place = PoolPlace {
             pool: entry.pool.clone(),
             id: flight.id,
--- a/node/src/request/proxy/detour.rs
+++ b/node/src/request/proxy/detour.rs
@@ -81,7 +81,7 @@
             let passage = Passage::begin(entry, address);
             let number = TargetId(entry.router().peers().number(address));
             let left = self.until.saturating_duration_since(Instant::now());
-            let Ok(connection) = entry.peers.take(number, address, left).await else {
+            let Ok(connection) = entry.peers.take(number, address, &self.id, left).await else {
                 entry.router().peers().record_unreached(now, address);
                 continue;
             };
--- a/node/tests/test_lost_words.rs
+++ b/node/tests/test_lost_words.rs
@@ -1,5 +1,5 @@
-//! What a target says of itself in an answer that comes after its caller has left, or was there before
-//! on the same connection.
+//! What a target says in an answer that comes after its caller has left, or that it wrote before on the
+//! same connection.
 
 use crate::test_seeded::{Fleet, PATIENCE, call, exchange, fleet_with, order, set_up, split};
 use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
@@ -171,3 +171,30 @@
         assert!(status != 200 || body == id, "{id} got {body}");
     }
 }
+
+#[tokio::test]
+async fn a_caller_that_repeats_an_identity_is_told_not_run_by_a_copy() {
+    let (fleet, record) = fleet_of(refusing_twice).await;
+    let request = |id: &str| {
+        format!(
+            "POST /w/twice HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 2000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+    };
+
+    for number in 0..10 {
+        let id = format!("repeat-{number}");
+        let request = request(&id);
+        exchange(fleet.callers, request.as_bytes())
+            .await
+            .expect("an answer");
+        let reply = exchange(fleet.callers, request.as_bytes()).await;
+
+        let status = split(&reply.expect("an answer")).map(|(status, _)| status);
+        let runs = record.runs(&id);
+        assert!(
+            status != Some(503) || runs == 0,
+            "{id} ran and is told not run"
+        );
+    }
+}
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -40,7 +40,10 @@
 }
 
 async fn ask(pool: &Pool, id: TargetId, address: SocketAddr) {
-    let connection = pool.take(id, address, LEFT).await.expect("a connection");
+    let connection = pool
+        .take(id, address, "1", LEFT)
+        .await
+        .expect("a connection");
     let request = Request::new(RequestBody::Whole(None));
     let mut exchange = connection.send(request);
     let response = exchange.head().await.expect("an answer");
@@ -97,7 +100,7 @@
     let address = listener.local_addr().expect("bound");
     tokio::spawn(flood(listener));
     let pool = Pool::default();
-    let taken = pool.take(TargetId(1), address, LEFT).await;
+    let taken = pool.take(TargetId(1), address, "1", LEFT).await;
     let connection = taken.expect("a connection");
     let request = Request::new(RequestBody::Whole(None));
     let mut exchange = connection.send(request);
