--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -6,3 +6,4 @@
 pub mod lease;
 pub mod order;
 pub mod pull_lease;
+mod rivals;
--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -13,7 +13,10 @@
 //! A new leader does not know the leases that the former leader granted, so it assumes that each
 //! target holds a lease that started with its own term.
 
-use super::heartbeat::{GrantedSpan, Heartbeat, Lease};
+use super::{
+    heartbeat::{GrantedSpan, Heartbeat, Lease},
+    rivals::Rivals,
+};
 use crate::{
     moment::Moment,
     name::{Fence, Incarnation, Service, Target},
@@ -34,6 +37,9 @@
 pub const MAX_LEASE_ROWS: usize = 120;
 /// Bytes of the handover proofs in one answer.
 const MAX_HANDOVER_BYTES: usize = 512;
+/// Largest step between the serial numbers of two heartbeats, beside one for each 10 ms between them.
+/// A larger one counts once the next heartbeat goes on from it.
+const MAX_SERIAL_STEP: u64 = 1_000;
 /// Weight of the latest interval in the mean interval between heartbeats, in eighths.
 const LATEST_INTERVAL_EIGHTHS: u32 = 2;
 
@@ -58,6 +64,10 @@
 struct TrackedTarget {
     /// Serial number of the latest heartbeat.
     serial: u64,
+    /// Serial number of the latest heartbeat that was not taken, as the step to it was too large.
+    leap: Option<u64>,
+    /// Serial number of the latest heartbeat that was not taken, as it was not above the last.
+    behind: Option<u64>,
     /// Number of heartbeats received.
     heartbeats: u32,
     last_heartbeat: Moment,
@@ -82,6 +92,13 @@
     /// The heartbeat is older than the latest one, or its incarnation has a successor under its
     /// name or at its address. It renews nothing.
     Stale,
+    /// The incarnation may join once the present one under its name or at its address is silent.
+    Waiting {
+        /// Whether this is its first heartbeat.
+        is_first: bool,
+    },
+    /// The heartbeat does not fit to the earlier ones of the same incarnation. It renews nothing.
+    Odd(OddHeartbeat),
     /// The catalog has this incarnation: answer once the updates are committed.
     Known {
         /// Number of the target in the catalog.
@@ -91,6 +108,56 @@
     },
 }
 
+/// How a heartbeat does not fit to the earlier ones of its incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OddHeartbeat {
+    /// It names another address or service.
+    Moved,
+    /// Its serial number is far above the latest one.
+    Leap,
+}
+
+/// How the serial number of a heartbeat fits to the earlier ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SerialOrder {
+    Next,
+    /// The target counts anew, or a number of another writer had been taken for its own.
+    Anew,
+    Stale,
+    Leap,
+}
+
+impl TrackedTarget {
+    /// Decides whether the next heartbeat may have this serial number. A number that is never
+    /// reached again would make all others stale.
+    fn order(&mut self, now: Moment, serial: u64, length: Duration) -> SerialOrder {
+        if self.heartbeats == 0 {
+            return SerialOrder::Next;
+        }
+        let elapsed = now.since(self.last_heartbeat);
+        if serial <= self.serial {
+            let former = self.behind.replace(serial);
+            // Without a lease nothing that the heartbeat says can be outdated.
+            let has_lapsed = elapsed >= length && now >= self.lease_end;
+            let goes_on = former.is_some_and(|former| serial > former);
+            return match has_lapsed && goes_on {
+                true => SerialOrder::Anew,
+                false => SerialOrder::Stale,
+            };
+        }
+        let step = MAX_SERIAL_STEP + elapsed.as_millis() as u64 / 10;
+        if serial - self.serial <= step {
+            return SerialOrder::Next;
+        }
+        let former = self.leap.replace(serial);
+        let goes_on = former.is_some_and(|former| serial > former && serial - former <= step);
+        match goes_on {
+            true => SerialOrder::Next,
+            false => SerialOrder::Leap,
+        }
+    }
+}
+
 /// Leases that this leader granted or that former leaders may have granted.
 #[derive(Debug)]
 pub struct TargetLeases {
@@ -99,6 +166,7 @@
     tracked: BTreeMap<TargetId, TrackedTarget>,
     /// Targets that the catalog has given no number yet, and when each of them is warm.
     joining: BTreeMap<(Target, Incarnation), Moment>,
+    rivals: Rivals,
 }
 
 impl TargetLeases {
@@ -109,6 +177,7 @@
             term_start: now,
             tracked: BTreeMap::new(),
             joining: BTreeMap::new(),
+            rivals: Rivals::new(config),
         }
     }
 
@@ -120,22 +189,18 @@
         heartbeat: &Heartbeat,
     ) -> HeartbeatOutcome {
         let known = catalog.find(&heartbeat.name);
-        let Some((id, record)) = known.filter(|(_, t)| t.incarnation >= heartbeat.incarnation)
+        let Some((id, record)) = known.filter(|(_, t)| t.incarnation == heartbeat.incarnation)
         else {
-            let newer = catalog
-                .targets
-                .values()
-                .any(|t| t.address == heartbeat.address && t.incarnation >= heartbeat.incarnation);
-            if newer {
-                return HeartbeatOutcome::Stale;
-            }
-            let key = (heartbeat.name.clone(), heartbeat.incarnation);
-            self.joining.insert(key, now + heartbeat.cold_left);
-            return HeartbeatOutcome::New;
+            return self.on_other_incarnation(now, catalog, heartbeat);
         };
-        if record.incarnation > heartbeat.incarnation || !self.record_heartbeat(now, id, heartbeat)
-        {
-            return HeartbeatOutcome::Stale;
+        if record.address != heartbeat.address || record.service != heartbeat.service {
+            self.rivals.record(now, heartbeat);
+            return HeartbeatOutcome::Odd(OddHeartbeat::Moved);
+        }
+        match self.record_heartbeat(now, id, heartbeat) {
+            SerialOrder::Next | SerialOrder::Anew => {}
+            SerialOrder::Stale => return HeartbeatOutcome::Stale,
+            SerialOrder::Leap => return HeartbeatOutcome::Odd(OddHeartbeat::Leap),
         }
         let mut updates = self.grants_after_release(catalog, id, heartbeat);
         if heartbeat.leaving && !record.leaving {
@@ -144,6 +209,45 @@
         HeartbeatOutcome::Known { id, updates }
     }
 
+    /// Decides whether an incarnation that the catalog does not have may join.
+    fn on_other_incarnation(
+        &mut self,
+        now: Moment,
+        catalog: &Catalog,
+        heartbeat: &Heartbeat,
+    ) -> HeartbeatOutcome {
+        let present: Vec<(TargetId, Incarnation)> = catalog
+            .targets
+            .iter()
+            .filter(|(_, t)| t.name == heartbeat.name || t.address == heartbeat.address)
+            .map(|(id, t)| (*id, t.incarnation))
+            .collect();
+        let mut is_first = false;
+        if !present.is_empty() {
+            is_first = self.rivals.record(now, heartbeat);
+        }
+        if present
+            .iter()
+            .any(|(_, life)| *life >= heartbeat.incarnation)
+        {
+            return HeartbeatOutcome::Stale;
+        }
+        let mut heard = present.iter().map(|(id, _)| self.last_heard(*id));
+        let is_vacant = heard.all(|heard| self.rivals.is_silent(now, heard));
+        if !is_vacant && !self.rivals.is_steady(heartbeat) {
+            return HeartbeatOutcome::Waiting { is_first };
+        }
+        let key = (heartbeat.name.clone(), heartbeat.incarnation);
+        self.joining.insert(key, now + heartbeat.cold_left);
+        HeartbeatOutcome::New
+    }
+
+    /// Whether another incarnation under the name or at the address of a target is the one alive.
+    pub fn is_outlived(&self, now: Moment, id: TargetId, record: &TargetRecord) -> bool {
+        let silence = self.time_since_heartbeat(now, id);
+        self.rivals.outlives(now, record, silence)
+    }
+
     /// Tracks a target whose heartbeat is about to be answered. The heartbeat by which a target
     /// joins arrives before the target has a number, so its cold period is adopted here.
     pub fn begin_tracking(&mut self, now: Moment, id: TargetId, record: &TargetRecord) {
@@ -187,20 +291,17 @@
 
     /// Whether a heartbeat of the target arrived within the last lease duration.
     pub fn is_responsive(&self, now: Moment, id: TargetId) -> bool {
-        let last = self
-            .tracked
-            .get(&id)
-            .map_or(self.term_start, |t| t.last_heartbeat);
-        now.since(last) < self.config.length
+        now.since(self.last_heard(id)) < self.config.length
     }
 
     /// Time since the target's latest heartbeat, or since the term started if none arrived.
     pub fn time_since_heartbeat(&self, now: Moment, id: TargetId) -> Duration {
-        now.since(
-            self.tracked
-                .get(&id)
-                .map_or(self.term_start, |t| t.last_heartbeat),
-        )
+        now.since(self.last_heard(id))
+    }
+
+    /// When the latest heartbeat of the target arrived, or when the term started if none did.
+    fn last_heard(&self, id: TargetId) -> Moment {
+        self.last_heartbeat(id).unwrap_or(self.term_start)
     }
 
     /// When the latest heartbeat of the target arrived; `None` if this leader has received none.
@@ -244,6 +345,7 @@
         let now = self.latest_heartbeat();
         self.joining
             .retain(|_, cold_until| now.since(*cold_until) < max_age);
+        self.rivals.drop_silent(now);
     }
 
     /// Grants for moves in progress whose current owner holds no lease any more, by service.
@@ -286,6 +388,8 @@
         let interval = self.config.heartbeat;
         self.tracked.entry(id).or_insert_with(|| TrackedTarget {
             serial: 0,
+            leap: None,
+            behind: None,
             heartbeats: 0,
             last_heartbeat: now,
             interval,
@@ -297,13 +401,26 @@
         })
     }
 
-    /// Records the contents of a heartbeat; returns false if it is older than the latest one.
-    fn record_heartbeat(&mut self, now: Moment, id: TargetId, heartbeat: &Heartbeat) -> bool {
-        let expected = self.config.heartbeat;
+    /// Records the contents of a heartbeat, unless it does not follow the latest one.
+    fn record_heartbeat(
+        &mut self,
+        now: Moment,
+        id: TargetId,
+        heartbeat: &Heartbeat,
+    ) -> SerialOrder {
+        let LeaseConfig {
+            length,
+            heartbeat: expected,
+        } = self.config;
         let tracked = self.get_or_track(now, id);
-        if tracked.heartbeats > 0 && heartbeat.serial <= tracked.serial {
-            return false;
+        let order = tracked.order(now, heartbeat.serial, length);
+        match order {
+            SerialOrder::Next => {}
+            SerialOrder::Anew => tracked.heartbeats = 0,
+            SerialOrder::Stale | SerialOrder::Leap => return order,
         }
+        tracked.leap = None;
+        tracked.behind = None;
         let interval = now.since(tracked.last_heartbeat);
         // Targets send extra heartbeats while they release keys; those must not shorten the mean.
         if tracked.heartbeats > 0 && interval > expected / 2 && interval < expected * 2 {
@@ -317,7 +434,7 @@
         tracked.cold_until = now + heartbeat.cold_left;
         tracked.held = heartbeat.holds.iter().map(|held| held.fence).collect();
         tracked.active.extend(tracked.held.iter().copied());
-        true
+        order
     }
 
     /// Grants to the next owners of the spans that the target was told to release and no longer
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -366,7 +366,8 @@
             .any(|former_owners| former_owners.contains(&id))
     }
 
-    /// Targets to remove: without a heartbeat for too long, and with an expired lease.
+    /// Targets to remove: without a heartbeat for too long, or while another incarnation goes on
+    /// sending them, and with an expired lease.
     fn expired_targets(&self, now: Moment, catalog: &Catalog) -> Vec<TargetId> {
         let timeout = |leaving| match leaving {
             true => LEAVING_REMOVAL_TIMEOUT,
@@ -374,7 +375,10 @@
         };
         let targets = catalog.targets.iter();
         targets
-            .filter(|(id, t)| self.leases.time_since_heartbeat(now, **id) > timeout(t.leaving))
+            .filter(|(id, t)| {
+                self.leases.time_since_heartbeat(now, **id) > timeout(t.leaving)
+                    || self.leases.is_outlived(now, **id, t)
+            })
             .filter(|(id, _)| !self.leases.may_hold(now, **id))
             .map(|(id, _)| *id)
             .collect()
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_raft_schedules;
 mod test_reach;
 mod test_releases;
+mod test_rivals;
 mod test_router;
 mod test_settings;
 mod test_sharding;
--- a/lib/tests/test_pull_lease.rs
+++ b/lib/tests/test_pull_lease.rs
@@ -317,7 +317,9 @@
             return;
         };
         match leader.heartbeat(now, &self.catalog, heartbeat) {
-            HeartbeatOutcome::Stale => {}
+            HeartbeatOutcome::Stale
+            | HeartbeatOutcome::Waiting { .. }
+            | HeartbeatOutcome::Odd(_) => {}
             HeartbeatOutcome::New => {
                 self.propose(
                     Update::Join(heartbeat.record()),
@@ -375,10 +377,29 @@
             1 => state.up = false,
             2 if !state.up => state.restart(),
             3 if state.up => state.restart(),
+            4 => self.send_odd_heartbeat(target),
             _ => {}
         }
     }
 
+    /// Sends a heartbeat of another writer under the name of a target.
+    fn send_odd_heartbeat(&mut self, target: usize) {
+        let kind = self.random_below(3);
+        let (now, delay) = (self.now, self.delay());
+        let state = &mut self.targets[target];
+        let (serial, released) = (state.serial, state.released.clone());
+        let mut odd = state.heartbeat(false);
+        (state.serial, state.released) = (serial, released);
+        match kind {
+            0 => odd.incarnation = Incarnation(state.incarnation + 1_000),
+            1 => odd.serial = u64::MAX,
+            _ => odd.address.set_port(9),
+        }
+        // The answer goes to the other writer.
+        let message = Message::Heartbeat(target, u64::MAX, now, odd);
+        self.messages.push((now + delay, message));
+    }
+
     fn send_heartbeats(&mut self) {
         for target in 0..self.targets.len() {
             let now = self.now;
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -5,7 +5,7 @@
 use cornelrail_lib::{
     connection::{
         heartbeat::Heartbeat,
-        pull_lease::{HeartbeatOutcome, LeaseConfig},
+        pull_lease::{HeartbeatOutcome, LeaseConfig, OddHeartbeat},
     },
     moment::Moment,
     name::{Incarnation, Target},
@@ -195,6 +195,27 @@
         }
         match leading.leader.heartbeat(now, &self.catalog, beat) {
             HeartbeatOutcome::Stale => drop(reply.send(ControlReply::Lease(None))),
+            HeartbeatOutcome::Waiting { is_first } => {
+                if is_first {
+                    let (name, born) = (&beat.name, beat.incarnation);
+                    Event::TargetRejected.log(format_args!(
+                        "target={name} incarnation={born} why=another incarnation is alive under \
+                         its name or at its address; it joins once that one is silent"
+                    ));
+                }
+                drop(reply.send(ControlReply::Lease(None)));
+            }
+            HeartbeatOutcome::Odd(odd) => {
+                let why = match odd {
+                    OddHeartbeat::Moved => "its incarnation has another address or service",
+                    OddHeartbeat::Leap => "its serial number is far above the latest one",
+                };
+                Event::TargetRejected.log(format_args!(
+                    "target={} seq={} address={} why={why}",
+                    beat.name, beat.serial, beat.address
+                ));
+                let _ = reply.send(ControlReply::Refused(why.to_owned()));
+            }
             HeartbeatOutcome::New => {
                 let then = Then::Lease(beat.name.clone(), reply);
                 self.propose(&Update::Join(beat.record()), then);
