--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -182,7 +182,7 @@
         let Some((report, at)) = self.recent_report(now) else {
             return in_flight;
         };
-        let reported = f64::from(report.running + report.waiting);
+        let reported = f64::from(report.running) + f64::from(report.waiting);
         // Since the report the target has finished some requests and other entries have sent more:
         // running ones are assumed to be replaced, while the queue shrinks.
         let age = now.since(at).as_secs_f64();
