--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -9,10 +9,10 @@
 
 use super::head_limit::{HEAD_BYTES, HeadLimit, LimitedStream};
 use crate::request::{body::Broken, proxy_body::RequestBody};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cornelrail_lib::version::catalog::TargetId;
 use futures_util::FutureExt;
-use http::{Request, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use hyper::{
     body::Incoming,
@@ -24,6 +24,7 @@
 use hyper_util::rt::TokioIo;
 use std::{
     collections::HashMap,
+    future::poll_fn,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     pin::Pin,
@@ -32,7 +33,11 @@
     time::Duration,
 };
 use thiserror::Error;
-use tokio::{net::TcpStream, time::Instant, time::timeout};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 
 /// Longest time to connect to a target: a host whose link is full of uploads needs several hundred
 /// milliseconds.
@@ -47,6 +52,8 @@
 const IDLE_MOST: usize = 96;
 /// Refusals after which a connection is not used again, so that it holds few identities.
 const REFUSALS_MAX: usize = 16;
+/// Header fields of an answer that are parsed, as many as the library takes.
+const FIELDS_MAX: usize = 100;
 /// Part of the target's own idle time that is used.
 const KEEP_SHARE: f64 = 0.6;
 
@@ -136,6 +143,36 @@
         }
     }
 
+    /// Reads the head that follows an answer on this connection. The library takes what it did not
+    /// wait for as an error, so the head is parsed here.
+    pub async fn read_head_behind(mut self, mut body: Incoming) -> Option<(StatusCode, HeaderMap)> {
+        let mut skipped = 0;
+        loop {
+            let frame = poll_fn(|cx| {
+                self.drive(cx);
+                Pin::new(&mut body).poll_frame(cx)
+            });
+            let Some(frame) = frame.await else {
+                break;
+            };
+            skipped += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if skipped > HEAD_BYTES {
+                return None;
+            }
+        }
+        let parts = Pin::into_inner(self.driver).into_parts();
+        let mut stream = parts.io.into_inner();
+        let mut head = BytesMut::from(parts.read_buf);
+        loop {
+            if let Some(parsed) = parse_head(&head) {
+                return Some(parsed);
+            }
+            if head.len() > HEAD_BYTES || stream.read_buf(&mut head).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
     fn drive(&mut self, cx: &mut Context<'_>) {
         if !self.over && self.driver.as_mut().poll(cx).is_ready() {
             self.over = true;
@@ -284,6 +321,23 @@
     }
 }
 
+/// Parses the head of an answer, once it is there as a whole.
+fn parse_head(bytes: &[u8]) -> Option<(StatusCode, HeaderMap)> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let is_whole = parsed.parse(bytes).ok()?.is_complete();
+    let status = StatusCode::from_u16(parsed.code.filter(|_| is_whole)?).ok()?;
+    let headers = parsed.headers.iter().filter_map(|field| {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(field.value).ok()?))
+    });
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.append(name, value);
+    }
+    Some((status, map))
+}
+
 fn digest(request: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     request.hash(&mut hasher);
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -462,7 +462,7 @@
     /// Sends the request to one target.
     async fn attempt(&mut self, entry: &Arc<Entry>, next: &Next, body: RequestBody) -> Tried {
         let id = next.id;
-        let flight = Flight::begin(entry, id);
+        let mut flight = Flight::begin(entry, id);
         let left = self.until.saturating_duration_since(Instant::now());
         let taking = timeout_at(
             self.until,
@@ -562,8 +562,12 @@
         let mut connection = exchange.into_connection();
         let (mut parts, body) = response.into_parts();
         let head = AnswerHead::read(Some(&self.id), parts.status, &parts.headers);
-        let is_own = head.is_own(connection.is_reused());
-        if !is_own || (parts.status.is_success() && !head.has_signature) {
+        if !head.is_own(connection.is_reused()) {
+            flight.end(SendOutcome::Broken);
+            awaited::listen_behind(&self.id, flight, connection, body);
+            return Tried::Broken;
+        }
+        if parts.status.is_success() && !head.has_signature {
             flight.end(SendOutcome::Broken);
             return Tried::Broken;
         }
--- a/node/src/request/proxy/awaited.rs
+++ b/node/src/request/proxy/awaited.rs
@@ -6,12 +6,15 @@
 
 use super::flight::Flight;
 use crate::{
-    connection::pool::{Exchange, SendError},
+    connection::pool::{Exchange, SendError, TargetConnection},
     process::entry::Entry,
 };
-use cornelrail_lib::{request::balance::ABANDONED_TIME, version::catalog::TargetId};
+use cornelrail_lib::{
+    request::balance::{ABANDONED_TIME, SendOutcome},
+    version::catalog::TargetId,
+};
 use cornelrail_platform::target::AnswerHead;
-use http::Response;
+use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use tokio::{runtime::Handle, time::timeout};
@@ -47,7 +50,7 @@
         let Some((mut flight, exchange)) = self.under_way.take() else {
             return;
         };
-        flight.cancel();
+        flight.end(SendOutcome::Cancelled);
         // There is no runtime any more if the process ends.
         let Ok(runtime) = Handle::try_current() else {
             return;
@@ -61,17 +64,51 @@
 }
 
 /// Reads the head of an answer that nobody waits for, and records what it says of the target.
-async fn listen(
-    request: String,
-    mut flight: Flight,
-    mut exchange: Exchange,
-    _place: ListeningPlace,
-) {
+async fn listen(request: String, flight: Flight, mut exchange: Exchange, _place: ListeningPlace) {
     let Ok(Ok(response)) = timeout(ABANDONED_TIME, exchange.head()).await else {
         return;
     };
-    let head = AnswerHead::read(Some(&request), response.status(), response.headers());
-    if head.is_own(exchange.into_connection().is_reused()) {
+    let is_reused = exchange.into_connection().is_reused();
+    record(
+        &request,
+        flight,
+        is_reused,
+        response.status(),
+        response.headers(),
+    );
+}
+
+/// Reads the head behind an answer that belongs to another request, and records what it says of the
+/// target: one that writes an answer twice may write the own answer after it.
+pub(super) fn listen_behind(
+    request: &str,
+    flight: Flight,
+    connection: TargetConnection,
+    body: Incoming,
+) {
+    let Some(place) = ListeningPlace::take(&flight.entry, flight.id) else {
+        return;
+    };
+    let request = request.to_owned();
+    tokio::spawn(async move {
+        let _place = place;
+        let reading = connection.read_head_behind(body);
+        let Ok(Some((status, headers))) = timeout(ABANDONED_TIME, reading).await else {
+            return;
+        };
+        record(&request, flight, true, status, &headers);
+    });
+}
+
+fn record(
+    request: &str,
+    mut flight: Flight,
+    is_reused: bool,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let head = AnswerHead::read(Some(request), status, headers);
+    if head.is_own(is_reused) {
         metrics::counter!("cornelrail_abandoned_answers_total").increment(1);
         flight.record_head(&head);
     }
--- a/node/src/request/proxy/flight.rs
+++ b/node/src/request/proxy/flight.rs
@@ -91,16 +91,8 @@
         }
     }
 
-    pub(super) fn end(mut self, outcome: SendOutcome) {
-        self.tell(outcome);
-    }
-
-    /// Records that nobody waits for the answer any more.
-    pub(super) fn cancel(&mut self) {
-        self.tell(SendOutcome::Cancelled);
-    }
-
-    fn tell(&mut self, outcome: SendOutcome) {
+    /// Records how the sending ended; only the first end counts.
+    pub(super) fn end(&mut self, outcome: SendOutcome) {
         if self.over {
             return;
         }
@@ -115,6 +107,6 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.cancel();
+        self.end(SendOutcome::Cancelled);
     }
 }
--- a/node/tests/test_lost_words.rs
+++ b/node/tests/test_lost_words.rs
@@ -1,8 +1,9 @@
 //! What a target says in an answer that comes after its caller has left, or that it wrote before on the
 //! same connection.
 
-use crate::test_seeded::{Fleet, PATIENCE, call, exchange, fleet_with, order, set_up, split};
+use crate::test_seeded::{Fleet, PATIENCE, ask, call, exchange, fleet_with, order, set_up, split};
 use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
+use http::Method;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -126,6 +127,32 @@
     assert!(closed - left <= GONE_TIME, "after {:?}", closed - left);
 }
 
+/// Writes the answer of the first request once more, and then asks for a pause only once.
+fn pausing_behind_a_copy(ask: &Ask) -> Reply {
+    match ask.path.as_str() {
+        "/r/first" => Reply::answer(ask, "fine").copied(),
+        "/r/second" => Reply::refusal(ask).with_pause(PAUSE),
+        _ => Reply::answer(ask, "fine"),
+    }
+}
+
+#[tokio::test]
+async fn a_pause_behind_a_copy_of_an_earlier_answer_is_not_heard() {
+    let (fleet, record) = fleet_of(pausing_behind_a_copy).await;
+    ask(&fleet, Method::GET, "/r/first", "first", 0).await;
+    ask(&fleet, Method::GET, "/r/second", "second", 0).await;
+    let begun = Instant::now();
+
+    while begun.elapsed() < PAUSE {
+        ask(&fleet, Method::GET, "/r/next", "next", 0).await;
+        sleep(CALLER_INTERVAL).await;
+    }
+
+    let arrived = record.most_in_pause();
+    assert!(record.first_pause().is_some(), "the target asked for none");
+    assert!(arrived <= ALLOWED, "{arrived} requests in a pause");
+}
+
 /// Order by which each key of the service has one owner.
 fn keyed_order() -> Value {
     let mut order = order(8, "2000ms");
