leases: the first heartbeat that a leader hears need not be the target's (LOST)

Cause: the first heartbeat of a target after it joined, or under a new leader, was taken with any serial number. If it was another writer's with a high one, those of the target were stale for a lease; meanwhile it counted as silent, so that a later incarnation of a third writer could join in its place, and what the target had asked entries for was forgotten. Change: the number of the heartbeat by which a target joins counts; a first number that lies far above those that come after it and go on gives way to them. Late heartbeats of the target itself do not lie that far behind.

--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -84,6 +84,13 @@
     excluded: BTreeSet<Fence>,
 }
 
+/// What the heartbeat said by which a target joins.
+#[derive(Debug, Clone, Copy)]
+struct Joining {
+    cold_until: Moment,
+    serial: u64,
+}
+
 /// What the leader has to do about a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HeartbeatOutcome {
@@ -131,21 +138,23 @@
     /// Decides whether the next heartbeat may have this serial number. A number that is never
     /// reached again would make all others stale.
     fn order(&mut self, now: Moment, serial: u64, length: Duration) -> SerialOrder {
-        if self.heartbeats == 0 {
+        if self.heartbeats == 0 && self.serial == 0 {
             return SerialOrder::Next;
         }
         let elapsed = now.since(self.last_heartbeat);
+        let step = MAX_SERIAL_STEP + elapsed.as_millis() as u64 / 10;
         if serial <= self.serial {
             let former = self.behind.replace(serial);
             // Without a lease nothing that the heartbeat says can be outdated.
             let has_lapsed = elapsed >= length && now >= self.lease_end;
+            // Only the first heartbeat is taken with any number. Late ones are not that far behind.
+            let was_odd = self.heartbeats <= 1 && self.serial - serial > step;
             let goes_on = former.is_some_and(|former| serial > former);
-            return match has_lapsed && goes_on {
+            return match (has_lapsed || was_odd) && goes_on {
                 true => SerialOrder::Anew,
                 false => SerialOrder::Stale,
             };
         }
-        let step = MAX_SERIAL_STEP + elapsed.as_millis() as u64 / 10;
         if serial - self.serial <= step {
             return SerialOrder::Next;
         }
@@ -164,8 +173,8 @@
     config: LeaseConfig,
     term_start: Moment,
     tracked: BTreeMap<TargetId, TrackedTarget>,
-    /// Targets that the catalog has given no number yet, and when each of them is warm.
-    joining: BTreeMap<(Target, Incarnation), Moment>,
+    /// Targets that the catalog has given no number yet.
+    joining: BTreeMap<(Target, Incarnation), Joining>,
     rivals: Rivals,
 }
 
@@ -238,7 +247,11 @@
             return HeartbeatOutcome::Waiting { is_first };
         }
         let key = (heartbeat.name.clone(), heartbeat.incarnation);
-        self.joining.insert(key, now + heartbeat.cold_left);
+        let joining = Joining {
+            cold_until: now + heartbeat.cold_left,
+            serial: heartbeat.serial,
+        };
+        self.joining.insert(key, joining);
         HeartbeatOutcome::New
     }
 
@@ -249,12 +262,15 @@
     }
 
     /// Tracks a target whose heartbeat is about to be answered. The heartbeat by which a target
-    /// joins arrives before the target has a number, so its cold period is adopted here.
+    /// joins arrives before the target has a number, so what it said is adopted here.
     pub fn begin_tracking(&mut self, now: Moment, id: TargetId, record: &TargetRecord) {
         let key = (record.name.clone(), record.incarnation);
-        let cold_until = self.joining.remove(&key);
+        let joining = self.joining.remove(&key);
         let tracked = self.get_or_track(now, id);
-        tracked.cold_until = tracked.cold_until.max(cold_until.unwrap_or(Moment::ZERO));
+        if let Some(joining) = joining {
+            tracked.cold_until = tracked.cold_until.max(joining.cold_until);
+            tracked.serial = tracked.serial.max(joining.serial);
+        }
     }
 
     /// Grants the lease for the answer to a heartbeat of the target, and records it. Keys beyond
@@ -344,7 +360,7 @@
         let max_age = self.config.length;
         let now = self.latest_heartbeat();
         self.joining
-            .retain(|_, cold_until| now.since(*cold_until) < max_age);
+            .retain(|_, joining| now.since(joining.cold_until) < max_age);
         self.rivals.drop_silent(now);
     }
 
--- a/lib/tests/test_rivals.rs
+++ b/lib/tests/test_rivals.rs
@@ -243,7 +243,32 @@
 
     let back = world.time_until_taken(BORN);
 
-    assert!(back <= BACK_MS, "back after {back} ms");
+    assert!(back <= 3 * HEARTBEAT_MS, "back after {back} ms");
+}
+
+#[test]
+fn a_new_leader_takes_late_heartbeats_for_the_target_counting_anew() {
+    let mut world = settled();
+    world.leader = leader(world.now);
+    let latest = world.serial;
+    world.receive(&heartbeat(BORN, latest + 10));
+
+    for late in latest..latest + 10 {
+        let outcome = world.receive(&heartbeat(BORN, late));
+        assert_eq!(outcome, HeartbeatOutcome::Stale);
+    }
+}
+
+#[test]
+fn a_target_that_has_just_joined_is_deaf_after_one_heartbeat_of_another_writer() {
+    let mut world = World::new();
+    world.receive(&heartbeat(BORN, 1));
+    world.serial = 1;
+
+    let outcome = world.receive(&heartbeat(BORN, u64::MAX));
+
+    assert_eq!(outcome, HeartbeatOutcome::Odd(OddHeartbeat::Leap));
+    assert!(world.time_until_taken(BORN) <= HEARTBEAT_MS);
 }
 
 #[test]
