tests: a target that draws its faults, and callers that leave, repeat and keep connections

Cause: each fault of a target had a stand-in of its own, and none met the others, callers that leave or odd heartbeats. Change: scripted::draw answers each request from one list by seed: refusals with and without rest, late, twice, cut anywhere, with wrong and without ids, resets, loads beyond any range. test_drawn checks from outside what reached the target in a pause, whose answers callers got, what was told not to have run, and how often a request ran.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_crashing;
 mod test_detour;
 mod test_docs;
+mod test_drawn;
 mod test_endless;
 mod test_feed;
 mod test_front;
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -376,11 +376,11 @@
     let mut below = |bound: u64| rng.next_u64() % bound;
     let answer = Reply::answer(ask, &drawn_body(&ask.id));
     let refusal = Reply::refusal(ask);
-    let late = Duration::from_millis(below(600));
-    let pause = Duration::from_millis(1_000 + below(1_500));
+    let late = Duration::from_millis(below(800));
+    let pause = Duration::from_millis(1_000 + below(500));
     match below(24) {
         0 => refusal.with_pause(pause),
-        1 => refusal.with_pause(pause).after(late),
+        1 | 18 | 19 => refusal.with_pause(pause).after(late),
         2 => refusal.copied(),
         3 => refusal.after(late),
         4 => refusal.ending(Ending::Close),
