tests: answers that are cut in any place, and one stand-in for targets in place of three

Cause: other operators' clients got a 200 with an empty or short body, framed as whole, where a target had stopped within the head of its answer. Here six cuts of bodies were tested, none of a head. Change: answers cut after each third byte of head and body, framed by length, by chunks and by the end of the connection, closed and reset; heads cut after each byte at a home. test_notices and test_answers use the scripted target, which takes the identities of both kinds of fleet, in place of their own. What ends with its connection and names no length is whole after a clean end, as the protocol has it. The cut between two chunks of test_answers is one of these now.

--- a/node/tests/test_answers.rs
+++ b/node/tests/test_answers.rs
@@ -4,140 +4,68 @@
 use bytes::Bytes;
 use cornelrail_lib::request::header;
 use cornelrail_node::connection::target::{ExchangeError, TargetLink};
+use cornelrail_testutils::scripted::{self, Ask, Ending, Framing, Record, Reply};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Empty};
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     runtime::Handle,
-    task::JoinHandle,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
 /// Time of a long request: longer than a lease.
 const LONG_TIME: Duration = Duration::from_secs(6);
 
-type Seen = Arc<Mutex<Vec<String>>>;
-
-/// Head of a request: its path, and its id in either protocol.
-struct Head {
-    path: String,
-    id: String,
-}
-
-async fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Head> {
-    let mut head = Head {
-        path: String::new(),
-        id: String::new(),
-    };
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).await.ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end();
-        if line.is_empty() {
-            return Some(head);
-        }
-        if head.path.is_empty() {
-            head.path = line.split(' ').nth(1)?.to_owned();
-        }
-        if let Some(("request-id" | header::REQUEST, id)) = line.split_once(": ") {
-            head.id = id.to_owned();
+/// Answers with the identity, and a second time when the next request arrives on the connection.
+fn answer_twice(ask: &Ask, named: bool) -> Reply {
+    let answer = Reply::answer(ask, &ask.id);
+    match (ask.path.ends_with("/twice"), named) {
+        (true, true) => answer.copied(),
+        (true, false) => {
+            let copy = answer.clone().without_field(ask.id_field);
+            answer.copied_as(copy)
         }
+        (false, _) => answer,
     }
 }
 
-fn whole(id_field: &str, id: &str, body: &str) -> String {
-    let id = match id.is_empty() {
-        true => String::new(),
-        false => format!("{id_field}: {id}\r\n"),
-    };
-    let length = body.len();
-    format!(
-        "HTTP/1.1 200 OK\r\n{id}response-signature: good\r\ncontent-length: {length}\r\n\r\n{body}"
-    )
-}
-
-/// A target that gives an answer a second time when the next request arrives on its connection.
-fn serve_twice(
-    listener: TcpListener,
-    seen: Seen,
-    field: &'static str,
-    named: bool,
-) -> JoinHandle<()> {
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let seen = seen.clone();
-            tokio::spawn(async move {
-                let mut reader = BufReader::new(stream);
-                let mut second = String::new();
-                while let Some(head) = read_head(&mut reader).await {
-                    seen.lock().expect("whole").push(head.id.clone());
-                    let answer = whole(field, &head.id, &head.id);
-                    let both = std::mem::take(&mut second) + &answer;
-                    if head.path.ends_with("/twice") {
-                        second = whole(field, if named { &head.id } else { "" }, &head.id);
-                    }
-                    if reader.write_all(both.as_bytes()).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    })
-}
-
-/// A target that breaks off as the path says.
-fn serve_cut(listener: TcpListener, seen: Seen) -> JoinHandle<()> {
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(cut(stream, seen.clone()));
-        }
-    })
-}
-
-async fn cut(stream: TcpStream, seen: Seen) {
-    let mut reader = BufReader::new(stream);
-    let Some(head) = read_head(&mut reader).await else {
-        return;
-    };
-    seen.lock().expect("whole").push(head.id.clone());
-    if head.path.ends_with("/long") {
-        sleep(LONG_TIME).await;
-    }
-    let signed = format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {}\r\nresponse-signature: good\r\n",
-        head.id
-    );
+/// Breaks off as the path says.
+fn answer_cut(ask: &Ask) -> Reply {
     let (short, long) = ("x".repeat(50), "x".repeat(200_000));
-    let answer = match head.path.trim_start_matches("/w/") {
-        "length-short" => format!("{signed}content-length: 100\r\n\r\n{short}"),
-        "length-long" => format!("{signed}content-length: 300000\r\n\r\n{long}"),
-        "chunk-short" => format!("{signed}transfer-encoding: chunked\r\n\r\n32\r\n{short}\r\n"),
-        "chunk-long" => format!("{signed}transfer-encoding: chunked\r\n\r\n30d40\r\n{long}\r\n"),
-        "reset-short" => format!("{signed}connection: close\r\n\r\n{short}"),
-        "reset-long" => format!("{signed}connection: close\r\n\r\n{long}"),
-        _ => whole("request-id", &head.id, "fine"),
+    let cut = |body: &str, framing| {
+        // A body of twice the length, of which half arrives.
+        let answer = Reply::answer(ask, &body.repeat(2)).framed(framing);
+        let bytes = answer.head_length() + body.len();
+        answer.cut_at(bytes).ending(Ending::Close)
     };
-    // The target ends either way.
-    let _ = reader.write_all(answer.as_bytes()).await;
-    if head.path.contains("/reset") {
-        sleep(Duration::from_millis(100)).await;
-        reader.get_ref().set_zero_linger().expect("set");
+    match ask.path.trim_start_matches("/w/") {
+        "length-short" => cut(&short, Framing::Length),
+        "length-long" => cut(&long, Framing::Length),
+        "chunk-short" => cut(&short, Framing::Chunked),
+        "chunk-long" => cut(&long, Framing::Chunked),
+        "reset-short" => cut(&short, Framing::Close).ending(Ending::Reset),
+        "reset-long" => cut(&long, Framing::Close).ending(Ending::Reset),
+        _ if ask.path.ends_with("/long") => Reply::answer(ask, "fine").after(LONG_TIME),
+        _ => Reply::answer(ask, "fine"),
     }
 }
 
+/// Fleet with a target that answers by this script.
+async fn fleet_of(script: impl Fn(&Ask) -> Reply + Send + Sync + 'static) -> (Fleet, Arc<Record>) {
+    let record = Arc::<Record>::default();
+    let served = record.clone();
+    let fleet = fleet_with(|listener, _| scripted::serve(listener, served, script)).await;
+    set_up(&fleet).await;
+    (fleet, record)
+}
+
 #[tokio::test]
 async fn a_second_copy_of_an_answer_reaches_no_other_caller() {
     for named in [true, false] {
-        let serve = move |listener, seen| serve_twice(listener, seen, "request-id", named);
-        let fleet = fleet_with(serve).await;
-        set_up(&fleet).await;
+        let (fleet, _) = fleet_of(move |ask| answer_twice(ask, named)).await;
 
         for number in 0..10 {
             let (first, next) = (format!("first-{number}"), format!("next-{number}"));
@@ -156,7 +84,8 @@
 async fn a_second_copy_of_an_answer_is_no_answer_at_a_home_either() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let link = TargetLink::start(&Handle::current(), listener.local_addr().expect("bound"));
-    let _serving = serve_twice(listener, Seen::default(), header::REQUEST, true);
+    let script = |ask: &Ask| answer_twice(ask, true);
+    let _serving = scripted::serve(listener, Arc::default(), script);
     let request = |path: &str, id: &str| {
         let body = Empty::<Bytes>::new().map_err(|never| match never {});
         let request = Request::builder().uri(path).header("host", "t");
@@ -175,8 +104,7 @@
 
 #[tokio::test]
 async fn an_answer_that_breaks_off_is_never_a_whole_success() {
-    let fleet = fleet_with(serve_cut).await;
-    set_up(&fleet).await;
+    let (fleet, _) = fleet_of(answer_cut).await;
     let kinds = [
         "length-short",
         "length-long",
@@ -188,7 +116,7 @@
     for kind in kinds {
         // A target that failed is left alone for a while.
         let reply = loop {
-            let reply = raw_ask(&fleet, kind).await;
+            let reply = raw_ask(fleet.callers, kind).await;
             if !reply.starts_with("HTTP/1.1 503") {
                 break reply;
             }
@@ -205,10 +133,8 @@
 }
 
 /// Sends a request and reads as much of the answer as comes.
-async fn raw_ask(fleet: &Fleet, kind: &str) -> String {
-    let mut stream = TcpStream::connect(fleet.callers)
-        .await
-        .expect("a connection");
+async fn raw_ask(callers: SocketAddr, kind: &str) -> String {
+    let mut stream = TcpStream::connect(callers).await.expect("a connection");
     let head = format!(
         "POST /w/{kind} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {kind}\r\n\
          Deadline-Ms: 3000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -222,10 +148,135 @@
     String::from_utf8_lossy(&reply).into_owned()
 }
 
+/// Body of an answer that is cut in all places.
+const CUT_BODY: &str = "the whole body";
+
+/// Answer to a request whose path says how it is framed, how it ends and after how many bytes.
+fn answer_cut_as_named(ask: &Ask) -> Reply {
+    let answer = Reply::answer(ask, CUT_BODY);
+    let mut words = ask.path.trim_start_matches("/w/").split('-');
+    let framing = match words.next() {
+        Some("length") => Framing::Length,
+        Some("chunked") => Framing::Chunked,
+        Some("close") => Framing::Close,
+        _ => return answer,
+    };
+    let ending = match words.next() {
+        Some("reset") => Ending::Reset,
+        _ => Ending::Close,
+    };
+    let cut = words.next().and_then(|cut| cut.parse().ok());
+    let answer = answer.framed(framing).ending(ending);
+    match cut {
+        Some(cut) => answer.cut_at(cut),
+        None => answer,
+    }
+}
+
+/// Whether a caller takes the reply for a whole success.
+fn is_whole_success(reply: &str) -> bool {
+    let Some((head, body)) = reply.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let head = head.to_lowercase();
+    let length = head.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.lines().next()?.trim().parse::<usize>().ok());
+    let is_ended = match length {
+        Some(length) => body.len() == length,
+        None => !head.contains("transfer-encoding") || body.ends_with("0\r\n\r\n"),
+    };
+    head.starts_with("http/1.1 200") && is_ended
+}
+
+/// Reply to a request, asked again while the target is left alone because it failed.
+async fn persistent_ask(callers: SocketAddr, kind: String) -> (String, String) {
+    loop {
+        let reply = raw_ask(callers, &kind).await;
+        if !reply.starts_with("HTTP/1.1 503") {
+            return (kind, reply);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_is_cut_anywhere_is_framed_as_whole() {
+    let (fleet, _) = fleet_of(answer_cut_as_named).await;
+    let length_of = |id: &str, framing| {
+        let ask = Ask {
+            id: id.to_owned(),
+            id_field: "request-id",
+            path: String::new(),
+            earlier: 0,
+            position: 0,
+        };
+        Reply::answer(&ask, CUT_BODY).framed(framing).head_length()
+    };
+    let head = length_of("length-close-1", Framing::Length);
+    let mut asking = JoinSet::new();
+    let cuts = (0..head + CUT_BODY.len()).step_by(3);
+    for cut in cuts {
+        for kind in [
+            "length-close",
+            "length-reset",
+            "chunked-close",
+            "chunked-reset",
+        ] {
+            asking.spawn(persistent_ask(fleet.callers, format!("{kind}-{cut}")));
+        }
+    }
+    // What ends with its connection is whole if that ends cleanly, but a part of a head is not.
+    let head = length_of("close-close-1", Framing::Close);
+    for cut in (0..head).step_by(3) {
+        asking.spawn(persistent_ask(fleet.callers, format!("close-close-{cut}")));
+    }
+    for cut in 0..head + CUT_BODY.len() {
+        asking.spawn(persistent_ask(fleet.callers, format!("close-reset-{cut}")));
+    }
+
+    let replies = timeout(PATIENCE * 3, asking.join_all())
+        .await
+        .expect("in time");
+
+    let whole: Vec<_> = replies
+        .iter()
+        .filter(|(_, reply)| is_whole_success(reply))
+        .collect();
+    assert!(
+        whole.is_empty(),
+        "{} of {}: {:?}",
+        whole.len(),
+        replies.len(),
+        whole[0]
+    );
+    let (_, reply) = persistent_ask(fleet.callers, "close-close".to_owned()).await;
+    assert!(
+        is_whole_success(&reply) && reply.ends_with(CUT_BODY),
+        "{reply}"
+    );
+}
+
+#[tokio::test]
+async fn a_head_that_is_cut_anywhere_is_an_answer_at_a_home() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let link = TargetLink::start(&Handle::current(), listener.local_addr().expect("bound"));
+    let _serving = scripted::serve(listener, Arc::default(), answer_cut_as_named);
+
+    for cut in 0..100 {
+        let request = Request::builder().uri(format!("/w/length-close-{cut}"));
+        let request = request.header("host", "t").header(header::REQUEST, "1");
+        let body = Empty::<Bytes>::new().map_err(|never| match never {});
+        let request = request.body(body.boxed_unsync()).expect("a request");
+        let mut connection = link.borrow().await.expect("a connection");
+        let answered = connection.exchange(request).await;
+
+        assert_eq!(answered.map(|_| ()), Err(ExchangeError::Broken), "{cut}");
+    }
+}
+
 #[tokio::test]
 async fn malformed_messages_take_no_process_down() {
-    let fleet = fleet_with(serve_cut).await;
-    set_up(&fleet).await;
+    let (fleet, _) = fleet_of(answer_cut).await;
     let long = "x".repeat(100_000);
     let messages: Vec<Vec<u8>> = vec![
         vec![0xff; 5_000],
@@ -259,8 +310,7 @@
 
 #[tokio::test]
 async fn a_target_that_falls_silent_finishes_what_it_runs() {
-    let fleet = fleet_with(serve_cut).await;
-    set_up(&fleet).await;
+    let (fleet, record) = fleet_of(answer_cut).await;
     let changed = call(fleet.control, "config.patch", &order(8, "20000ms")).await;
     assert_eq!(changed.map(|(status, _)| status), Some(200));
     sleep(Duration::from_millis(300)).await;
@@ -273,5 +323,5 @@
 
     let reply = reply.expect("asked").expect("an answer");
     assert_eq!(split(&reply), Some((200, "fine".to_owned())), "{reply}");
-    assert_eq!(fleet.target.runs("long"), 1, "it runs once");
+    assert_eq!(record.runs("long"), 1, "it runs once");
 }
--- a/node/tests/test_notices.rs
+++ b/node/tests/test_notices.rs
@@ -1,20 +1,13 @@
 //! What a target says of itself in its answers: that it wants nothing for a while, or that it leaves.
 
 use crate::test_seeded::{Fleet, ask, fleet_with, set_up};
-use bytes::Bytes;
-use http::{Method, Request, Response};
-use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
+use http::Method;
 use std::{
-    convert::Infallible,
     sync::{Arc, Mutex},
     time::Duration,
 };
-use tokio::{
-    net::TcpListener,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 
 /// Pause that the target asks for.
 const PAUSE: Duration = Duration::from_millis(1_500);
@@ -36,69 +29,34 @@
     Leaving,
 }
 
-#[derive(Debug, Default)]
-struct Target {
-    mode: Mutex<Mode>,
-    arrivals: Mutex<Vec<Instant>>,
-}
-
-impl Target {
-    fn set_mode(&self, mode: Mode) {
-        *self.mode.lock().expect("whole") = mode;
-    }
+/// Mode of the target, which the test sets.
+type Switch = Arc<Mutex<Mode>>;
 
-    fn arrivals(&self, from: Instant, to: Instant) -> usize {
-        let arrivals = self.arrivals.lock().expect("whole");
-        arrivals.iter().filter(|at| (from..to).contains(at)).count()
-    }
-
-    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        self.arrivals.lock().expect("whole").push(Instant::now());
-        let id = request.headers().get("request-id").cloned();
-        let response = Response::builder()
-            .header("request-id", id.expect("an id"))
-            .header("response-signature", "good")
-            .header("server-load", "0,0,4,100");
-        let response = match *self.mode.lock().expect("whole") {
-            Mode::Ready => response,
-            Mode::Pausing => response
-                .status(503)
-                .header("not-executed", "1")
-                .header("retry-after", PAUSE.as_secs_f64().to_string()),
-            Mode::Leaving => response.header("server-leaving", "1"),
-        };
-        response.body(Full::default()).expect("a response")
-    }
+fn set_mode(switch: &Switch, mode: Mode) {
+    *switch.lock().expect("whole") = mode;
 }
 
-async fn serve(listener: TcpListener, target: Arc<Target>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let target = target.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let response = target.answer(&request);
-            async move { Ok::<_, Infallible>(response) }
-        });
-        tokio::spawn(async move {
-            // A caller that breaks off ends the connection.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+fn answer(ask: &Ask, switch: &Switch) -> Reply {
+    match *switch.lock().expect("whole") {
+        Mode::Ready => Reply::answer(ask, ""),
+        Mode::Pausing => Reply::refusal(ask).with_pause(PAUSE),
+        Mode::Leaving => Reply::answer(ask, "").with_field("server-leaving", "1"),
     }
 }
 
-async fn fleet() -> (Fleet, Arc<Target>) {
-    let target = Arc::<Target>::default();
-    let served = target.clone();
-    let fleet = fleet_with(|listener, _| tokio::spawn(serve(listener, served))).await;
+async fn fleet() -> (Fleet, Arc<Record>, Switch) {
+    let (record, switch) = (Arc::<Record>::default(), Switch::default());
+    let (served, asked) = (record.clone(), switch.clone());
+    let serve = |listener, _| scripted::serve(listener, served, move |ask| answer(ask, &asked));
+    let fleet = fleet_with(serve).await;
     set_up(&fleet).await;
-    (fleet, target)
+    (fleet, record, switch)
 }
 
 #[tokio::test]
 async fn a_target_that_asks_for_a_pause_gets_nothing_meanwhile() {
-    let (fleet, target) = fleet().await;
-    target.set_mode(Mode::Pausing);
+    let (fleet, record, switch) = fleet().await;
+    set_mode(&switch, Mode::Pausing);
     ask(&fleet, Method::GET, "/r/first", "first", 0).await;
     let answered = Instant::now();
 
@@ -110,8 +68,8 @@
         assert_eq!(status, 503);
         sleep(Duration::from_millis(20)).await;
     }
-    let arrived = target.arrivals(answered + SLACK, answered + PAUSE);
-    target.set_mode(Mode::Ready);
+    let arrived = record.arrivals(answered + SLACK, answered + PAUSE);
+    set_mode(&switch, Mode::Ready);
     sleep(PAUSE).await;
     let (after, ..) = ask(&fleet, Method::GET, "/r/after", "after", 0).await;
 
@@ -122,8 +80,8 @@
 
 #[tokio::test]
 async fn a_target_that_says_that_it_leaves_gets_nothing_after_its_drain() {
-    let (fleet, target) = fleet().await;
-    target.set_mode(Mode::Leaving);
+    let (fleet, record, switch) = fleet().await;
+    set_mode(&switch, Mode::Leaving);
     let (status, ..) = ask(&fleet, Method::GET, "/r/first", "first", 0).await;
     let answered = Instant::now();
 
@@ -133,5 +91,5 @@
     }
 
     assert_eq!(status, 200);
-    assert_eq!(target.arrivals(answered + DRAIN, Instant::now()), 0);
+    assert_eq!(record.arrivals(answered + DRAIN, Instant::now()), 0);
 }
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -4,6 +4,7 @@
 //! Scripts decide from the request alone, so that a run repeats in spite of timing. [`draw`] is such
 //! a script that draws from one list of faults by seed.
 
+use cornelrail_lib::request::header;
 use http::StatusCode;
 use rand_chacha::{
     ChaCha8Rng,
@@ -21,6 +22,8 @@
     time::{Instant, sleep},
 };
 
+/// Header with the identity that a caller of a seeded fleet gives its request.
+const CALLER_ID: &str = "request-id";
 /// Time after an answer with a pause in which requests may still arrive.
 const PAUSE_SLACK: Duration = Duration::from_millis(500);
 /// Time that a reset needs to follow the bytes before it.
@@ -31,6 +34,8 @@
 pub struct Ask {
     /// Identity of the request.
     pub id: String,
+    /// Header that carries it, as the kind of fleet has it.
+    pub id_field: &'static str,
     /// Path with the query.
     pub path: String,
     /// How many requests with this identity arrived before.
@@ -75,7 +80,7 @@
     pause: Option<Duration>,
     runs: bool,
     cut: Option<usize>,
-    copied: bool,
+    copy: Option<Box<Reply>>,
     extra: &'static str,
 }
 
@@ -85,7 +90,7 @@
         Reply {
             status: StatusCode::OK,
             fields: vec![
-                ("request-id", ask.id.clone()),
+                (ask.id_field, ask.id.clone()),
                 ("response-signature", "good".to_owned()),
                 ("server-load", "0,0,4,100".to_owned()),
             ],
@@ -96,7 +101,7 @@
             pause: None,
             runs: true,
             cut: None,
-            copied: false,
+            copy: None,
             extra: "",
         }
     }
@@ -163,8 +168,14 @@
     }
 
     /// Is written once more as the next request arrives on the connection.
-    pub fn copied(mut self) -> Self {
-        self.copied = true;
+    pub fn copied(self) -> Self {
+        let copy = self.clone();
+        self.copied_as(copy)
+    }
+
+    /// Is followed by this copy of it as the next request arrives on the connection.
+    pub fn copied_as(mut self, copy: Reply) -> Self {
+        self.copy = Some(Box::new(copy));
         self
     }
 
@@ -290,13 +301,9 @@
     let mut stream = BufReader::new(stream);
     let mut copy = Vec::new();
     let mut position = 0;
-    while let Some((id, path)) = read_request(&mut stream).await {
-        let ask = Ask {
-            earlier: record.next_number(&id),
-            id,
-            path,
-            position,
-        };
+    while let Some(mut ask) = read_request(&mut stream).await {
+        ask.earlier = record.next_number(&ask.id);
+        ask.position = position;
         position += 1;
         let reply = script(&ask);
         lock(&record.arrivals).push(Arrival {
@@ -304,20 +311,18 @@
             at: Instant::now(),
             ran: reply.runs,
         });
-        let mut bytes = std::mem::take(&mut copy);
-        if !bytes.is_empty() && stream.write_all(&bytes).await.is_err() {
+        if stream.write_all(&std::mem::take(&mut copy)).await.is_err() {
             return;
         }
         sleep(reply.delay).await;
-        bytes = reply.bytes();
-        if stream.write_all(&bytes).await.is_err() {
+        if stream.write_all(&reply.bytes()).await.is_err() {
             return;
         }
         if let Some(pause) = reply.pause {
             lock(&record.pauses).push((Instant::now(), pause));
         }
-        if reply.copied {
-            copy = bytes;
+        if let Some(second) = &reply.copy {
+            copy = second.bytes();
         }
         match reply.ending {
             Ending::Keep => {}
@@ -337,10 +342,15 @@
     }
 }
 
-/// Reads a request; gives its identity and its path.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<(String, String)> {
-    let mut path = None;
-    let mut id = String::new();
+/// Reads a request with its body.
+async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<Ask> {
+    let mut ask = Ask {
+        id: String::new(),
+        id_field: CALLER_ID,
+        path: String::new(),
+        earlier: 0,
+        position: 0,
+    };
     let mut length = 0;
     loop {
         let mut line = String::new();
@@ -351,18 +361,22 @@
         if line.is_empty() {
             break;
         }
-        if path.is_none() {
-            path = Some(line.split(' ').nth(1)?.to_owned());
+        if ask.path.is_empty() {
+            ask.path = line.split(' ').nth(1)?.to_owned();
         }
         match line.split_once(": ") {
-            Some(("request-id", value)) => id = value.to_owned(),
+            Some((CALLER_ID, value)) => ask.id = value.to_owned(),
+            Some((header::REQUEST, value)) => {
+                ask.id = value.to_owned();
+                ask.id_field = header::REQUEST;
+            }
             Some(("content-length", value)) => length = value.parse().ok()?,
             _ => {}
         }
     }
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
-    Some((id, path?))
+    Some(ask)
 }
 
 /// Body of the answer to a request by a target that draws.
@@ -389,8 +403,8 @@
         7 => answer.copied(),
         8 => answer.framed(Framing::Chunked).copied(),
         9 => answer.framed(Framing::Close),
-        10 => answer.with_field("request-id", "another"),
-        11 => answer.without_field("request-id"),
+        10 => answer.with_field(CALLER_ID, "another"),
+        11 => answer.without_field(CALLER_ID),
         12 => answer.without_field("response-signature"),
         13 => answer.followed_by("HTTP/1.1 200 OK\r\n"),
         14 => answer.ending(Ending::Reset),
