--- a/lib/src/request/balance/open.rs
+++ b/lib/src/request/balance/open.rs
@@ -9,10 +9,11 @@
 
 use crate::{
     moment::Moment,
+    name::{Incarnation, Target},
     version::catalog::{Catalog, TargetId, TargetRecord},
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -22,6 +23,9 @@
 /// Longest pause that one answer causes, so that no answer shuts a target out for good.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
 
+/// Targets that are gone whose notices are kept, for those that join again in the same incarnation.
+const MAX_PARTED: usize = 100;
+
 /// What a target says of itself in an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TargetNotice {
@@ -51,13 +55,21 @@
     pub evacuate: Duration,
 }
 
-/// What this entry was told by one target.
-#[derive(Debug, Default)]
+/// What this entry was told by one incarnation of a target.
+#[derive(Debug)]
 struct HeardNotices {
+    name: Target,
+    incarnation: Incarnation,
     leaves_since: Option<Moment>,
     paused_until: Moment,
 }
 
+impl HeardNotices {
+    fn is_of(&self, record: &TargetRecord) -> bool {
+        self.name == record.name && self.incarnation == record.incarnation
+    }
+}
+
 /// Which targets take requests of this entry.
 #[derive(Debug)]
 pub struct OpenTargets {
@@ -66,6 +78,8 @@
     /// in the first replica.
     last_open: BTreeMap<TargetId, Option<Moment>>,
     heard: HashMap<TargetId, HeardNotices>,
+    /// Notices of targets that the catalog does not have at the moment.
+    parted: VecDeque<HeardNotices>,
 }
 
 impl OpenTargets {
@@ -75,16 +89,28 @@
             times,
             last_open: BTreeMap::new(),
             heard: HashMap::new(),
+            parted: VecDeque::new(),
         }
     }
 
     /// Records what a target said in an answer; returns what of it is news.
-    pub fn record(&mut self, now: Moment, id: TargetId, notice: TargetNotice) -> TargetNotice {
+    pub fn record(
+        &mut self,
+        now: Moment,
+        catalog: &Catalog,
+        id: TargetId,
+        notice: TargetNotice,
+    ) -> TargetNotice {
         let mut news = TargetNotice::default();
-        if notice == news {
+        let Some(record) = catalog.targets.get(&id).filter(|_| notice != news) else {
             return news;
-        }
-        let heard = self.heard.entry(id).or_default();
+        };
+        let heard = self.heard.entry(id).or_insert_with(|| HeardNotices {
+            name: record.name.clone(),
+            incarnation: record.incarnation,
+            leaves_since: None,
+            paused_until: Moment::ZERO,
+        });
         if notice.leaves && heard.leaves_since.is_none() {
             heard.leaves_since = Some(now);
             news.leaves = true;
@@ -152,7 +178,24 @@
         }
         let is_known = |id: &TargetId| catalog.targets.contains_key(id);
         self.last_open.retain(|id, _| is_known(id));
-        self.heard.retain(|id, _| is_known(id));
+        let parted = self.heard.extract_if(|id, _| !is_known(id));
+        self.parted.extend(parted.map(|(_, heard)| heard));
+        self.resume(catalog);
+    }
+
+    /// Takes over what the targets said that are in the catalog again, under another number.
+    fn resume(&mut self, catalog: &Catalog) {
+        if self.parted.is_empty() {
+            return;
+        }
+        for (id, record) in &catalog.targets {
+            let position = self.parted.iter().position(|heard| heard.is_of(record));
+            if let Some(heard) = position.and_then(|at| self.parted.remove(at)) {
+                self.heard.entry(*id).or_insert(heard);
+            }
+        }
+        let excess = self.parted.len().saturating_sub(MAX_PARTED);
+        self.parted.drain(..excess);
     }
 }
 
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -469,10 +469,7 @@
         id: TargetId,
         notice: TargetNotice,
     ) -> TargetNotice {
-        match self.has_target(id) {
-            true => self.open.record(now, id, notice),
-            false => TargetNotice::default(),
-        }
+        self.open.record(now, &self.catalog, id, notice)
     }
 
     /// Counts an attempt; returns whether its target has named a limit.
--- a/lib/tests/test_open.rs
+++ b/lib/tests/test_open.rs
@@ -58,9 +58,9 @@
 fn a_target_gets_nothing_during_its_pause() {
     let ((catalog, id), mut open) = (catalog(), open_targets());
 
-    let first = open.record(at(0), id, pause(3_000));
-    let second = open.record(at(200), id, pause(3_000));
-    let third = open.record(at(400), id, pause(10));
+    let first = open.record(at(0), &catalog, id, pause(3_000));
+    let second = open.record(at(200), &catalog, id, pause(3_000));
+    let third = open.record(at(400), &catalog, id, pause(10));
 
     assert_eq!(
         (first, second, third),
@@ -84,7 +84,7 @@
         pause: Some(Duration::MAX),
     };
 
-    open.record(at(0), id, forever);
+    open.record(at(0), &catalog, id, forever);
 
     let minute = at(60_000);
     assert_eq!(open.state(minute, &catalog, id, false), Openness::Open);
@@ -94,8 +94,8 @@
 fn a_target_that_leaves_keeps_only_its_keys_and_those_for_its_drain() {
     let ((mut catalog, id), mut open) = (catalog(), open_targets());
 
-    open.record(at(0), id, LEAVES);
-    open.record(at(1_500), id, LEAVES);
+    open.record(at(0), &catalog, id, LEAVES);
+    open.record(at(1_500), &catalog, id, LEAVES);
 
     assert_eq!(open.state(at(1), &catalog, id, false), Openness::Closed);
     assert_eq!(open.state(at(1_600), &catalog, id, true), Openness::Open);
@@ -109,8 +109,8 @@
 #[test]
 fn the_next_incarnation_is_not_held_for_the_words_of_the_one_before() {
     let ((mut catalog, id), mut open) = (catalog(), open_targets());
-    open.record(at(0), id, LEAVES);
-    open.record(at(0), id, pause(5_000));
+    open.record(at(0), &catalog, id, LEAVES);
+    open.record(at(0), &catalog, id, pause(5_000));
 
     let joined = catalog.apply(&Update::Join(record(2)));
     open.refresh(&catalog, Some(at(100)));
@@ -121,3 +121,20 @@
     assert_eq!(open.state(at(200), &catalog, next, true), Openness::Open);
     assert_eq!(open.state(at(200), &catalog, id, true), Openness::Closed);
 }
+
+#[test]
+fn a_target_that_joins_again_in_the_same_incarnation_has_its_pause_forgotten() {
+    let ((mut catalog, id), mut open) = (catalog(), open_targets());
+    open.record(at(0), &catalog, id, pause(30_000));
+
+    catalog.apply(&Update::Remove(id));
+    open.refresh(&catalog, Some(at(20_000)));
+    let joined = catalog.apply(&Update::Join(record(1)));
+    open.refresh(&catalog, Some(at(21_000)));
+
+    let Applied::Joined(next) = joined else {
+        panic!("{joined:?}");
+    };
+    let state = open.state(at(22_000), &catalog, next, false);
+    assert_eq!(state, Openness::Paused(Duration::from_secs(8)));
+}
