entry: a late reply of the leader is no leave to run a suspected request (BUDGET)

Cause: an entry without the leader's reply within 150 ms decided by itself whether a request under suspicion runs, until three targets may have ended there. On narrow links replies take longer, so many entries ran it at the same time. A grant that came after its asker had given up blocked all other trials for the rest of the request's time. Change: only without a leader, or under one that knows no trials, the entry decides. It waits for a quarter of the time left; a late reply is a denial, and a grant that nobody waits for is given back.

--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -252,9 +252,8 @@
                     }
                 }
                 Some(question) = asked.recv() => {
-                    let message = self.questions.push(question);
-                    // Without a reply the entry decides by itself.
-                    stream.send(self.encode_known([message])?).await?;
+                    let message = self.questions.push(question, self.level);
+                    stream.send(self.encode_known(message)?).await?;
                 }
                 () = self.entry.news.notified(), if self.following => {
                     stream.send(self.news()?).await?;
@@ -320,6 +319,14 @@
         sent.map(|message| Ok(encode(&message)?)).collect()
     }
 
+    /// Passes a reply on, or gives back a trial that came too late for its asker.
+    fn resolve(&mut self, number: u64, reply: Reply) {
+        if let Some(request) = self.questions.resolve(number, reply) {
+            self.entry.router().breaks().end_trial(request);
+            self.entry.notify_leader();
+        }
+    }
+
     fn take(&mut self, message: FromCore) {
         let now = self.entry.clock.now();
         match message {
@@ -353,10 +360,10 @@
                 router.peers().update(peers, self.entry.address);
             }
             FromCore::Permit(number, reply) => {
-                return self.questions.resolve(number, Reply::Permit(reply));
+                return self.resolve(number, Reply::Permit(reply));
             }
             FromCore::Trial(number, reply) => {
-                return self.questions.resolve(number, Reply::Trial(reply));
+                return self.resolve(number, Reply::Trial(reply));
             }
             FromCore::Suspected(list) => self.entry.router().breaks().apply_suspected(list),
             FromCore::Status(_)
--- a/node/src/process/entry/questions.rs
+++ b/node/src/process/entry/questions.rs
@@ -1,8 +1,10 @@
 //! Questions of this entry's requests to the leader: whether they may be sent to a target that has
 //! named a limit, and whether one under suspicion may be sent at all.
 //!
-//! The task that follows the leader passes the questions on. Without a leader, or without its reply
-//! in time, the entry decides: by its reserve of permits, and one trial at a time.
+//! The task that follows the leader passes the questions on. Without its reply in time the entry gives
+//! permits from its reserve. A trial needs the reply of a leader that is there, as the others may be
+//! given it meanwhile; without a leader, or under one that knows no trials, the entry runs one at a
+//! time.
 
 use super::Entry;
 use cornelrail_lib::version::{
@@ -10,14 +12,18 @@
     feed::ToCore,
     permits::{PermitReply, PermitRequest},
     suspects::{TrialReply, to_ms},
+    wire_level::WireLevel,
 };
 use std::{collections::HashMap, sync::PoisonError, time::Duration};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{
+        mpsc::{self, error::TrySendError},
+        oneshot,
+    },
     time::timeout,
 };
 
-/// Longest wait for a reply; the leader replies within a round trip.
+/// Longest wait for a permit; the leader replies within a round trip.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Share of the time left for which a request waits for a reply.
 const REPLY_SHARE: f64 = 0.25;
@@ -41,6 +47,34 @@
     Trial(TrialReply),
 }
 
+/// Why there is no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NoReply {
+    /// There is no leader, or it does not know such questions.
+    NoLeader,
+    /// It was asked, and the reply did not come in time.
+    Late,
+}
+
+/// Who has given leave for a trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Granter {
+    /// The leader, to this entry alone.
+    Leader,
+    /// This entry, without a leader.
+    Entry,
+}
+
+impl Granter {
+    /// Name written to logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Granter::Leader => "leader",
+            Granter::Entry => "entry",
+        }
+    }
+}
+
 /// A question, and the way to reply.
 #[derive(Debug)]
 pub(super) struct Question {
@@ -52,28 +86,50 @@
 #[derive(Debug, Default)]
 pub(super) struct Questions {
     number: u64,
-    asked: HashMap<u64, oneshot::Sender<Reply>>,
+    asked: HashMap<u64, Asked>,
+}
+
+/// A question that was sent.
+#[derive(Debug)]
+struct Asked {
+    subject: Subject,
+    reply: oneshot::Sender<Reply>,
 }
 
 impl Questions {
-    /// Notes a question that is being sent; gives the message that asks it.
-    pub(super) fn push(&mut self, question: Question) -> ToCore {
+    /// Notes a question that is being sent to a leader of this level; gives the message that asks it,
+    /// or tells the asker that the leader does not know it.
+    pub(super) fn push(&mut self, question: Question, level: WireLevel) -> Option<ToCore> {
         if self.asked.len() >= QUESTIONS_HELD {
-            self.asked.retain(|_, reply| !reply.is_closed());
+            // A trial stays until its reply has come, which may have to be given back.
+            let waits = |asked: &Asked| !asked.reply.is_closed();
+            let is_trial = |asked: &Asked| matches!(asked.subject, Subject::Trial(..));
+            self.asked
+                .retain(|_, asked| waits(asked) || is_trial(asked));
         }
         self.number += 1;
-        self.asked.insert(self.number, question.reply);
-        match question.subject {
+        let Question { subject, reply } = question;
+        let message = match subject {
             Subject::Permit(request) => ToCore::Permit(self.number, request),
             Subject::Trial(request, left) => ToCore::Trial(self.number, request, left),
+        };
+        if message.level() > level {
+            return None;
         }
+        self.asked.insert(self.number, Asked { subject, reply });
+        Some(message)
     }
 
-    /// Passes a reply on to the request that asked.
-    pub(super) fn resolve(&mut self, number: u64, reply: Reply) {
-        if let Some(asker) = self.asked.remove(&number) {
-            // The asker may have given up.
-            let _ = asker.send(reply);
+    /// Passes a reply on to the request that asked. Returns the request whose trial was granted to
+    /// nobody, as the asker has given up.
+    pub(super) fn resolve(&mut self, number: u64, reply: Reply) -> Option<Fingerprint> {
+        let asked = self.asked.remove(&number)?;
+        let is_unclaimed = asked.reply.send(reply).is_err();
+        match (asked.subject, reply) {
+            (Subject::Trial(request, _), Reply::Trial(TrialReply::Granted)) if is_unclaimed => {
+                Some(request)
+            }
+            _ => None,
         }
     }
 }
@@ -82,8 +138,9 @@
     /// Asks the leader for a permit for a request that has this time left; returns whether the
     /// request may be sent.
     pub async fn request_permit(&self, request: PermitRequest, time_left: Duration) -> bool {
-        let reply = match self.ask_leader(Subject::Permit(request), time_left).await {
-            Some(Reply::Permit(reply)) => Some(reply),
+        let wait = time_left.mul_f64(REPLY_SHARE).min(REPLY_TIMEOUT);
+        let reply = match self.ask_leader(Subject::Permit(request), wait).await {
+            Ok(Reply::Permit(reply)) => Some(reply),
             _ => None,
         };
         let now = self.clock.now();
@@ -95,46 +152,50 @@
         is_permitted
     }
 
-    /// Asks the leader for leave to run a suspected request that has this time left. Returns the time
-    /// after which there may be leave, if there is none now.
+    /// Asks the leader for leave to run a suspected request that has this time left. Returns who has
+    /// given it, or the time after which there may be leave.
     pub async fn request_trial(
         &self,
         request: Fingerprint,
         time_left: Duration,
-    ) -> Result<(), Duration> {
+    ) -> Result<Granter, Duration> {
         let subject = Subject::Trial(request, to_ms(time_left));
-        let reply = match self.ask_leader(subject, time_left).await {
-            Some(Reply::Trial(reply)) => Some(reply),
-            _ => None,
-        };
-        let denied = match reply {
-            Some(TrialReply::Denied(ms)) => Some(Duration::from_millis(u64::from(ms))),
-            _ => {
-                let is_granted = reply.is_some();
-                let may_run = self.router().breaks().begin_trial(request, is_granted);
-                (!may_run).then_some(LOCAL_RETRY)
+        let wait = time_left.mul_f64(REPLY_SHARE);
+        let (by, leave) = match self.ask_leader(subject, wait).await {
+            Ok(Reply::Trial(TrialReply::Granted)) => {
+                self.router().breaks().begin_trial(request, true);
+                (Granter::Leader, Ok(()))
+            }
+            Ok(Reply::Trial(TrialReply::Denied(ms))) => {
+                (Granter::Leader, Err(Duration::from_millis(u64::from(ms))))
+            }
+            Err(NoReply::Late) | Ok(Reply::Permit(_)) => (Granter::Leader, Err(LOCAL_RETRY)),
+            Err(NoReply::NoLeader) => {
+                let may_run = self.router().breaks().begin_trial(request, false);
+                (Granter::Entry, may_run.then_some(()).ok_or(LOCAL_RETRY))
             }
         };
-        let by = if reply.is_some() { "leader" } else { "entry" };
-        let outcome = if denied.is_none() {
-            "granted"
-        } else {
-            "denied"
-        };
-        metrics::counter!("cornelrail_trials_total", "by" => by, "outcome" => outcome).increment(1);
-        denied.map_or(Ok(()), Err)
+        let outcome = if leave.is_ok() { "granted" } else { "denied" };
+        metrics::counter!("cornelrail_trials_total", "by" => by.name(), "outcome" => outcome)
+            .increment(1);
+        leave.map(|()| by)
     }
 
-    /// Asks the leader and waits for its reply; `None` without a leader or its reply in time.
-    async fn ask_leader(&self, subject: Subject, time_left: Duration) -> Option<Reply> {
-        let wait = time_left.mul_f64(REPLY_SHARE).min(REPLY_TIMEOUT);
+    /// Asks the leader and waits for its reply.
+    async fn ask_leader(&self, subject: Subject, wait: Duration) -> Result<Reply, NoReply> {
         let (tx, rx) = oneshot::channel();
         let question = Question { subject, reply: tx };
         {
             let leader = self.leader.lock().unwrap_or_else(PoisonError::into_inner);
-            leader.as_ref()?.try_send(question).ok()?;
+            let leader = leader.as_ref().ok_or(NoReply::NoLeader)?;
+            leader.try_send(question).map_err(|error| match error {
+                TrySendError::Full(_) => NoReply::Late,
+                TrySendError::Closed(_) => NoReply::NoLeader,
+            })?;
         }
-        timeout(wait, rx).await.ok()?.ok()
+        let replied = timeout(wait, rx).await.map_err(|_| NoReply::Late)?;
+        // Dropped by the task that follows the leader.
+        replied.map_err(|_| NoReply::NoLeader)
     }
 
     /// Opens the way to a leader; gives the questions for it.
--- a/node/src/request/proxy/trial.rs
+++ b/node/src/request/proxy/trial.rs
@@ -60,9 +60,10 @@
             };
             let left = self.until.saturating_duration_since(Instant::now());
             let retry = match entry.request_trial(request, left).await {
-                Ok(()) => {
+                Ok(by) => {
+                    let by = by.name();
                     Event::TrialBegun.log(format_args!(
-                        "request={} fingerprint={:016x}",
+                        "request={} fingerprint={:016x} by={by}",
                         self.id, request.0
                     ));
                     let entry = entry.clone();
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -31,5 +31,6 @@
 mod test_stopping;
 mod test_store;
 mod test_streams;
+mod test_trials;
 mod test_voter;
 mod test_voters;
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -221,6 +221,8 @@
 pub struct Arrival {
     /// Its identity.
     pub id: String,
+    /// Its path with the query.
+    pub path: String,
     /// When it arrived.
     pub at: Instant,
     /// Whether the target ran it.
@@ -243,6 +245,12 @@
         arrivals.iter().filter(|a| a.ran && a.id == id).count()
     }
 
+    /// Times that the target ran a request with this path.
+    pub fn runs_of_path(&self, path: &str) -> usize {
+        let arrivals = lock(&self.arrivals);
+        arrivals.iter().filter(|a| a.ran && a.path == path).count()
+    }
+
     /// Requests that arrived in this time.
     pub fn arrivals(&self, from: Instant, to: Instant) -> usize {
         let arrivals = lock(&self.arrivals);
@@ -308,6 +316,7 @@
         let reply = script(&ask);
         lock(&record.arrivals).push(Arrival {
             id: ask.id.clone(),
+            path: ask.path.clone(),
             at: Instant::now(),
             ran: reply.runs,
         });
