--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_stopping;
 mod test_store;
 mod test_streams;
+mod test_targets_end;
 mod test_trials;
 mod test_voter;
 mod test_voters;
