tests: a target does not run what is meant for another incarnation

In the trace of one the target ends as t-0-2, is back at its address as t-0-4 for 100 ms, and runs a request that names t-0-2 in Expect-Instance. By the protocol a target answers that with 421 and does not run it; the stand-in ignored the header. Change: the stand-in looks at the header. Check and bound are as they were, and what it ran wrongly counts no more because it does not run.

--- a/node/tests/test_crashing.rs
+++ b/node/tests/test_crashing.rs
@@ -67,6 +67,19 @@
             if self.life.load(Ordering::Relaxed) != life {
                 return;
             }
+            let expected = format!("{}-{life}", self.name);
+            if field(&head, "expect-instance") != Some(&expected) {
+                // Another incarnation was meant, as after a restart that the entry has not heard of.
+                let id = field(&head, "request-id").unwrap_or_default();
+                let answer = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nrequest-id: {id}\r\nnot-executed: 1\r\n\
+                     content-length: 0\r\n\r\n"
+                );
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let is_crashing = head.starts_with("GET /r/crash");
             sleep(Duration::from_millis(20)).await;
             if is_crashing {
@@ -78,12 +91,10 @@
             if self.life.load(Ordering::Relaxed) != life {
                 return;
             }
-            let id = head
-                .lines()
-                .find(|line| line.to_lowercase().starts_with("request-id"));
+            let id = field(&head, "request-id").unwrap_or_default();
             let answer = format!(
-                "HTTP/1.1 200 OK\r\n{}\r\nresponse-signature: good\r\ncontent-length: 2\r\n\r\nok",
-                id.unwrap_or_default()
+                "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: good\r\n\
+                 content-length: 2\r\n\r\nok"
             );
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
@@ -119,6 +130,13 @@
     }
 }
 
+/// Value of a header field.
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = head.lines().filter_map(|line| line.split_once(": "));
+    let found = fields.find(|(other, _)| other.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value)
+}
+
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
