streams: a name that fits what bounds reads and closes the writing side

Cause: HeadLimit also closes the writing side since answers are read on without their callers, which its name hides. Change: renamed to StreamControl in limited_stream.rs, and the order of serial numbers to serial_order; no behaviour changes.

--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -137,7 +137,7 @@
 impl TrackedTarget {
     /// Decides whether the next heartbeat may have this serial number. A number that is never
     /// reached again would make all others stale.
-    fn order(&mut self, now: Moment, serial: u64, length: Duration) -> SerialOrder {
+    fn serial_order(&mut self, now: Moment, serial: u64, length: Duration) -> SerialOrder {
         if self.heartbeats == 0 && self.serial == 0 {
             return SerialOrder::Next;
         }
@@ -429,7 +429,7 @@
             heartbeat: expected,
         } = self.config;
         let tracked = self.get_or_track(now, id);
-        let order = tracked.order(now, heartbeat.serial, length);
+        let order = tracked.serial_order(now, heartbeat.serial, length);
         match order {
             SerialOrder::Next => {}
             SerialOrder::Anew => tracked.heartbeats = 0,
--- a/node/src/connection/head_limit.rs
+++ b/node/src/connection/limited_stream.rs
@@ -4,6 +4,9 @@
 //! The HTTP library bounds one head, but reads any number of interim answers before it. It also reads
 //! on for as long as there are bytes, so that targets which send without end would keep the only
 //! thread of an entry from its timers and from other callers.
+//!
+//! The user of a stream, which the library owns, sets the bounds by a [`StreamControl`], and closes the
+//! writing side alone by it.
 
 use std::{
     io,
@@ -35,9 +38,9 @@
 
 /// Bytes that may still be read, and whether more will be written; shared by a stream and its user.
 #[derive(Debug, Clone)]
-pub struct HeadLimit(Arc<Shared>);
+pub struct StreamControl(Arc<Shared>);
 
-impl HeadLimit {
+impl StreamControl {
     /// Bounds what is read from now on, as the next thing is a head.
     pub fn expect_head(&self) {
         self.0.left.store(HEAD_BYTES, Ordering::Relaxed);
@@ -59,15 +62,15 @@
 #[derive(Debug)]
 pub struct LimitedStream {
     stream: TcpStream,
-    limit: HeadLimit,
+    limit: StreamControl,
     /// Bytes read since the task last gave way.
     turn: usize,
 }
 
 impl LimitedStream {
     /// Stream without a bound at first, and its limit.
-    pub fn new(stream: TcpStream) -> (Self, HeadLimit) {
-        let limit = HeadLimit(Arc::new(Shared {
+    pub fn new(stream: TcpStream) -> (Self, StreamControl) {
+        let limit = StreamControl(Arc::new(Shared {
             left: AtomicUsize::new(usize::MAX),
             closes: AtomicBool::new(false),
         }));
--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -2,9 +2,9 @@
 
 pub mod announce;
 pub mod core_link;
-pub mod head_limit;
 pub mod http_server;
 pub mod incoming;
+pub mod limited_stream;
 pub mod message;
 pub mod peer;
 pub mod pool;
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -7,7 +7,7 @@
 //! was turned away never carries that request again, as a second copy of the refusal would look like
 //! its answer.
 
-use super::head_limit::{HEAD_BYTES, HeadLimit, LimitedStream};
+use super::limited_stream::{HEAD_BYTES, LimitedStream, StreamControl};
 use crate::request::{body::Broken, proxy_body::RequestBody};
 use bytes::{Bytes, BytesMut};
 use cornelrail_lib::version::catalog::TargetId;
@@ -72,7 +72,7 @@
 pub struct TargetConnection {
     sender: SendRequest<RequestBody>,
     driver: Pin<Box<Connection<TokioIo<LimitedStream>, RequestBody>>>,
-    head_limit: HeadLimit,
+    control: StreamControl,
     requests: u32,
     /// Digests of the identities of requests that were turned away on it.
     refused: Vec<u64>,
@@ -96,7 +96,7 @@
             .and_then(Result::ok)
             .ok_or(SendError::NotSent)?;
         stream.set_nodelay(true).map_err(|_| SendError::NotSent)?;
-        let (stream, head_limit) = LimitedStream::new(stream);
+        let (stream, control) = LimitedStream::new(stream);
         let mut builder = http1::Builder::new();
         let builder = builder.max_buf_size(HEAD_BYTES);
         let shaken = builder.handshake(TokioIo::new(stream)).await;
@@ -104,7 +104,7 @@
         Ok(TargetConnection {
             sender,
             driver: Box::pin(driver),
-            head_limit,
+            control,
             requests: 0,
             refused: Vec::new(),
             over: false,
@@ -135,7 +135,7 @@
     /// Sends a request, whose answer is then awaited.
     pub fn send(mut self, request: Request<RequestBody>) -> Exchange {
         self.requests = self.requests.saturating_add(1);
-        self.head_limit.expect_head();
+        self.control.expect_head();
         let answer = Box::pin(self.sender.try_send_request(request));
         Exchange {
             connection: self,
@@ -210,7 +210,7 @@
             tokio::select! {
                 biased;
                 answer = &mut self.answer => {
-                    connection.head_limit.lift();
+                    connection.control.lift();
                     return answer.map_err(|mut error| match error.take_message() {
                         Some(_unsent) => SendError::NotSent,
                         None => SendError::Broken,
@@ -224,7 +224,7 @@
 
     /// Tells the target that nobody waits for the answer, which may be read nevertheless.
     pub fn abandon(&self) {
-        self.connection.head_limit.close_writing();
+        self.connection.control.close_writing();
     }
 
     /// The connection, once the answer has begun.
--- a/node/src/connection/target.rs
+++ b/node/src/connection/target.rs
@@ -3,7 +3,7 @@
 //! A task owns the idle connections. A request borrows one, and dropping a borrowed connection
 //! closes it, which is how a target learns that its caller has left.
 
-use super::head_limit::{HEAD_BYTES, HeadLimit, LimitedStream};
+use super::limited_stream::{HEAD_BYTES, LimitedStream, StreamControl};
 use crate::request::body::{Broken, OutBody, WHOLE_BYTES};
 use bytes::Bytes;
 use cornelrail_lib::{
@@ -49,7 +49,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<OutBody>,
-    head_limit: HeadLimit,
+    control: StreamControl,
     driver: JoinHandle<()>,
 }
 
@@ -64,7 +64,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (stream, head_limit) = LimitedStream::new(stream);
+        let (stream, control) = LimitedStream::new(stream);
         let mut builder = http1::Builder::new();
         let builder = builder.max_buf_size(HEAD_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -75,7 +75,7 @@
         });
         Some(Connection {
             sender,
-            head_limit,
+            control,
             driver,
         })
     }
@@ -89,9 +89,9 @@
         if self.sender.ready().await.is_err() {
             return Err(ExchangeError::NotSent);
         }
-        self.head_limit.expect_head();
+        self.control.expect_head();
         let sent = self.sender.try_send_request(request).await;
-        self.head_limit.lift();
+        self.control.lift();
         match sent {
             // A second answer to an earlier request on this connection.
             Ok(answer) if names_other(&answer, number.as_ref()) => Err(ExchangeError::Broken),
