tests: the promise of a full disk is checked once its write has failed

The test asked for the lease as soon as a command was committed. A leader whose write has not returned leads by right, and its command is committed by the other two, so the check ran before the disk had failed. The obstacle also let the folder be written anew at once, so the voter was whole again before it was removed.

Change: the obstacle also stops the writing of the folder anew; the test waits until the voter tells of its failed write, and then checks that a command is committed without its lease. No bound changed; what is checked is narrower in time and stricter in state, as the disk has failed in each of the three checks.

--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -33,19 +33,27 @@
 }
 
 type Handles = Arc<Mutex<Vec<VoterHandle>>>;
+/// Voters whose latest write has failed.
+type Failed = Arc<Mutex<BTreeSet<u64>>>;
 
 /// Voters whose messages are handed to one another.
 struct Group {
     handles: Handles,
+    failed: Failed,
     commits: Vec<mpsc::UnboundedReceiver<(u64, Vec<u8>)>>,
 }
 
 fn start(root: &Path, count: u64) -> Group {
     let handles = Handles::default();
+    let failed = Failed::default();
     let commits = (1..=count)
-        .map(|n| join(root, n, count, &handles))
+        .map(|n| join(root, n, count, &handles, &failed))
         .collect();
-    Group { handles, commits }
+    Group {
+        handles,
+        failed,
+        commits,
+    }
 }
 
 /// Starts a voter in its place; gives what it commits and installs.
@@ -54,6 +62,7 @@
     node: u64,
     count: u64,
     handles: &Handles,
+    failed: &Failed,
 ) -> mpsc::UnboundedReceiver<(u64, Vec<u8>)> {
     let (handle, mut events) = voter::start(config(root, node, count)).unwrap();
     let place = node as usize - 1;
@@ -63,6 +72,7 @@
         None => all.push(handle),
     }
     let peers = Arc::clone(handles);
+    let failed = Arc::clone(failed);
     let (sender, receiver) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
@@ -79,7 +89,13 @@
                 VoterEvent::Install { index, snapshot } => {
                     let _ = sender.send((index, snapshot));
                 }
-                VoterEvent::Role { .. } | VoterEvent::Failed(_) | VoterEvent::Recovered => {}
+                VoterEvent::Failed(_) => {
+                    failed.lock().unwrap().insert(node);
+                }
+                VoterEvent::Recovered => {
+                    failed.lock().unwrap().remove(&node);
+                }
+                VoterEvent::Role { .. } => {}
             }
         }
     });
@@ -209,7 +225,7 @@
     for node in [1, 2] {
         handles(&group)[node - 1].stop().await;
         fs::remove_dir_all(root.path().join(format!("voter-{node}"))).unwrap();
-        group.commits[node - 1] = join(root.path(), node as u64, 3, &group.handles);
+        group.commits[node - 1] = join(root.path(), node as u64, 3, &group.handles, &group.failed);
         repaired(&group).await;
     }
     group.commits.pop();
@@ -231,7 +247,7 @@
         }
     }
     let last = propose(&group, b"last").await;
-    group.commits[1] = join(root.path(), 2, 3, &group.handles);
+    group.commits[1] = join(root.path(), 2, 3, &group.handles, &group.failed);
     let mut seen = Vec::new();
     while seen.last().is_none_or(|(index, _)| *index < last) {
         let next = time::timeout(PATIENCE, group.commits[1].recv()).await;
@@ -241,11 +257,22 @@
     assert_eq!(seen.last().unwrap().1, b"last");
 }
 
-/// Makes the next snapshot of a voter fail to be written, as a full disk does, until it is undone.
-fn obstruct(root: &Path, node: u64) -> PathBuf {
-    let path = root.join(format!("voter-{node}")).join("snapshot.tmp");
-    fs::create_dir(&path).unwrap();
-    path
+/// Makes a voter fail to write its next snapshot, and to write its folder anew after that, as a full
+/// disk does. Gives what has to be removed for the voter to write again.
+fn obstruct(root: &Path, node: u64) -> [PathBuf; 2] {
+    let folder = root.join(format!("voter-{node}"));
+    let names = fs::read_dir(&folder).unwrap();
+    let segments = names.filter_map(|file| {
+        let name = file.unwrap().file_name().into_string().unwrap();
+        name.strip_prefix("log-")?.parse::<u64>().ok()
+    });
+    let next = segments.max().unwrap() + 1;
+    let names = ["snapshot.tmp".to_owned(), format!("log-{next:020}.tmp")];
+    names.map(|name| {
+        let path = folder.join(name);
+        fs::create_dir(&path).unwrap();
+        path
+    })
 }
 
 #[tokio::test]
@@ -259,13 +286,23 @@
 
     // One after the other, so that the leader is among them; a majority is always left.
     for node in 1..=3 {
-        let obstacle = obstruct(root.path(), node);
+        let obstacles = obstruct(root.path(), node);
         let handle = handles(&group)[node as usize - 1].clone();
         let index = handle.status().await.unwrap().commit;
         handle.snapshot(index, b"state".to_vec()).await;
+        propose(&group, b"full").await;
+        // The voter may lead until the write has returned.
+        let noticed = async {
+            while !group.failed.lock().unwrap().contains(&node) {
+                time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        time::timeout(PATIENCE, noticed).await.unwrap();
         propose(&group, &[9 + node as u8]).await;
         let lease = handle.lease().await;
-        fs::remove_dir(&obstacle).unwrap();
+        for obstacle in obstacles {
+            fs::remove_dir(obstacle).unwrap();
+        }
         assert_eq!(lease, None, "voter {node} leads without a disk");
         let committed = propose(&group, b"later").await;
         let caught_up = async {
