tests: overlapping grants are named, not only counted

Cause: a_frozen_entry_that_resumes_does_no_harm failed once with '1 overlapping grant' and told neither the range nor the targets nor the times, so that the run could not be traced.

Change: the ledger gives the pairs, and the five checks compare them with none; the bound is the same.

--- a/node/tests/test_intent.rs
+++ b/node/tests/test_intent.rs
@@ -305,7 +305,7 @@
     assert_eq!(kept.version, Version(2));
     assert_eq!(accepted(&back).map(|found| found.0), Some(3));
     assert_eq!(caller.tally().wrong, 0);
-    assert_eq!(ledger.overlapping_grants(), 0);
+    assert_eq!(ledger.overlapping_grants(), []);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -348,7 +348,7 @@
     assert!(is_refused_as_stale(&again), "{again:?}");
     assert_eq!(ran, 0);
     assert_eq!(caller.tally().answered, 60, "{:?}", caller.tally());
-    assert_eq!(ledger.overlapping_grants(), 0);
+    assert_eq!(ledger.overlapping_grants(), []);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -400,7 +400,7 @@
             .iter()
             .any(|run| run.target == *name && run.start > after)
     );
-    assert_eq!(ledger.overlapping_grants(), 0);
+    assert_eq!(ledger.overlapping_grants(), []);
     assert_eq!(ledger.overlapping_runs(&Service::from("payroll-core")), 0);
 }
 
--- a/node/tests/test_processes.rs
+++ b/node/tests/test_processes.rs
@@ -71,7 +71,7 @@
     assert_eq!(fleet.ledger.run_twice(), 0);
     let service = Service::from("payroll-core");
     assert_eq!(fleet.ledger.overlapping_runs(&service), 0);
-    assert_eq!(fleet.ledger.overlapping_grants(), 0);
+    assert_eq!(fleet.ledger.overlapping_grants(), []);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -120,7 +120,7 @@
     );
     let highest = fences_before.iter().max();
     assert!(fresh.iter().all(|fence| Some(**fence) > highest.copied()));
-    assert_eq!(fleet.ledger.overlapping_grants(), 0);
+    assert_eq!(fleet.ledger.overlapping_grants(), []);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -35,7 +35,7 @@
 }
 
 /// Time during which a target held a range.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Tenure {
     /// Service of the range.
     pub service: Service,
@@ -210,16 +210,16 @@
     }
 
     /// Pairs of tenures of one range by two targets, or two lives of one, at the same time.
-    pub fn overlapping_grants(&self) -> u64 {
+    pub fn overlapping_grants(&self) -> Vec<(Tenure, Tenure)> {
         let book = self.lock();
-        let mut pairs = 0;
+        let mut pairs = Vec::new();
         for (n, one) in book.tenures.iter().enumerate() {
             for other in &book.tenures[n + 1..] {
                 let holders = (&one.target, one.incarnation) != (&other.target, other.incarnation);
                 let ranges = one.grant.range.overlaps(&other.grant.range);
                 let times = one.start < other.end && other.start < one.end;
                 if holders && one.service == other.service && ranges && times {
-                    pairs += 1;
+                    pairs.push((one.clone(), other.clone()));
                 }
             }
         }
