lease: a home that had no lease of its own does not report its targets as lost

What was seen: test_processes::the_one_voter_killed_and_restarted_has_the_same_grants_and_new_fences failed beside load. Its log has CR0022 target-lost for the targets of the two entries that lived on, 0.6 to 1 s after the restarted voter led again; the targets of the restarted host were kept. All ranges of four of six healthy targets moved.

Cause: a target's lease ends with that of its home. Without a leader a home renews nothing, and once the lease had run out its state was Gone, which is final and goes into the next report. So each loss of the leader for longer than a lease told the new leader that every target of every living home was lost. Class: the silence of one's own side taken for that of the other.

Change: a target is gone only if it also missed orders; a lease that ran out otherwise makes it suspect, and the home, once it may, sends an order that grants nothing, since the reading of the target's clock is older than a lease by then. The test that a gone target gets no orders took its target to be gone in that very way; it now has one that answers nothing before its home loses its lease, with the same asserts. The process test waits until ranges have not moved for two seconds, as it began in the middle of the first evening out; its comparison is the same.

Measured: test_lease::a_target_is_reported_lost_because_its_home_had_no_lease failed before ('an order': none is ever sent) and passes; one for a target lost meanwhile passed before and passes now.

--- a/lib/src/connection/lease.rs
+++ b/lib/src/connection/lease.rs
@@ -74,7 +74,8 @@
     Leased,
     /// Orders are missed, or the lease may have expired: the target gets no new requests.
     Suspect,
-    /// The target's lease has certainly expired: the home reports the target lost.
+    /// Orders are missed and the target's lease has certainly expired: the home reports the target
+    /// lost.
     Gone,
     /// The target answered under another incarnation: the home reports the restart.
     Restarted(Incarnation),
@@ -248,11 +249,10 @@
         if let Some(state) = self.final_state {
             return state;
         }
-        if now >= self.latest_end() + self.timing.drift {
-            return match self.confirmed_end {
-                None if self.misses < SUSPECT_AFTER_MISSES => LeaseState::Pending,
-                _ => LeaseState::Gone,
-            };
+        let is_expired = now >= self.latest_end() + self.timing.drift;
+        // A lease also expires when the home may not renew it, which tells nothing of the target.
+        if is_expired && self.misses >= SUSPECT_AFTER_MISSES {
+            return LeaseState::Gone;
         }
         match self.confirmed_end {
             None => LeaseState::Pending,
@@ -273,11 +273,12 @@
     /// Longest lease that an order may grant now; it ends within the entry's own lease. `None` if
     /// the entry's lease is too short for any.
     ///
-    /// A target whose clock is unknown, or that misses orders, gets orders that grant nothing until
-    /// it answers one. Each order that grants a lease would postpone the moment from which the
-    /// target certainly holds none.
+    /// A target whose clock is unknown or was read more than a lease ago, or that misses orders, gets
+    /// orders that grant nothing until it answers one. Each order that grants a lease would postpone
+    /// the moment from which the target certainly holds none.
     fn grantable_duration(&self, now: Moment, entry: &EntryLease) -> Option<Duration> {
-        if self.reading.is_none() || self.misses >= SUSPECT_AFTER_MISSES {
+        let is_recent = |reading: ClockReading| now.since(reading.requested) <= self.timing.lease;
+        if !self.reading.is_some_and(is_recent) || self.misses >= SUSPECT_AFTER_MISSES {
             return entry.is_valid(now).then_some(Duration::ZERO);
         }
         let remaining = entry.end()?.since(now);
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -117,6 +117,7 @@
 fn a_gone_target_gets_no_orders_after_its_home_regains_its_lease() {
     let mut setup = setup();
     setup.run_answered(LONG_ENOUGH);
+    setup.run(LONG_ENOUGH, |_, _, _| {});
     setup.entry.release();
     setup.run_answered(LONG_ENOUGH);
     assert_eq!(setup.lease.state(setup.now), LeaseState::Gone);
@@ -133,6 +134,42 @@
     assert_eq!(setup.lease.state(setup.now), LeaseState::Gone);
 }
 
+/// A home that may not renew knows nothing of its targets.
+#[test]
+fn a_target_is_reported_lost_because_its_home_had_no_lease() {
+    let mut setup = setup();
+    setup.run_answered(LONG_ENOUGH);
+    setup.entry.release();
+    setup.run_answered(LONG_ENOUGH);
+    let lapsed = setup.lease.state(setup.now);
+    setup.entry.renew(setup.now, Duration::from_secs(60));
+    let regained = setup.lease.state(setup.now);
+    let first = setup.lease.poll(setup.now, &setup.entry).expect("an order");
+    setup
+        .lease
+        .on_answer(setup.now, first.serial, &accepted(setup.now));
+    setup.run_answered(LONG_ENOUGH);
+
+    assert_eq!(
+        (lapsed, regained),
+        (LeaseState::Suspect, LeaseState::Suspect)
+    );
+    assert_eq!(first.until_ms, 0, "the reading of the clock is out of date");
+    assert_eq!(setup.lease.state(setup.now), LeaseState::Leased);
+}
+
+#[test]
+fn a_target_lost_while_its_home_had_no_lease_is_gone_once_it_has_one() {
+    let mut setup = setup();
+    setup.run_answered(LONG_ENOUGH);
+    setup.entry.release();
+    setup.run_answered(LONG_ENOUGH);
+    setup.entry.renew(setup.now, Duration::from_secs(60));
+    setup.run(LONG_ENOUGH, |_, _, _| {});
+
+    assert_eq!(setup.lease.state(setup.now), LeaseState::Gone);
+}
+
 #[test]
 fn a_late_answer_does_not_revive_a_gone_target() {
     let mut setup = setup();
--- a/node/tests/test_processes.rs
+++ b/node/tests/test_processes.rs
@@ -23,7 +23,7 @@
     targets: Vec<StandIn>,
 }
 
-/// Three hosts that vote and six targets, at rest.
+/// Three hosts that vote and six targets that own all ranges; these may still be evened out.
 async fn fleet(voters: u64) -> Fleet {
     let turn = TURN.lock().await;
     let hosts = Hosts::start(3, voters);
@@ -99,16 +99,29 @@
         .collect()
 }
 
+/// Waits until ranges have not moved for many intervals of the assigner.
+async fn settled(hosts: &Hosts, targets: u32) -> StatusAnswer {
+    let mut status = hosts.until_owned(0, targets).await;
+    loop {
+        sleep(Duration::from_secs(2)).await;
+        let later = hosts.until_owned(0, targets).await;
+        if owners(&later) == owners(&status) {
+            return later;
+        }
+        status = later;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_one_voter_killed_and_restarted_has_the_same_grants_and_new_fences() {
     let mut fleet = fleet(1).await;
-    let before = fleet.hosts.until_owned(0, 6).await;
+    let before = settled(&fleet.hosts, 6).await;
     let fences_before = fleet.ledger.fences();
     fleet.hosts.kill(0);
     fleet.hosts.spawn(0);
     let after = fleet.hosts.until_owned(0, 6).await;
     assert!(after.index >= before.index);
-    assert_eq!(owners(&before), owners(&after));
+    assert_eq!(owners(&before), owners(&after), "{}", fleet.hosts.log(0));
     fleet.targets[0].kill().await;
     fleet.hosts.until_owned(0, 5).await;
     sleep(Duration::from_millis(300)).await;
