tests: targets with limits and with answers without end are scripted too

Cause: test_limits and test_endless had targets of their own beside the scripted one, near copies of it.

Change: Reply::without_end and Record::times; both tests use the scripted target. What is checked and the bounds stay as they are. test_crashing keeps its own, whose incarnations end together with all their connections, in the middle of answers. The test of a killed entry shows the logs when it fails.

--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -10,18 +10,22 @@
     connection::target::{ExchangeError, TargetLink},
     process::core::{self, CoreHandle},
 };
-use cornelrail_testutils::ports;
+use cornelrail_testutils::{
+    ports,
+    scripted::{self, Ask, Ending, Framing, Reply},
+};
 use serde_json::{Value, json};
 use std::{
     fs,
     net::SocketAddr,
     process::{Child, Command, Stdio},
+    sync::Arc,
     time::Duration,
 };
 use tempfile::TempDir;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpSocket},
     runtime::Handle,
     task::JoinSet,
     time::{Instant, sleep, timeout},
@@ -92,7 +96,7 @@
     for service in ["pool", "other"] {
         let listener = TcpListener::bind((host.as_str(), 0)).await.expect("bound");
         let target = listener.local_addr().expect("bound");
-        tokio::spawn(serve(listener));
+        scripted::serve(listener, Arc::default(), answer);
         tokio::spawn(beat(control, service, target));
     }
     let fleet = Fleet {
@@ -118,53 +122,31 @@
     }
 }
 
-async fn serve(listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(answer(stream));
-    }
-}
-
-/// Answers one request by its path: the start of an answer, and what follows it without end.
-async fn answer(mut stream: TcpStream) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return,
-        }
-    }
-    let head = String::from_utf8_lossy(&head);
-    let path = head.split(' ').nth(1).unwrap_or_default();
-    let signed = "HTTP/1.1 200 OK\r\nresponse-signature: good\r\n";
-    let refused = "HTTP/1.1 503 Full\r\nnot-executed: 1\r\n";
+/// Answer by its path: the start of one, and what follows it without end.
+fn answer(ask: &Ask) -> Reply {
     let line = "x".repeat(1_000);
     let chunk = format!("3e8\r\n{line}\r\n");
-    let (start, rest) = match path {
-        "/r/head" => (signed.to_owned(), line),
-        "/r/fields" => (signed.to_owned(), "a: b\r\n".repeat(100)),
-        "/r/interim" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(40)),
-        "/r/chunks" | LEASE_PATH => (format!("{signed}transfer-encoding: chunked\r\n\r\n"), chunk),
-        "/r/extension" => (
-            format!("{signed}transfer-encoding: chunked\r\n\r\n3e8;"),
-            line,
-        ),
-        "/r/trailers" => (
-            format!("{signed}transfer-encoding: chunked\r\n\r\n0\r\n"),
-            "a: b\r\n".repeat(100),
-        ),
-        "/r/unframed" => (format!("{signed}connection: close\r\n\r\n"), line),
-        "/r/refused" => (
-            format!("{refused}transfer-encoding: chunked\r\n\r\n"),
-            chunk,
-        ),
-        _ => (
-            format!("{signed}content-length: 2\r\n\r\nok"),
-            String::new(),
-        ),
+    let fields = "a: b\r\n".repeat(100);
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(40);
+    let whole = Reply::answer(ask, "");
+    let chunked = whole.clone().framed(Framing::Chunked);
+    let refused = Reply::refusal(ask).framed(Framing::Chunked);
+    let signed = "HTTP/1.1 200 OK\r\nresponse-signature: good\r\n";
+    // Length of a head with chunks; a body without bytes has its last chunk behind it.
+    let opened = |reply: Reply| {
+        let length = reply.head_length();
+        reply.cut_at(length)
     };
-    let mut written = stream.write_all(start.as_bytes()).await;
-    while written.is_ok() && !rest.is_empty() {
-        written = stream.write_all(rest.as_bytes()).await;
+    match ask.path.as_str() {
+        "/r/head" => whole.cut_at(0).followed_by(signed).without_end(line),
+        "/r/fields" => whole.cut_at(0).followed_by(signed).without_end(fields),
+        "/r/interim" => whole.cut_at(0).without_end(interim),
+        "/r/chunks" | LEASE_PATH => opened(chunked).without_end(chunk),
+        "/r/extension" => opened(chunked).followed_by("3e8;").without_end(line),
+        "/r/trailers" => opened(chunked).followed_by("0\r\n").without_end(fields),
+        "/r/unframed" => whole.framed(Framing::Close).without_end(line),
+        "/r/refused" => opened(refused).without_end(chunk),
+        _ => Reply::answer(ask, "ok").ending(Ending::Close),
     }
 }
 
@@ -306,7 +288,7 @@
 async fn the_answer_to_a_lease_without_end_is_broken_at_once() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let link = TargetLink::start(&Handle::current(), listener.local_addr().expect("bound"));
-    tokio::spawn(serve(listener));
+    scripted::serve(listener, Arc::default(), answer);
     let order = LeaseOrder {
         incarnation: Incarnation(1),
         epoch: Epoch(1),
--- a/node/tests/test_limits.rs
+++ b/node/tests/test_limits.rs
@@ -2,19 +2,16 @@
 //! of the limit their callers get.
 
 use crate::test_seeded::{PATIENCE, call, exchange, host, settings, split};
-use bytes::Bytes;
 use cornelrail_node::process::{
     core::{self, CoreHandle},
     entry::{self, EntryHandle},
 };
-use cornelrail_testutils::ports;
-use http::{Request, Response};
-use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use cornelrail_testutils::{
+    ports,
+    scripted::{self, Ask, Record, Reply},
+};
 use serde_json::{Value, json};
 use std::{
-    convert::Infallible,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -44,72 +41,27 @@
     _folder: TempDir,
     control: SocketAddr,
     callers: Vec<SocketAddr>,
-    target: Arc<Target>,
+    record: Arc<Record>,
+    /// Limit that the target names, in requests a second.
+    limit: Arc<Mutex<Option<f64>>>,
     _core: CoreHandle,
     _entries: Vec<EntryHandle>,
 }
 
-#[derive(Debug, Default)]
-struct Target {
-    limit: Mutex<Option<f64>>,
-    arrivals: Mutex<Vec<Instant>>,
+/// Largest number of requests in a window that begins at `from` or later.
+fn worst_window(record: &Record, from: Instant) -> usize {
+    let late = record.times().into_iter().filter(|at| *at >= from);
+    let counts = late.map(|first| record.arrivals(first, first + WINDOW));
+    counts.max().unwrap_or_default()
 }
 
-impl Target {
-    fn set_limit(&self, limit: Option<f64>) {
-        *self.limit.lock().expect("whole") = limit;
-    }
-
-    /// Largest number of requests in a window that begins at `from` or later.
-    fn worst_window(&self, from: Instant) -> usize {
-        let arrivals = self.arrivals.lock().expect("whole");
-        let late: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
-        let count = |first: Instant| {
-            let window = first..first + WINDOW;
-            late.iter().filter(|at| window.contains(at)).count()
-        };
-        let counts = late.iter().map(|first| count(*first));
-        counts.max().unwrap_or_default()
-    }
-
-    fn count(&self, from: Instant, to: Instant) -> usize {
-        let arrivals = self.arrivals.lock().expect("whole");
-        arrivals.iter().filter(|at| (from..to).contains(at)).count()
-    }
-
-    async fn answer(
-        &self,
-        request: &Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        self.arrivals.lock().expect("whole").push(Instant::now());
-        sleep(Duration::from_millis(20)).await;
-        let id = request.headers().get("request-id").cloned();
-        let mut response = Response::builder()
-            .header("request-id", id.expect("an id"))
-            .header("response-signature", "good")
-            .header("server-load", "1,0,40,100");
-        if let Some(limit) = *self.limit.lock().expect("whole") {
-            response = response.header("server-limit", limit.to_string());
-        }
-        Ok(response
-            .body(Full::new(Bytes::from("done")))
-            .expect("a response"))
-    }
-}
-
-async fn serve(listener: TcpListener, target: Arc<Target>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let target = target.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let target = target.clone();
-            async move { target.answer(&request).await }
-        });
-        tokio::spawn(async move {
-            // A caller that breaks off ends the connection.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+fn answer(ask: &Ask, limit: Option<f64>) -> Reply {
+    let reply = Reply::answer(ask, "done")
+        .with_field("server-load", "1,0,40,100")
+        .after(Duration::from_millis(20));
+    match limit {
+        Some(limit) => reply.with_field("server-limit", &limit.to_string()),
+        None => reply,
     }
 }
 
@@ -138,7 +90,8 @@
         _folder: folder,
         control,
         callers: Vec::new(),
-        target: Arc::default(),
+        record: Arc::default(),
+        limit: Arc::default(),
         _core: core,
         _entries: Vec::new(),
     };
@@ -155,7 +108,9 @@
     }
     let listener = TcpListener::bind((host.as_str(), 0)).await.expect("bound");
     let address = listener.local_addr().expect("bound");
-    tokio::spawn(serve(listener, fleet.target.clone()));
+    let limit = fleet.limit.clone();
+    let script = move |ask: &Ask| answer(ask, *limit.lock().expect("whole"));
+    scripted::serve(listener, fleet.record.clone(), script);
     tokio::spawn(beat(control, address));
     fleet
 }
@@ -225,18 +180,18 @@
     let fleet = fleet(entries).await;
     set_up(&fleet).await;
     demand(&fleet, Duration::from_secs(1), &pick).await;
-    fleet.target.set_limit(Some(LIMIT));
+    *fleet.limit.lock().expect("whole") = Some(LIMIT);
     demand(&fleet, LEARNING, &pick).await;
     let told = Instant::now();
 
     let answers = demand(&fleet, WINDOW * 2, &pick).await;
 
-    let worst = fleet.target.worst_window(told);
+    let worst = worst_window(&fleet.record, told);
     assert!(
         worst as f64 <= ALLOWED,
         "{worst} requests in 4 s, {ALLOWED} allowed"
     );
-    let served = fleet.target.count(told, told + WINDOW * 2) as f64;
+    let served = fleet.record.arrivals(told, told + WINDOW * 2) as f64;
     let due = LIMIT * (WINDOW * 2).as_secs_f64();
     println!("{entries} entries: {worst} in the worst 4 s, {served} of {due} in 8 s");
     assert!(served >= due * SERVED_SHARE, "{served} served of {due}");
--- a/node/tests/test_processes.rs
+++ b/node/tests/test_processes.rs
@@ -86,9 +86,10 @@
     let after = Arc::new(fleet.hosts.caller(DEADLINE));
     send(&after, 1_000, 100).await.expect("all are sent");
     let tally = after.tally();
+    let logs = fleet.hosts.logs();
     assert_eq!(
         tally.answered, 100,
-        "the other two serve everything: {tally:?}"
+        "the other two serve everything: {logs}\n{tally:?}"
     );
 }
 
--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -82,6 +82,7 @@
     cut: Option<usize>,
     copy: Option<Box<Reply>>,
     extra: &'static str,
+    endless: String,
 }
 
 impl Reply {
@@ -103,6 +104,7 @@
             cut: None,
             copy: None,
             extra: "",
+            endless: String::new(),
         }
     }
 
@@ -185,6 +187,12 @@
         self
     }
 
+    /// Is followed by these bytes again and again, until the other side closes the connection.
+    pub fn without_end(mut self, bytes: String) -> Self {
+        self.endless = bytes;
+        self
+    }
+
     /// Length of the head in bytes.
     pub fn head_length(&self) -> usize {
         self.head().len()
@@ -251,6 +259,11 @@
         arrivals.iter().filter(|a| a.ran && a.path == path).count()
     }
 
+    /// When each request arrived.
+    pub fn times(&self) -> Vec<Instant> {
+        lock(&self.arrivals).iter().map(|a| a.at).collect()
+    }
+
     /// Requests that arrived in this time.
     pub fn arrivals(&self, from: Instant, to: Instant) -> usize {
         let arrivals = lock(&self.arrivals);
@@ -327,6 +340,11 @@
         if stream.write_all(&reply.bytes()).await.is_err() {
             return;
         }
+        while !reply.endless.is_empty() {
+            if stream.write_all(reply.endless.as_bytes()).await.is_err() {
+                return;
+            }
+        }
         if let Some(pause) = reply.pause {
             lock(&record.pauses).push((Instant::now(), pause));
         }
