tests: callers that leave a late target keep connections and memory

Change: a test with an entry in a process of its own and a target that does not see that its callers have left: at most 16 answers of one target are awaited, none after two seconds, and memory stays in the bound that endless answers have.

--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -39,6 +39,11 @@
 const LATE: Duration = Duration::from_millis(500);
 /// Receive buffer of a caller.
 const RECEIVE_BYTES: u32 = 64 << 10;
+/// Answers of one target that an entry awaits although their callers have left, and for how long.
+const ABANDONED: usize = 16;
+const ABANDONED_TIME: Duration = Duration::from_secs(2);
+/// Files that an entry may open for other reasons meanwhile.
+const OTHER_FILES: usize = 4;
 /// What an entry may grow by for each open answer, in KiB.
 const GROWTH_KIB: u64 = 256;
 
@@ -68,6 +73,12 @@
         let number = line.and_then(|line| line.split_whitespace().nth(1));
         number.expect("a number").parse().expect("a number")
     }
+
+    /// Files that the entry has open, connections among them.
+    fn files(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.entry.id());
+        fs::read_dir(path).expect("a running process").count()
+    }
 }
 
 async fn fleet() -> Fleet {
@@ -145,6 +156,8 @@
         "/r/extension" => opened(chunked).followed_by("3e8;").without_end(line),
         "/r/trailers" => opened(chunked).followed_by("0\r\n").without_end(fields),
         "/r/unframed" => whole.framed(Framing::Close).without_end(line),
+        // It does not see meanwhile that its caller has left.
+        "/r/late" => whole.after(PATIENCE),
         "/r/refused" => opened(refused).without_end(chunk),
         _ => Reply::answer(ask, "ok").ending(Ending::Close),
     }
@@ -284,6 +297,39 @@
     check("refused", &["503"]).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_leave_a_late_target_keep_connections_and_memory() {
+    let fleet = fleet().await;
+    let (memory, files) = (fleet.peak_kib(), fleet.files());
+    let mut asking = JoinSet::new();
+    for _ in 0..CALLERS {
+        let callers = fleet.callers;
+        asking.spawn(async move {
+            // A caller that leaves closes its connection.
+            let _ = timeout(
+                Duration::from_millis(200),
+                exchange(callers, &request("r/late")),
+            )
+            .await;
+        });
+    }
+    asking.join_all().await;
+
+    sleep(LATE).await;
+    let awaited = fleet.files().saturating_sub(files);
+    sleep(ABANDONED_TIME).await;
+    let left = fleet.files().saturating_sub(files);
+    let growth = fleet.peak_kib().saturating_sub(memory);
+
+    println!("{awaited} files awaited, {left} left, grown by {growth} KiB");
+    assert!(awaited <= ABANDONED + OTHER_FILES, "{awaited} files");
+    assert!(left <= OTHER_FILES, "{left} files are left");
+    assert!(
+        growth <= GROWTH_KIB * CALLERS as u64,
+        "grown by {growth} KiB"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_answer_to_a_lease_without_end_is_broken_at_once() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
