core: a host that waits for room on its disk refuses connections

What others saw: a core host that starts with a full disk bound its addresses first and accepted nothing until there was room. Connections to it were made, by the system, and never answered: targets and operators waited for their own limits, and an entry that looked for the leader had to take the host for one that may lead.

Cause: the addresses were bound before the data folder was opened, which may wait without an end.

Change: the folder is opened first. A second process with the same settings is told of the folder in use instead of the address. Sought elsewhere: an entry binds last what it serves by; the configured daemon ends when its folder has no room.

--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -123,10 +123,11 @@
         return Err(SeededError::Role(Role::Core.name()));
     };
     let peer_address = SocketAddr::new(settings.address, settings.port);
-    let peers = bind("port", peer_address)?;
-    let control = bind("listen.control", control)?;
     let clock = Clock::start();
     let (voter, events) = start_voter(voter_config(&settings, data, clock)).await?;
+    // Others would wait for the answers of a host that listens while it waits for room.
+    let peers = bind("port", peer_address)?;
+    let control = bind("listen.control", control)?;
     let handle = task::start(settings, clock, voter.clone(), events);
     tokio::spawn(peers::run(peers, voter, handle.clone()));
     tokio::spawn(control::run(control, handle.clone()));
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_endless;
 mod test_feed;
 mod test_front;
+mod test_full_disk;
 mod test_hostile;
 mod test_intent;
 mod test_limits;
