tests: voters beside a stalled disk commit nothing or never take it back

The group commits 20 commands meanwhile, also when the stalled one leads; the voter takes part again once the write has ended, and its vote is needed at the end.

A leader whose disk is stalled goes on to lead by the disks of the others; that it does not hand over stays as it was.

--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -9,10 +9,11 @@
     collections::BTreeSet,
     fs,
     path::{Path, PathBuf},
+    process::Command,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
-use tokio::{sync::mpsc, time};
+use tokio::{sync::mpsc, task, time};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -346,3 +347,49 @@
         );
     }
 }
+
+/// A pipe that nobody reads takes an open for writing without an end, as a stalled disk does.
+#[tokio::test]
+async fn voters_beside_a_stalled_disk_commit_nothing_or_never_take_it_back() {
+    let root = tempfile::tempdir().unwrap();
+    let mut group = start(root.path(), 3);
+    for n in 0..10 {
+        propose(&group, &[n]).await;
+    }
+    commits_of(&mut group, 10).await;
+
+    // One after the other, so that the leader is among them.
+    for node in 1..=3_u64 {
+        let pipe = root.path().join(format!("voter-{node}/snapshot.tmp"));
+        let made = Command::new("mkfifo").arg(&pipe).status().unwrap();
+        assert!(made.success());
+        let handle = handles(&group)[node as usize - 1].clone();
+        let index = handle.status().await.unwrap().commit;
+        handle.snapshot(index, b"state".to_vec()).await;
+        for n in 0..20 {
+            propose(&group, &[n]).await;
+        }
+        let batches = handle.status().await.unwrap().batches;
+        time::sleep(Duration::from_millis(500)).await;
+        let is_stalled = handle.status().await.unwrap().batches == batches;
+        // Its reader lets the write end, with an error since a pipe cannot be synced.
+        let reader = pipe.clone();
+        let read = task::spawn_blocking(move || fs::read(reader));
+        let ended = time::timeout(PATIENCE, read).await;
+        fs::remove_file(&pipe).unwrap();
+
+        assert!(is_stalled, "voter {node} writes beside the pipe");
+        assert!(ended.is_ok(), "voter {node} writes no snapshot");
+        let committed = propose(&group, b"later").await;
+        let caught_up = async {
+            while handle.status().await.is_none_or(|s| s.commit < committed) {
+                time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let caught_up = time::timeout(PATIENCE, caught_up).await;
+        assert!(caught_up.is_ok(), "voter {node} does not come back");
+    }
+    // The other two need the vote of the third.
+    handles(&group)[0].stop().await;
+    propose(&group, b"last").await;
+}
