tests: the drawn target writes copies late too

Cause: the copy that comes after its caller has left was met by no draw, as drawn copies took no time.

--- a/testutils/src/scripted.rs
+++ b/testutils/src/scripted.rs
@@ -453,7 +453,7 @@
         4 => refusal.ending(Ending::Close),
         5 => refusal.without_field("not-executed"),
         6 => answer.after(late),
-        7 => answer.copied(),
+        7 => answer.clone().copied_as(answer.after(late)),
         8 => answer.framed(Framing::Chunked).copied(),
         9 => answer.framed(Framing::Close),
         10 => answer.with_field(CALLER_ID, "another"),
