review: case 4, a drop in the same order replaces a newer item

Cause: the items to set and those to drop go into one map by name, in which the drop replaces the item whatever their versions.

--- a/review/standins/src/gap.rs
+++ b/review/standins/src/gap.rs
@@ -24,8 +24,8 @@
 const CHANGES: u32 = 1_000;
 /// Orders in progress at once, as many as the pages allow.
 const ORDERS: u32 = 8;
-/// Machines of the three of the core that lose their disks, in turn.
-const MACHINES: usize = 2;
+/// Machines of the five of the core that lose their disks, in turn.
+const MACHINES: usize = 3;
 /// Tries to kill a machine while it catches up.
 const TRIES: u32 = 12;
 /// Time for a machine to catch up.
@@ -102,9 +102,9 @@
 /// Plays the case.
 pub fn run(program: PathBuf, trouble: bool, record: &Record) -> Verdict {
     let plan = Plan {
-        core: 3,
-        entries: 1,
-        workers: 2,
+        core: 5,
+        entries: 3,
+        workers: 3,
         framing: worker::plain,
     };
     let Some(mut stage) = Stage::start(program, plan, record) else {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! rule held, 1 if it was broken and 2 if the case couldn't be played.
 
 mod chunks;
+mod drop;
 mod fleet;
 mod gap;
 mod http;
@@ -44,6 +45,7 @@
     let (program, trouble) = (program.into(), !trouble);
     let verdict = match case.as_str() {
         "chunks" => chunks::run(program, trouble, &record),
+        "drop" => drop::run(program, trouble, &record),
         "gap" => gap::run(program, trouble, &record),
         "service" => service::run(program, trouble, &record),
         "shrink" => shrink::run(program, trouble, &record),
--- a/review/standins/src/shrink.rs
+++ b/review/standins/src/shrink.rs
@@ -13,7 +13,7 @@
 use std::{path::PathBuf, thread::sleep, time::Duration};
 
 /// Time that the first zone is dark.
-const DARK: Duration = Duration::from_secs(12);
+const DARK: Duration = Duration::from_secs(11);
 /// Time that the machines are down which lose their disks.
 const DOWN: Duration = Duration::from_millis(1_300);
 /// `recovery` of the site.
