--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/cornelraild review/standins/target/release/standins; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec review/standins/target/release/standins chunks review/5
+exec review/standins/target/release/standins drop review/5
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,12 +3,12 @@
 //! `standins CASE FOLDER` plays a case, writes `record.txt` into the folder and exits with 0 if the
 //! rule held, 1 if it was broken and 2 if the case couldn't be played.
 
-mod chunks;
 mod drop;
 mod fleet;
 mod gap;
 mod http;
 mod json;
+mod odd;
 mod operator;
 mod record;
 mod service;
@@ -44,9 +44,9 @@
     let trouble = env::var("TROUBLE").is_ok_and(|t| t == "0");
     let (program, trouble) = (program.into(), !trouble);
     let verdict = match case.as_str() {
-        "chunks" => chunks::run(program, trouble, &record),
         "drop" => drop::run(program, trouble, &record),
         "gap" => gap::run(program, trouble, &record),
+        "odd" => odd::run(program, trouble, &record),
         "service" => service::run(program, trouble, &record),
         "shrink" => shrink::run(program, trouble, &record),
         _ => Verdict::Unplayed,
--- a/review/standins/src/stage.rs
+++ b/review/standins/src/stage.rs
@@ -48,7 +48,8 @@
     pub fronts: Vec<SocketAddr>,
     /// The operator.
     pub operator: Operator,
-    _workers: Vec<Worker>,
+    /// The workers.
+    pub workers: Vec<Worker>,
 }
 
 impl Stage {
@@ -102,7 +103,7 @@
             core,
             fronts,
             operator,
-            _workers: workers,
+            workers,
         })
     }
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -10,7 +10,7 @@
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -25,7 +25,7 @@
 const WORK: Duration = Duration::from_millis(20);
 
 /// Keys from, to, and their generation number.
-type Row = (u64, u64, u64);
+pub type Row = (u64, u64, u64);
 
 #[derive(Debug, Default)]
 struct Holds {
@@ -59,12 +59,16 @@
 /// A running worker; it ends with this value.
 #[derive(Debug)]
 pub struct Worker {
-    stop: Arc<AtomicBool>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// When it started, in Unix ms.
+    pub born: u128,
+    state: Arc<State>,
 }
 
 impl Drop for Worker {
     fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.state.stop.store(true, Ordering::Relaxed);
     }
 }
 
@@ -78,11 +82,14 @@
     .into_bytes()
 }
 
+#[derive(Debug)]
 struct State {
     settings: Settings,
     holds: Mutex<Holds>,
     record: Record,
-    stop: Arc<AtomicBool>,
+    stop: AtomicBool,
+    /// Number of the latest status report.
+    seq: AtomicU64,
 }
 
 impl Worker {
@@ -90,12 +97,14 @@
     pub fn start(settings: Settings, record: &Record) -> Worker {
         let listener = TcpListener::bind((settings.ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let stop = Arc::new(AtomicBool::new(false));
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = now.map_or(0, |d| d.as_millis());
         let state = Arc::new(State {
             settings,
             holds: Mutex::default(),
             record: record.clone(),
-            stop: stop.clone(),
+            stop: AtomicBool::new(false),
+            seq: AtomicU64::new(0),
         });
         let serving = state.clone();
         thread::spawn(move || {
@@ -104,8 +113,32 @@
                 thread::spawn(move || state.serve(stream));
             }
         });
-        thread::spawn(move || state.beat(address));
-        Worker { stop }
+        let beating = state.clone();
+        thread::spawn(move || beating.beat(address, born));
+        Worker {
+            address,
+            born,
+            state,
+        }
+    }
+
+    /// Its settings.
+    pub fn settings(&self) -> &Settings {
+        &self.state.settings
+    }
+
+    /// Number of its latest status report.
+    pub fn seq(&self) -> u64 {
+        self.state.seq.load(Ordering::Relaxed)
+    }
+
+    /// Keys that it holds at this moment.
+    pub fn held(&self) -> Vec<Row> {
+        let holds = self.state.holds.lock().expect("no holder panics");
+        match holds.until {
+            Some(until) if Instant::now() < until => holds.rows.clone(),
+            _ => Vec::new(),
+        }
     }
 }
 
@@ -162,13 +195,10 @@
         live && key.is_some_and(|k| holds.rows.iter().any(|(a, b, _)| (*a..=*b).contains(&k)))
     }
 
-    fn beat(&self, address: SocketAddr) {
-        let born = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |d| d.as_millis());
-        let (mut seq, mut turn) = (0, 0);
+    fn beat(&self, address: SocketAddr, born: u128) {
+        let mut turn = 0;
         while !self.stop.load(Ordering::Relaxed) {
-            seq += 1;
+            let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
             let sent = Instant::now();
             let (body, released) = self.report(address, born, seq);
             let line = format!(
