--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,7 +1,8 @@
 //! Stand-ins and plays of the review's cases.
 //!
-//! `standins CASE FOLDER` plays a case, writes `record.txt` into the folder and exits with 0 if the
-//! rule held, 1 if it was broken and 2 if the case couldn't be played.
+//! `standins CASE FOLDER TROUBLE` plays a case, writes `record.txt` into the folder and exits with 0
+//! if the rule held, 1 if it was broken and 2 if the case couldn't be played. The disruption is left
+//! out if TROUBLE is 0.
 
 mod drop;
 mod fleet;
@@ -32,8 +33,8 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().collect();
-    let [_, case, folder] = args.as_slice() else {
-        eprintln!("usage: standins CASE FOLDER");
+    let [_, case, folder, trouble] = args.as_slice() else {
+        eprintln!("usage: standins CASE FOLDER TROUBLE");
         return ExitCode::from(2);
     };
     let Ok(record) = Record::create(&Path::new(folder).join("record.txt")) else {
@@ -41,8 +42,8 @@
         return ExitCode::from(2);
     };
     let program = env::var("CORNELRAILD").unwrap_or("target/release/cornelraild".to_owned());
-    let trouble = env::var("TROUBLE").is_ok_and(|t| t == "0");
-    let (program, trouble) = (program.into(), !trouble);
+    let (program, trouble) = (program.into(), trouble != "0");
+    record.note(format_args!("case {case}, with the disruption: {trouble}"));
     let verdict = match case.as_str() {
         "drop" => drop::run(program, trouble, &record),
         "gap" => gap::run(program, trouble, &record),
