--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -187,6 +187,19 @@
         }
     }
 
+    /// Freezes the process of a host until it is killed.
+    pub fn freeze(&mut self, n: usize) {
+        let Some(child) = &self.hosts[n].child else {
+            return;
+        };
+        let stopped = Command::new("kill")
+            .args(["-STOP", &child.id().to_string()])
+            .status();
+        assert!(stopped.is_ok_and(|s| s.success()), "the process is stopped");
+        self.record
+            .note(format_args!("freeze {}", self.hosts[n].name));
+    }
+
     /// Empties the disk of a host that has no process.
     pub fn wipe(&mut self, n: usize) {
         assert!(self.hosts[n].child.is_none(), "the process has ended");
