desired: a change is judged by the state to which it leads

Cause: the check looked at the routes that a change sets, not at those in force that name a service which the change removes, and took a service as known if the change carried any version of it.

Change: the leader computes which items take effect, refuses a change whose result has a route without its service, and proposes only what takes effect. A change that is overtaken as a whole is acknowledged without a proposal. The removal of a service is judged while no other change is in flight.

--- a/lib/src/version/desired/check.rs
+++ b/lib/src/version/desired/check.rs
@@ -1,12 +1,24 @@
-//! Validation of an operator's change against the items in force: every route must be able to send
-//! requests to a known service, and a version must not stand for two contents.
+//! Validation of an operator's change: every route must be able to send requests to a known service,
+//! and a version must not stand for two contents.
+//!
+//! A change is judged by the state to which it would lead. The leader does so before it proposes the
+//! change ([`DesiredState::admit`]), and proposes only the items that take effect. Replicas apply
+//! what is committed by [`DesiredState::check`], which stays as it is: all releases have to come to
+//! the same result for an entry of the log.
+//!
+//! Two changes in flight may each be valid alone and invalid together. Only the removal of a service
+//! can do that, so [`ChangesInFlight`] lets such a change pass alone.
 
 use super::{
     Change, DesiredState,
-    item::{Item, ItemVersion, Route},
+    item::{Item, ItemVersion, Route, ServiceSpec},
 };
 use crate::name::Service;
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
 use thiserror::Error;
 
 /// Longest timeout that a route may set.
@@ -23,6 +35,17 @@
         /// Unknown service that the route refers to.
         service: Service,
     },
+    /// The change would remove a service to which a route sends requests.
+    #[error(
+        "the service `{service}` is named by the route `{route}`; remove the route or send it to \
+         another service first"
+    )]
+    ServiceInUse {
+        /// Service to be removed.
+        service: Service,
+        /// Route that names it.
+        route: String,
+    },
     /// All backends of the route have weight 0, so none would get a request.
     #[error("the weights of route `{0}` add up to 0; give at least one backend a weight above 0")]
     NoWeight(String),
@@ -47,14 +70,130 @@
     },
 }
 
+/// Changes that are proposed and not applied yet, as far as the next one has to wait for them.
+#[derive(Debug, Default)]
+pub struct ChangesInFlight {
+    all: BTreeSet<u64>,
+    removal: Option<u64>,
+}
+
+impl ChangesInFlight {
+    /// Whether the change can be judged now, by the state in force alone.
+    pub fn allows(&self, change: &Change) -> bool {
+        self.removal.is_none() && (self.all.is_empty() || !change.removes_service())
+    }
+
+    /// Records that the change is proposed under this number.
+    pub fn begin(&mut self, number: u64, change: &Change) {
+        self.all.insert(number);
+        if change.removes_service() {
+            self.removal = Some(number);
+        }
+    }
+
+    /// Records that a proposal is applied or has failed; whether it was a change.
+    pub fn end(&mut self, number: u64) -> bool {
+        self.removal = self.removal.filter(|removal| *removal != number);
+        self.all.remove(&number)
+    }
+}
+
+impl Change {
+    fn removes_service(&self) -> bool {
+        self.services.values().any(|item| item.value.is_none())
+    }
+}
+
 impl DesiredState {
+    /// Returns the items of the change that take effect, provided that the state to which they lead
+    /// is valid. Nothing is left of a change that newer ones have overtaken.
+    pub fn admit(&self, mut change: Change) -> Result<Change, ChangeError> {
+        for (name, item) in &change.routes {
+            if let Some(route) = &item.value {
+                check_route_fields(name, route)?;
+                self.check_services_known(&change, name, route)?;
+            }
+        }
+        self.check_versions(&change)?;
+        retain_newer(&mut change.routes, &self.routes);
+        retain_newer(&mut change.services, &self.services);
+        let held = self.limits.as_ref().map(|item| item.version);
+        change.limits = change.limits.filter(|item| held < Some(item.version));
+        self.check_services_in_force(&change)?;
+        Ok(change)
+    }
+
+    /// Checks that each service of a route is part of the change or was in force at some time. An
+    /// overtaken route may name a service that was removed since.
+    fn check_services_known(
+        &self,
+        change: &Change,
+        name: &str,
+        route: &Route,
+    ) -> Result<(), ChangeError> {
+        let mut services = route.backends.iter().map(|backend| &backend.service);
+        let unknown = services.find(|service| {
+            let sent = change.services.get(*service);
+            let is_sent = sent.is_some_and(|item| item.value.is_some());
+            !is_sent && !self.services.contains_key(*service)
+        });
+        match unknown {
+            None => Ok(()),
+            Some(service) => Err(unknown_service(name, service)),
+        }
+    }
+
+    /// Checks that no route names a removed or unknown service once the change, which has only newer
+    /// items, is in force.
+    fn check_services_in_force(&self, change: &Change) -> Result<(), ChangeError> {
+        for (name, item) in &change.routes {
+            let missing = item.value.as_ref().and_then(|route| {
+                let mut services = route.backends.iter().map(|backend| &backend.service);
+                services.find(|service| self.service_after(change, service).is_none())
+            });
+            if let Some(service) = missing {
+                return Err(unknown_service(name, service));
+            }
+        }
+        if !change.removes_service() {
+            return Ok(());
+        }
+        let kept = self.routes.iter();
+        let kept = kept.filter(|(name, _)| !change.routes.contains_key(*name));
+        for (name, item) in kept {
+            let backends = item.value.iter().flat_map(|route| &route.backends);
+            let mut services = backends.map(|backend| &backend.service);
+            let removed = services.find(|service| {
+                let sent = change.services.get(*service);
+                sent.is_some_and(|item| item.value.is_none())
+            });
+            if let Some(service) = removed {
+                return Err(ChangeError::ServiceInUse {
+                    service: service.clone(),
+                    route: name.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn service_after<'a>(&'a self, change: &'a Change, name: &Service) -> Option<&'a ServiceSpec> {
+        let sent = change.services.get(name);
+        sent.or_else(|| self.services.get(name))?.value.as_ref()
+    }
+
     /// Checks that the whole change is valid against the items in force.
-    pub fn check(&self, change: &Change) -> Result<(), ChangeError> {
+    pub(super) fn check(&self, change: &Change) -> Result<(), ChangeError> {
         for (name, item) in &change.routes {
             if let Some(route) = &item.value {
                 self.check_route(change, name, route)?;
             }
         }
+        self.check_versions(change)
+    }
+
+    /// Checks that no item has the version in force and other content.
+    fn check_versions(&self, change: &Change) -> Result<(), ChangeError> {
         check_conflicts("route", &self.routes, &change.routes)?;
         check_conflicts("service", &self.services, &change.services)?;
         match (&self.limits, &change.limits) {
@@ -64,19 +203,7 @@
     }
 
     fn check_route(&self, change: &Change, name: &str, route: &Route) -> Result<(), ChangeError> {
-        if !route.prefix.starts_with('/') {
-            return Err(ChangeError::BarePrefix(name.to_owned()));
-        }
-        if route.timeout.is_zero() {
-            return Err(ChangeError::NoTimeout(name.to_owned()));
-        }
-        if route.timeout > MAX_TIMEOUT {
-            return Err(ChangeError::LongTimeout(name.to_owned()));
-        }
-        let total: u64 = route.backends.iter().map(|b| u64::from(b.weight)).sum();
-        if total == 0 {
-            return Err(ChangeError::NoWeight(name.to_owned()));
-        }
+        check_route_fields(name, route)?;
         let unknown = route.backends.iter().find(|backend| {
             let sent = change.services.get(&backend.service);
             let known = sent.is_some_and(|item| item.value.is_some());
@@ -84,14 +211,40 @@
         });
         match unknown {
             None => Ok(()),
-            Some(backend) => Err(ChangeError::UnknownService {
-                route: name.to_owned(),
-                service: backend.service.clone(),
-            }),
+            Some(backend) => Err(unknown_service(name, &backend.service)),
         }
     }
 }
 
+/// Checks what a route says by itself.
+fn check_route_fields(name: &str, route: &Route) -> Result<(), ChangeError> {
+    if !route.prefix.starts_with('/') {
+        return Err(ChangeError::BarePrefix(name.to_owned()));
+    }
+    if route.timeout.is_zero() {
+        return Err(ChangeError::NoTimeout(name.to_owned()));
+    }
+    if route.timeout > MAX_TIMEOUT {
+        return Err(ChangeError::LongTimeout(name.to_owned()));
+    }
+    let total: u64 = route.backends.iter().map(|b| u64::from(b.weight)).sum();
+    if total == 0 {
+        return Err(ChangeError::NoWeight(name.to_owned()));
+    }
+    Ok(())
+}
+
+fn unknown_service(route: &str, service: &Service) -> ChangeError {
+    ChangeError::UnknownService {
+        route: route.to_owned(),
+        service: service.clone(),
+    }
+}
+
+fn retain_newer<K: Ord, T>(sent: &mut BTreeMap<K, Item<T>>, held: &BTreeMap<K, Item<T>>) {
+    sent.retain(|name, new| held.get(name).is_none_or(|old| old.version < new.version));
+}
+
 /// Checks all items of one kind with [`check_conflict`].
 fn check_conflicts<K: Ord + fmt::Display, T: PartialEq>(
     kind: &'static str,
--- a/lib/src/version/desired/mod.rs
+++ b/lib/src/version/desired/mod.rs
@@ -1,7 +1,7 @@
 //! Desired state of a seeded fleet: named items, each with a version of its own.
 //!
-//! Operators send a [`Change`] with items to set or remove. The whole change is validated against
-//! the items in force. If it is valid, each item with a higher version than the one in force takes
+//! Operators send a [`Change`] with items to set or remove. The leader validates the state to which
+//! the whole change would lead. If it is valid, each item with a higher version than the one in force takes
 //! effect, and the others change nothing. Changes are therefore idempotent and may arrive late or
 //! out of order, and a race between two operators has the same result on every replica.
 //!
@@ -12,7 +12,7 @@
 mod routing;
 
 pub use self::{
-    check::ChangeError,
+    check::{ChangeError, ChangesInFlight},
     item::{Backend, Item, ItemVersion, RequestLimits, Route, RouteKind, ServiceSpec, WEIGHT_UNIT},
     routing::{RouteMatch, Routing},
 };
--- a/lib/tests/test_desired.rs
+++ b/lib/tests/test_desired.rs
@@ -5,13 +5,14 @@
     version::{
         catalog::{Catalog, Update},
         desired::{
-            Backend, Change, ChangeError, DesiredState, Item, ItemVersion, Route, RouteKind,
-            Routing, ServiceSpec, WEIGHT_UNIT,
+            Backend, Change, ChangeError, ChangesInFlight, DesiredState, Item, ItemVersion, Route,
+            RouteKind, Routing, ServiceSpec, WEIGHT_UNIT,
         },
         feed::FromCore,
     },
 };
-use std::time::Duration;
+use quickcheck::{Arbitrary, Gen, TestResult};
+use std::{collections::BTreeMap, time::Duration};
 
 fn item<T>(version: u64, value: Option<T>) -> Item<T> {
     Item {
@@ -158,6 +159,229 @@
     assert_eq!(DesiredState::default().apply(&change), Ok(2));
 }
 
+fn service_change(version: u64, spec: Option<ServiceSpec>) -> Change {
+    let mut change = Change::default();
+    let item = item(version, spec);
+    change.services.insert(Service::from("s"), item);
+    change
+}
+
+#[test]
+fn a_service_that_a_route_names_cannot_be_removed() {
+    let desired = desired();
+    let mut with_its_route = service_change(8, None);
+    with_its_route.routes.insert("r".to_owned(), item(8, None));
+
+    let alone = desired.admit(service_change(8, None));
+    let together = desired.admit(with_its_route);
+
+    assert!(
+        matches!(alone, Err(ChangeError::ServiceInUse { .. })),
+        "{alone:?}"
+    );
+    assert!(together.is_ok(), "{together:?}");
+}
+
+#[test]
+fn a_route_cannot_name_a_service_that_the_same_or_an_older_change_removes() {
+    let mut desired = desired();
+    let mut removal = service_change(8, None);
+    removal.routes.insert("r".to_owned(), item(8, None));
+    let mut both = removal.clone();
+    both.routes.insert(
+        "r".to_owned(),
+        item(9, Some(route("/a/", 500, WEIGHT_UNIT))),
+    );
+    let mut with_older_service = service_change(7, Some(service_spec()));
+    with_older_service.routes = both.routes.clone();
+
+    let same = desired.admit(both);
+    desired.apply(&removal).unwrap();
+    let older = desired.admit(with_older_service);
+
+    assert!(
+        matches!(same, Err(ChangeError::UnknownService { .. })),
+        "{same:?}"
+    );
+    assert!(
+        matches!(older, Err(ChangeError::UnknownService { .. })),
+        "{older:?}"
+    );
+}
+
+#[test]
+fn an_acknowledged_change_that_was_overtaken_is_acknowledged_again() {
+    let mut desired = desired();
+    let first = route_change(8, Some(route("/b/", 500, WEIGHT_UNIT)));
+    desired.apply(&first).unwrap();
+    let mut removal = service_change(8, None);
+    removal.routes.insert("r".to_owned(), item(9, None));
+    desired.apply(&removal).unwrap();
+
+    let again = desired.admit(first);
+
+    assert_eq!(again, Ok(Change::default()));
+}
+
+#[test]
+fn the_removal_of_a_service_is_judged_alone() {
+    let mut changes = ChangesInFlight::default();
+    let to_route = route_change(8, Some(route("/b/", 500, WEIGHT_UNIT)));
+    let removal = service_change(8, None);
+
+    changes.begin(1, &to_route);
+    let behind_a_route = changes.allows(&removal);
+    changes.end(1);
+    let alone = changes.allows(&removal);
+    changes.begin(2, &removal);
+    let behind_a_removal = changes.allows(&to_route);
+    changes.end(2);
+
+    assert_eq!(
+        (behind_a_route, alone, behind_a_removal),
+        (false, true, false)
+    );
+    assert!(changes.allows(&to_route));
+}
+
+/// Changes of a few routes and services at a few versions, each name at most once per change.
+#[derive(Debug, Clone)]
+struct DrawnChanges(Vec<Change>);
+
+const SERVICES: [&str; 3] = ["s", "t", "u"];
+
+impl Arbitrary for DrawnChanges {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = usize::arbitrary(g) % 30;
+        DrawnChanges((0..count).map(|_| drawn_change(g)).collect())
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let changes = self.0.clone();
+        Box::new((0..changes.len()).map(move |left_out| {
+            let mut fewer = changes.clone();
+            fewer.remove(left_out);
+            DrawnChanges(fewer)
+        }))
+    }
+}
+
+fn drawn_change(g: &mut Gen) -> Change {
+    let mut change = Change::default();
+    for name in ["p", "q", "r"] {
+        let version = u64::arbitrary(g) % 12;
+        match u8::arbitrary(g) % 4 {
+            0 => drop(change.routes.insert(name.to_owned(), item(version, None))),
+            1 => {
+                // The content depends on the version, as operators do not repeat one.
+                let service = Service::from(SERVICES[version as usize % SERVICES.len()]);
+                let mut route = route("/a/", 500, WEIGHT_UNIT);
+                route.backends[0].service = service;
+                let item = item(2 * version + 1, Some(route));
+                change.routes.insert(name.to_owned(), item);
+            }
+            _ => {}
+        }
+    }
+    for name in SERVICES {
+        let version = u64::arbitrary(g) % 12;
+        let item = match u8::arbitrary(g) % 4 {
+            0 => item(2 * version, None),
+            1 => item(2 * version + 1, Some(service_spec())),
+            _ => continue,
+        };
+        change.services.insert(Service::from(name), item);
+    }
+    for item in change
+        .routes
+        .values_mut()
+        .filter(|item| item.value.is_none())
+    {
+        item.version = ItemVersion(2 * item.version.0);
+    }
+    change
+}
+
+/// Highest version of each item by a plain map, and whether each route then has its services.
+fn reference(
+    held: &BTreeMap<String, (u64, Option<Option<String>>)>,
+    change: &Change,
+) -> Option<BTreeMap<String, (u64, Option<Option<String>>)>> {
+    let mut after = held.clone();
+    let routes = change.routes.iter().map(|(name, item)| {
+        let service = item.value.as_ref().map(|route| &route.backends[0].service);
+        let content = service.map(|service| Some(service.to_string()));
+        (format!("route {name}"), item.version.0, content)
+    });
+    let services = change.services.iter().map(|(name, item)| {
+        (
+            format!("service {name}"),
+            item.version.0,
+            item.value.as_ref().map(|_| None),
+        )
+    });
+    let known = |name: &String| {
+        let sent = change.services.get(&Service::from(name.as_str()));
+        let key = format!("service {name}");
+        sent.is_some_and(|item| item.value.is_some()) || held.contains_key(&key)
+    };
+    for (key, version, content) in routes.chain(services) {
+        if let Some(Some(service)) = &content
+            && !known(service)
+        {
+            return None;
+        }
+        if after.get(&key).is_none_or(|(old, _)| *old < version) {
+            after.insert(key, (version, content));
+        }
+    }
+    let services = after
+        .values()
+        .filter_map(|(_, content)| content.clone().flatten());
+    let in_force = |name: String| {
+        after
+            .get(&format!("service {name}"))
+            .is_some_and(|s| s.1.is_some())
+    };
+    let is_valid = services.map(in_force).all(|in_force| in_force);
+    is_valid.then_some(after)
+}
+
+crate::properties! {
+    fn changes_lead_to_the_highest_versions_and_never_to_an_invalid_state(
+        changes: DrawnChanges
+    ) -> TestResult {
+        let mut desired = DesiredState::default();
+        let mut expected = BTreeMap::new();
+
+        for change in changes.0 {
+            let admitted = desired.admit(change.clone());
+            let next = reference(&expected, &change);
+            if admitted.is_ok() != next.is_some() {
+                return TestResult::error(format!("{change:?}: {admitted:?}"));
+            }
+            if let (Ok(admitted), Some(next)) = (admitted, next) {
+                // Replicas of another release apply what is left by their own rules.
+                if let Err(error) = desired.apply(&admitted) {
+                    return TestResult::error(format!("{admitted:?}: {error}"));
+                }
+                let again = desired.admit(change.clone());
+                if again != Ok(Change::default()) {
+                    return TestResult::error(format!("sent again: {again:?}"));
+                }
+                expected = next;
+            }
+        }
+
+        let routes = desired.routes.iter().map(|(name, item)| (format!("route {name}"), item.version.0));
+        let services =
+            desired.services.iter().map(|(name, item)| (format!("service {name}"), item.version.0));
+        let held: BTreeMap<String, u64> = routes.chain(services).collect();
+        let expected = expected.into_iter().map(|(name, (version, _))| (name, version)).collect();
+        TestResult::from_bool(held == expected)
+    }
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
     let mut change = route_change(9, Some(route("/a/", 500, WEIGHT_UNIT)));
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -16,11 +16,12 @@
     },
     version::{
         catalog::{Applied, TargetId, Update},
+        desired::{Change, ChangesInFlight},
         leader::LeaderState,
         suspects::{SuspectReport, SuspicionChange},
     },
 };
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 use tokio::sync::oneshot;
 
 /// Rest of the voter's lease at which it is asked for a new one.
@@ -33,6 +34,9 @@
     lease_end: Moment,
     /// Losses that the group of voters could bear when it was asked last.
     bearable_losses: Option<usize>,
+    pub(super) in_flight: ChangesInFlight,
+    /// Changes to judge once those in flight are applied, in order.
+    waiting: VecDeque<(Change, oneshot::Sender<ControlReply>)>,
 }
 
 impl Leading {
@@ -45,6 +49,8 @@
             leader: LeaderState::new(config, now),
             lease_end: Moment::ZERO,
             bearable_losses: None,
+            in_flight: ChangesInFlight::default(),
+            waiting: VecDeque::new(),
         }
     }
 
@@ -163,13 +169,7 @@
         match call {
             ControlCall::Heartbeat(beat) => self.take_heartbeat(&beat, reply),
             ControlCall::Leave(name, life) => self.take_farewell(&name, life, reply),
-            ControlCall::Change(change) => match self.catalog.desired.check(&change) {
-                Ok(()) => self.propose(&Update::Desired(change), Then::Reply(reply)),
-                Err(error) => {
-                    Event::DesiredRefused.log(format_args!("why={error}"));
-                    let _ = reply.send(ControlReply::Refused(error.to_string()));
-                }
-            },
+            ControlCall::Change(change) => self.take_change(change, reply),
             ControlCall::Read => {
                 let desired = self.catalog.desired.clone();
                 let _ = reply.send(ControlReply::Desired(desired));
@@ -179,6 +179,41 @@
         }
     }
 
+    /// Proposes what of a change takes effect, or lets the change wait for those in flight.
+    fn take_change(&mut self, change: Change, reply: oneshot::Sender<ControlReply>) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if !leading.waiting.is_empty() || !leading.in_flight.allows(&change) {
+            leading.waiting.retain(|(_, reply)| !reply.is_closed());
+            leading.waiting.push_back((change, reply));
+            return;
+        }
+        match self.catalog.desired.admit(change) {
+            // All of it is in force or overtaken, and so is committed.
+            Ok(change) if change.is_empty() => drop(reply.send(ControlReply::Done)),
+            Ok(change) => self.propose(&Update::Desired(change), Then::Reply(reply)),
+            Err(error) => {
+                Event::DesiredRefused.log(format_args!("why={error}"));
+                // The asker may have given up.
+                let _ = reply.send(ControlReply::Refused(error.to_string()));
+            }
+        }
+    }
+
+    /// Goes on with the changes that waited for a proposal, which is applied or has failed.
+    pub(super) fn end_change(&mut self, number: u64) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if !leading.in_flight.end(number) {
+            return;
+        }
+        for (change, reply) in std::mem::take(&mut leading.waiting) {
+            self.take_change(change, reply);
+        }
+    }
+
     fn take_heartbeat(&mut self, beat: &Heartbeat, reply: oneshot::Sender<ControlReply>) {
         let now = self.now();
         let Some(leading) = &mut self.leading else {
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -396,6 +396,7 @@
         self.fresh.push(update);
         if let Some(then) = self.proposals.remove(&number) {
             self.carry_on(then, &applied);
+            self.end_change(number);
         }
         if let Some(leading) = &mut self.leading {
             leading.leader.hasten_status();
@@ -482,6 +483,9 @@
             }
         };
         self.proposals.insert(number, then);
+        if let (Update::Desired(change), Some(leading)) = (update, &mut self.leading) {
+            leading.in_flight.begin(number, change);
+        }
         let (voter, events) = (self.voter.clone(), self.events_tx.clone());
         tokio::spawn(async move {
             if let Err(error) = voter.propose(command).await {
@@ -498,6 +502,7 @@
                 leading.leader.finish_plan(service);
             }
             then.give_up();
+            self.end_change(number);
         }
     }
 }
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -380,6 +380,30 @@
     assert_eq!(read.unwrap().1, order(7, "2000ms")["upsert"]);
 }
 
+#[tokio::test]
+async fn an_order_that_leads_to_an_invalid_state_is_refused_and_the_service_goes_on() {
+    let fleet = fleet().await;
+    set_up(&fleet).await;
+    let removal = |lists: Value| json!({"upsert": {}, "remove": lists});
+    let service = json!([{"name": "pool", "version": "00000008"}]);
+    let mut newer = order(9, "2000ms");
+    newer["remove"]["routes"] = json!([{"name": "r", "version": "00000005"}]);
+
+    let in_use = call(
+        fleet.control,
+        "config.patch",
+        &removal(json!({"services": service})),
+    )
+    .await;
+    let overtaken = call(fleet.control, "config.patch", &newer).await;
+    let read = call(fleet.control, "config.get", &Value::Null).await;
+
+    assert_eq!(in_use.map(|(status, _)| status), Some(400));
+    assert_eq!(overtaken.map(|(status, _)| status), Some(200));
+    assert_eq!(read.unwrap().1, newer["upsert"]);
+    assert_eq!(ask(&fleet, Method::GET, "/r/on", "on", 0).await.0, 200);
+}
+
 #[tokio::test]
 async fn an_entry_is_ready_once_it_can_serve_and_not_while_it_ends() {
     let fleet = fleet().await;
