store: a folder that a crash left is made whole before it is written to

The next start refused the folder, or dropped what had been acknowledged. Segments that a new one replaces were removed without a sync of the folder, and one that a loss of power brought back read as damage. Names that a start had read were not synced before it went on.

--- a/node/src/process/store.rs
+++ b/node/src/process/store.rs
@@ -5,6 +5,10 @@
 //! segment and removes the old ones. A write that was cut off at the end of the last segment was
 //! never acknowledged and is cut away; any other fault is an error, since what is missing may have
 //! been acknowledged.
+//!
+//! A crash may leave a snapshot without the log that goes with it, segments that a later one replaces,
+//! or names that are not on disk yet. [`Store::open`] makes such a folder whole before it returns, so
+//! that whatever is written next is found by the start after it.
 
 mod error;
 mod folder;
@@ -65,7 +69,12 @@
             0 => folder.replace(&path, &[])?,
             _ => folder.resume(&path, recovered.length)?,
         };
-        let store = Store {
+        for number in recovered.replaced {
+            folder.remove(&folder.segment(number))?;
+        }
+        // Names that this start has read may not be on disk: the crash may have come before.
+        folder.sync()?;
+        let mut store = Store {
             folder,
             fleet,
             segment: number,
@@ -73,6 +82,9 @@
             length: recovered.length,
             hard: recovered.restored.hard_state,
         };
+        if let (true, Some(snapshot)) = (recovered.has_gap, &recovered.restored.snapshot) {
+            store.replace_log(snapshot.index, snapshot.term, &[])?;
+        }
         Ok(Opened {
             store,
             identity,
@@ -157,7 +169,7 @@
         for number in old {
             self.folder.remove(&self.folder.segment(number))?;
         }
-        Ok(())
+        self.folder.sync()
     }
 
     fn start_segment(&mut self, head: &[u8]) -> Result<(), StoreError> {
--- a/node/src/process/store/folder.rs
+++ b/node/src/process/store/folder.rs
@@ -114,8 +114,8 @@
         fs::remove_file(path).map_err(|e| StoreError::io("remove", path, e))
     }
 
-    /// Makes names that were created or renamed last.
-    fn sync(&self) -> Result<(), StoreError> {
+    /// Makes names that were created, renamed or removed last.
+    pub fn sync(&self) -> Result<(), StoreError> {
         let folder = File::open(&self.path).map_err(|e| StoreError::io("open", &self.path, e))?;
         folder
             .sync_all()
--- a/node/src/process/store/recovery.rs
+++ b/node/src/process/store/recovery.rs
@@ -5,7 +5,7 @@
     raft::{HardState, LogEntry, RestoredState, Snapshot},
     record::{FleetDigest, Record, RecordError, RecordReader},
 };
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// State of the log while its records are read in order.
 #[derive(Debug, Default)]
@@ -41,17 +41,18 @@
         true
     }
 
-    /// Entries after the snapshot. Those of a log that the snapshot does not fit are dropped: a
-    /// crash came between the snapshot's arrival and the new log.
+    /// Whether the log reaches the snapshot, so that entries after the snapshot can follow in it.
+    fn reaches(&self, snapshot: Option<&Snapshot>) -> bool {
+        snapshot.is_none_or(|snapshot| {
+            let same = |e: &LogEntry| e.index == snapshot.index && e.term == snapshot.term;
+            snapshot.index <= self.base || self.entries.iter().any(same)
+        })
+    }
+
+    /// Entries after the snapshot, in a log that reaches it.
     fn entries_after(self, snapshot: Option<&Snapshot>) -> Vec<LogEntry> {
-        let Some(snapshot) = snapshot.filter(|s| s.index > self.base) else {
-            return self.entries;
-        };
-        let same = |e: &LogEntry| e.index == snapshot.index && e.term == snapshot.term;
-        if !self.entries.iter().any(same) {
-            return Vec::new();
-        }
-        let after = |e: &LogEntry| e.index > snapshot.index;
+        let covered = snapshot.map_or(0, |s| s.index);
+        let after = |e: &LogEntry| e.index > covered;
         self.entries.into_iter().filter(after).collect()
     }
 }
@@ -67,34 +68,58 @@
     pub length: u64,
     /// Bytes cut off behind it.
     pub torn: u64,
+    /// Segments that a later one replaces and whose removal was not completed.
+    pub replaced: Vec<u64>,
+    /// Whether the log does not reach the snapshot: a crash came between the snapshot and the new
+    /// log. The log has to be replaced before anything is written to it.
+    pub has_gap: bool,
 }
 
-/// Reads the snapshot and all log segments. Only the end of the last segment may be torn.
+/// Reads the snapshot and the log segments, from the last one that replaces all before it. Only the
+/// end of the last segment may be torn.
 pub fn recover(folder: &Folder, fleet: FleetDigest) -> Result<Recovered, StoreError> {
     let snapshot = read_snapshot(folder, fleet)?;
     let numbers = folder.segments()?;
     let last = numbers.last().copied().unwrap_or(0);
-    let mut replay = Replay::default();
-    let (mut length, mut torn) = (0, 0);
+    let mut segments = Vec::new();
     for number in numbers {
         let path = folder.segment(number);
         let bytes = folder.read(&path)?.unwrap_or_default();
-        length = read_segment(&path, &bytes, fleet, &mut replay, number == last)?;
+        segments.push((number, path, bytes));
+    }
+    let begins = |(_, _, bytes): &(u64, PathBuf, Vec<u8>)| {
+        let first = RecordReader::new(fleet, bytes).next();
+        matches!(first, Some(Ok(Record::LogStart { .. })))
+    };
+    let start = segments.iter().rposition(begins).unwrap_or(0);
+    let replaced = segments.drain(..start).map(|(number, ..)| number).collect();
+    let mut replay = Replay::default();
+    let (mut length, mut torn) = (0, 0);
+    for (number, path, bytes) in &segments {
+        length = read_segment(path, bytes, fleet, &mut replay, *number == last)?;
         torn = bytes.len() as u64 - length;
     }
     if replay.base > snapshot.as_ref().map_or(0, |s| s.index) {
         let path = folder.snapshot();
         return Err(StoreError::Missing { path });
     }
+    let has_gap = !replay.reaches(snapshot.as_ref());
+    let hard_state = replay.hard;
+    let entries = match has_gap {
+        true => Vec::new(),
+        false => replay.entries_after(snapshot.as_ref()),
+    };
     Ok(Recovered {
         restored: RestoredState {
-            hard_state: replay.hard,
-            entries: replay.entries_after(snapshot.as_ref()),
+            hard_state,
+            entries,
             snapshot,
         },
         segment: last,
         length,
         torn,
+        replaced,
+        has_gap,
     })
 }
 
--- a/node/tests/test_store.rs
+++ b/node/tests/test_store.rs
@@ -243,3 +243,63 @@
     assert_eq!(restored.snapshot, Some(snapshot));
     assert_eq!(restored.entries, []);
 }
+
+/// Puts a snapshot in place as a crash leaves it that comes before the new log.
+fn put_snapshot(path: &Path, index: u64, term: u64) -> Snapshot {
+    let snapshot = Snapshot {
+        index,
+        term,
+        membership: Membership::default(),
+        data: vec![1],
+    };
+    let mut bytes = Vec::new();
+    let record = Record::Snapshot(snapshot.clone());
+    encode(FleetDigest::of(FLEET), &record, &mut bytes);
+    fs::write(path.join("snapshot"), bytes).unwrap();
+    snapshot
+}
+
+#[test]
+fn what_is_written_behind_a_snapshot_without_its_log_is_found_by_the_next_start() {
+    // Ahead of the log, and at an entry of another term.
+    for (index, term) in [(40, 9), (4, 9)] {
+        let (root, state) = written(&[Write::Hard(2), Write::Append(7)]);
+        let snapshot = put_snapshot(root.path(), index, term);
+        let mut store = open(root.path()).unwrap().store;
+        let batch = Batch {
+            number: 1,
+            hard_state: None,
+            snapshot: None,
+            entries: entries(index + 1, term, 3),
+        };
+        store.write(&batch).unwrap();
+        drop(store);
+
+        let restored = open(root.path()).unwrap().restored;
+
+        assert_eq!(restored.hard_state, state.hard_state);
+        assert_eq!(restored.snapshot, Some(snapshot));
+        assert_eq!(restored.entries, batch.entries);
+    }
+}
+
+#[test]
+fn a_replaced_segment_that_a_loss_of_power_brings_back_is_ignored() {
+    let (root, mut state) = written(&[Write::Hard(2), Write::Append(7), Write::Append(5)]);
+    let old = fs::read(last_segment(root.path())).unwrap();
+    let mut store = open(root.path()).unwrap().store;
+    for write in [Write::Snapshot(3), Write::Append(6)] {
+        store.write(&batch(&mut state, 9, &write)).unwrap();
+    }
+    drop(store);
+    // Its entries do not follow on anything.
+    let returned = root.path().join("log-00000000000000000000");
+    fs::write(&returned, &old[old.len() / 2..]).unwrap();
+
+    let first = open(root.path()).unwrap().restored;
+    let again = open(root.path()).unwrap().restored;
+
+    assert_eq!(first, state);
+    assert_eq!(again, state);
+    assert!(!returned.exists());
+}
