raft: a group never shrinks below what bears the tolerated losses

Cause: after nine seconds without two of five voters the leader removed both. What was committed then was on two disks, and the loss of two disks, which the settings tolerate, lost it.

Change: the new setting `tolerated_losses` (filled in from the platform's settings, 2 without it) gives the least number of voters, 2n + 1; a dead voter is removed only above it. A new folder answers messages for its former identity with a hello, so that it joins although all its seeds are gone.

Ruled out: fewer voters with every write on n + 1 disks, as a candidate would have to know that rule for each entry; removed voters that still vote, which needs a change of the messages.

--- a/lib/examples/slopes/voters.rs
+++ b/lib/examples/slopes/voters.rs
@@ -37,6 +37,7 @@
                 election_timeout: Duration::from_millis(250),
                 heartbeat_interval: HEARTBEAT_INTERVAL,
                 clock_drift: Duration::from_millis(20),
+                min_voters: 3,
                 retained_entries: 1_000,
                 rng_seed: index as u64,
             };
--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -5,6 +5,12 @@
 //! all configured voters. If the fleet exists already, its leader adds a node that is not a member
 //! as a learner. When the learner has caught up, the leader removes the voter that the same node
 //! was under its former identity, and then promotes the learner to voter.
+//!
+//! Whatever is committed is on the disks of a majority of the voters, so a group bears the loss of
+//! `n` disks only while it has `2n + 1` voters. A fleet therefore never shrinks below
+//! [`RaftConfig::min_voters`](super::RaftConfig::min_voters), however long voters are away: hosts
+//! that are down or cut off keep their disks, and the next losses may be disks. Fewer voters would
+//! only help to go on through further losses than the fleet is meant to bear.
 
 use super::{
     Raft, Role,
@@ -18,8 +24,6 @@
 
 /// Maximum age of a hello, in shortest election timeouts.
 const HELLO_MAX_AGE_FACTOR: u32 = 3;
-/// Number of voters below which a seeded fleet does not shrink by itself.
-const MIN_VOTERS: usize = 3;
 /// Shortest election timeouts without an answer after which one voter of an even number is removed.
 const EVEN_REMOVAL_FACTOR: u32 = 3;
 /// The same for an odd number of voters, of which two have to be unresponsive. It is long enough
@@ -117,6 +121,21 @@
         }
     }
 
+    /// Sends a hello to a node that still addresses the lost folder of this one. A new folder may know
+    /// no other member, as its seeds may be gone.
+    pub(super) fn answer_former_identity(&mut self, from: Node) {
+        if let (JoinPolicy::Seeded { .. }, true, None) =
+            (self.config.join_policy, self.log.is_empty(), self.leader)
+        {
+            let identity = Identity::ANY;
+            let to = Member {
+                node: from,
+                identity,
+            };
+            self.send(to, MessageBody::Hello { empty: true });
+        }
+    }
+
     /// Sends a hello to the leader named by a seed.
     pub(super) fn handle_redirect(&mut self, leader: Node) {
         let identity = Identity::ANY;
@@ -232,7 +251,7 @@
             return None;
         };
         let voters = &self.membership().voters;
-        if voters.len() <= MIN_VOTERS {
+        if voters.len() <= self.config.min_voters {
             return None;
         }
         let is_even = voters.len().is_multiple_of(2);
--- a/lib/src/process/raft/config.rs
+++ b/lib/src/process/raft/config.rs
@@ -43,6 +43,8 @@
     /// How far the clocks of two hosts may drift apart during an election timeout; the leader's
     /// lease is shorter by this.
     pub clock_drift: Duration,
+    /// Number of voters below which a seeded fleet does not shrink by itself.
+    pub min_voters: usize,
     /// Number of entries kept before the latest snapshot, so that a member that lags a little needs
     /// no snapshot.
     pub retained_entries: u64,
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -162,11 +162,11 @@
         }
     }
 
-    /// Handles a message. One addressed to another identity is dropped.
+    /// Handles a message. One addressed to another identity is not taken in.
     pub fn step(&mut self, now: Moment, from: Node, message: Message) {
         let is_hello = matches!(message.body, MessageBody::Hello { .. });
         if message.to != self.config.identity && !(is_hello && message.to == Identity::ANY) {
-            return;
+            return self.answer_former_identity(from);
         }
         let sender = Member {
             node: from,
--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -21,6 +21,8 @@
 const DEFAULT_LEASE: Duration = Duration::from_secs(4);
 /// Time within which a change takes effect at every entry, unless `in_force` is set.
 const DEFAULT_IN_FORCE: Duration = Duration::from_secs(2);
+/// Core hosts that may lose their disks at the same time, unless `tolerated_losses` is set.
+const DEFAULT_TOLERATED_LOSSES: u8 = 2;
 /// Shortest `in_force`: entries ask twice a second whether their replica is current.
 const MIN_IN_FORCE: Duration = Duration::from_secs(1);
 
@@ -144,6 +146,8 @@
     pub evacuate: Duration,
     /// Time from the request to shut down to the end of the process.
     pub grace: Duration,
+    /// Core hosts that may lose their disks at the same time.
+    pub tolerated_losses: u8,
     /// Limit on retries.
     pub retry: RetryLimit,
     /// Destination, format and level of the log.
@@ -168,6 +172,7 @@
     drain: HumanDuration,
     evacuate: HumanDuration,
     grace: HumanDuration,
+    tolerated_losses: Option<u8>,
     retry: RetryLimit,
     log: Option<LogLevel>,
 }
@@ -204,6 +209,7 @@
             drain: content.drain.0,
             evacuate: content.evacuate.0,
             grace: content.grace.0,
+            tolerated_losses: content.tolerated_losses.unwrap_or(DEFAULT_TOLERATED_LOSSES),
             retry: content.retry,
             log: Log {
                 level: content.log.unwrap_or(LogLevel::Info),
@@ -211,6 +217,11 @@
             },
         })
     }
+
+    /// Number of voters that bear the tolerated losses.
+    pub fn min_voters(&self) -> usize {
+        2 * usize::from(self.tolerated_losses) + 1
+    }
 }
 
 fn in_force(content: &SeededSettingsFile) -> Duration {
--- a/lib/tests/raft_cluster/mod.rs
+++ b/lib/tests/raft_cluster/mod.rs
@@ -35,6 +35,8 @@
     pub disk: RestoredState,
     pub identity: Identity,
     pub frozen: bool,
+    /// Whether its disk was emptied and it did not vote since.
+    pub emptied: bool,
     /// Whether its process ran before; if so, it may not bootstrap a seeded fleet.
     pub started: bool,
     pub applied: u64,
@@ -94,6 +96,7 @@
                 disk: RestoredState::default(),
                 identity,
                 frozen: false,
+                emptied: false,
                 started: false,
                 applied: 0,
                 clock: (node * 777_777, 1000 - spread / 2 + (node * 37) % spread),
@@ -146,6 +149,7 @@
             election_timeout: Duration::from_millis(ELECTION_MS),
             heartbeat_interval: Duration::from_millis(HEARTBEAT_MS),
             clock_drift: Duration::from_millis(DRIFT_MS),
+            min_voters: 5,
             retained_entries: RETAIN,
             rng_seed: self.rng.next_u64(),
         };
@@ -183,6 +187,7 @@
         let machine = self.machine(node);
         machine.disk = RestoredState::default();
         machine.identity = identity;
+        machine.emptied = true;
     }
 
     /// Whether a quorum keeps its disks if this one is emptied, under every membership known to a
@@ -201,6 +206,21 @@
         founded && latest.iter().all(|m| self.keeps_quorum(m, node))
     }
 
+    /// Number of other machines whose disk was emptied and that did not vote since.
+    pub fn lost_disks(&mut self, node: u64) -> usize {
+        let committed = self.invariants.membership.as_ref();
+        for (place, machine) in self.machines.iter_mut().enumerate() {
+            let member = Member {
+                node: Node(place as u64 + 1),
+                identity: machine.identity,
+            };
+            machine.emptied &= committed.is_none_or(|membership| !membership.is_voter(member));
+        }
+        let others = self.machines.iter().enumerate();
+        let lost = others.filter(|(place, m)| m.emptied && *place as u64 + 1 != node);
+        lost.count()
+    }
+
     /// Whether a quorum still has its disks after the leader removes this voter.
     pub fn can_remove(&self, leader: u64, member: Member) -> bool {
         let raft = self.machines[leader as usize - 1].raft.as_ref();
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -118,6 +118,55 @@
     assert_eq!(voters(&cluster), [2, 3, 4, 5, 6]);
 }
 
+#[test]
+fn two_disks_may_be_lost_after_two_other_hosts_were_away_for_long() {
+    let mut cluster = joined_cluster(6);
+    for node in [1, 2] {
+        cluster.isolate(node);
+    }
+    cluster.run(2 * JOIN_MS);
+    propose(&mut cluster, 7);
+    let committed = cluster.invariants.committed.len();
+
+    for node in [3, 4] {
+        cluster.wipe(node);
+    }
+    cluster.cut_links.clear();
+    for node in [3, 4] {
+        cluster.start(node);
+    }
+    cluster.run(2 * JOIN_MS);
+
+    let leader = cluster.leader().expect("a leader of the whole disks");
+    assert!(cluster.machine(leader).applied >= committed as u64);
+    assert_eq!(voters(&cluster), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_host_whose_disk_was_emptied_rejoins_after_all_its_seeds_are_gone() {
+    let mut cluster = Cluster::seeded(CORE_HOSTS + SEEDS, SEEDS, 7);
+    for node in 1..=CORE_HOSTS {
+        cluster.start(node);
+    }
+    cluster.run(JOIN_MS);
+    for seed in 1..=SEEDS {
+        // The next host joins by the seeds that are left.
+        cluster.start(CORE_HOSTS + seed);
+        cluster.run(JOIN_MS);
+        cluster.crash(seed);
+        cluster.run(JOIN_MS);
+    }
+    let before = voters(&cluster);
+
+    cluster.wipe(4);
+    cluster.start(4);
+    cluster.run(2 * JOIN_MS);
+
+    assert_eq!(before, [4, 5, 6, 7, 8]);
+    assert_eq!(voters(&cluster), [4, 5, 6, 7, 8]);
+    assert!(cluster.machine(4).applied > 0);
+}
+
 #[test]
 fn two_hosts_may_fail_after_a_replacement() {
     let mut cluster = Cluster::seeded(CORE_HOSTS + 1, SEEDS, 5);
--- a/lib/tests/test_raft_rules.rs
+++ b/lib/tests/test_raft_rules.rs
@@ -47,6 +47,7 @@
         election_timeout: ELECTION,
         heartbeat_interval: Duration::from_millis(20),
         clock_drift: DRIFT,
+        min_voters: 3,
         retained_entries: 10,
         rng_seed: 1,
     };
--- a/lib/tests/test_raft_schedules.rs
+++ b/lib/tests/test_raft_schedules.rs
@@ -7,6 +7,9 @@
 };
 use quickcheck::{Arbitrary, Gen, TestResult};
 
+/// Disks that the fleet may lose at a time.
+const TOLERATED_LOSSES: usize = 2;
+
 /// Step of a schedule. Node 0 stands for the leader at that time.
 #[derive(Debug, Clone)]
 enum Step {
@@ -157,6 +160,39 @@
         apply(&mut cluster, step);
     }
     heal(&mut cluster);
+    check_progress(cluster)
+}
+
+/// The same in a fleet whose group of voters follows its hosts, which may lose as many disks at a time
+/// as it tolerates, whatever else happens meanwhile.
+fn check_tolerated_losses(schedule: Schedule) -> TestResult {
+    let mut cluster = Cluster::seeded(5, 3, schedule.seed);
+    for node in 1..=5 {
+        cluster.start(node);
+    }
+    cluster.run(4_000);
+    for step in &schedule.steps {
+        match *step {
+            // Long enough for hosts that are away to be given up.
+            Step::Run(millis) => cluster.run(10 * millis),
+            Step::Wipe(node) => {
+                let node = 1 + node % 5;
+                if cluster.lost_disks(node) < TOLERATED_LOSSES {
+                    cluster.wipe(node);
+                    cluster.start(node);
+                }
+            }
+            // An operator does not change the group by hand.
+            Step::Change(..) => {}
+            _ => apply(&mut cluster, step),
+        }
+    }
+    heal(&mut cluster);
+    check_progress(cluster)
+}
+
+/// Checks that every machine applies all that was committed and one more command.
+fn check_progress(mut cluster: Cluster) -> TestResult {
     if let Some(violation) = cluster.invariants.violation {
         return TestResult::error(violation);
     }
@@ -207,6 +243,15 @@
     }
 }
 
+#[test]
+fn the_loss_of_tolerated_disks_beside_random_faults_stops_no_fleet() {
+    let tests = std::env::var("RAFT_SCHEDULES").map_or(60, |n| n.parse().expect("a number"));
+    crate::property::checker()
+        .tests(tests)
+        .rng(Gen::new(60))
+        .quickcheck(check_tolerated_losses as fn(Schedule) -> TestResult);
+}
+
 #[test]
 fn random_faults_violate_no_invariant() {
     let tests = std::env::var("RAFT_SCHEDULES").map_or(150, |n| n.parse().expect("a number"));
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -163,6 +163,7 @@
         election: ELECTION,
         heartbeat: ELECTION / BEATS_PER_ELECTION,
         drift: DRIFT,
+        min_voters: settings.min_voters(),
         retain: ENTRIES_RETAINED,
     }
 }
--- a/node/src/process/daemon.rs
+++ b/node/src/process/daemon.rs
@@ -124,6 +124,8 @@
         election: settings.timing.election,
         heartbeat: settings.timing.election / 4,
         drift: settings.timing.drift,
+        // A configured fleet does not change its voters by itself.
+        min_voters: 1,
         retain: ENTRIES_RETAINED,
     };
     Ok(Some(voter::start(config)?))
--- a/node/src/process/voter.rs
+++ b/node/src/process/voter.rs
@@ -87,6 +87,7 @@
         election_timeout: config.election,
         heartbeat_interval: config.heartbeat,
         clock_drift: config.drift,
+        min_voters: config.min_voters,
         retained_entries: config.retain,
         rng_seed: rand::random(),
     }
--- a/node/src/process/voter_handle.rs
+++ b/node/src/process/voter_handle.rs
@@ -33,6 +33,8 @@
     pub heartbeat: Duration,
     /// How much the clocks of two hosts may run apart during an election timeout.
     pub drift: Duration,
+    /// Number of voters below which a seeded fleet does not shrink by itself.
+    pub min_voters: usize,
     /// Entries kept behind a snapshot, so that a voter slightly behind needs no snapshot.
     pub retain: u64,
 }
--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -29,6 +29,7 @@
         election: Duration::from_millis(150),
         heartbeat: Duration::from_millis(30),
         drift: Duration::from_millis(10),
+        min_voters: 1,
         retain: 16,
     }
 }
