heartbeat: what is not whole changes nothing

Cause: a heartbeat without lists of keys was read as one of a target that holds none, so keys that were moving were granted to the next target while the first held them.

Refused calls are counted.

--- a/lib/src/process/control_call.rs
+++ b/lib/src/process/control_call.rs
@@ -26,6 +26,25 @@
     ZoneIn(Zone),
 }
 
+/// Call as its sender made it.
+#[derive(Debug)]
+pub struct ReceivedCall {
+    /// The call.
+    pub call: ControlCall,
+    /// Whether it is a heartbeat that does not say which keys its target holds. Such a heartbeat is
+    /// whole only for a service without keys.
+    pub keyless: bool,
+}
+
+impl From<ControlCall> for ReceivedCall {
+    fn from(call: ControlCall) -> Self {
+        ReceivedCall {
+            call,
+            keyless: false,
+        }
+    }
+}
+
 impl ControlCall {
     /// Name of the call in logs and metrics.
     pub fn name(&self) -> &'static str {
--- a/node/src/process/core/control.rs
+++ b/node/src/process/core/control.rs
@@ -68,7 +68,7 @@
         Ok(call) => call,
         Err(error) => return refuse(&error.to_string()),
     };
-    let is_beat = matches!(call, ControlCall::Heartbeat(_));
+    let is_beat = matches!(call.call, ControlCall::Heartbeat(_));
     match core.call(call, false).await {
         ControlReply::Done if is_beat => respond(StatusCode::OK, wire::lease_body(None, None)),
         ControlReply::Done => respond(StatusCode::OK, b"{}".to_vec()),
@@ -85,6 +85,7 @@
 }
 
 fn refuse(why: &str) -> Response<Full<Bytes>> {
+    metrics::counter!("cornelrail_calls_refused_total").increment(1);
     Event::CallRefused.log(format_args!("why={why}"));
     respond(StatusCode::BAD_REQUEST, wire::error_body(why))
 }
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -73,7 +73,7 @@
                     ToCore::Call(number, call) => {
                         let (core, replies) = (core.clone(), replies_tx.clone());
                         tokio::spawn(async move {
-                            let reply = core.call(call, true).await;
+                            let reply = core.call(call.into(), true).await;
                             // Without the connection the asker asks again.
                             let _ = replies.send((number, reply)).await;
                         });
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -17,10 +17,11 @@
 };
 use bytes::Bytes;
 use cornelrail_lib::{
+    connection::heartbeat::Heartbeat,
     moment::Moment,
     name::Node,
     process::{
-        control_call::{ControlCall, ControlReply},
+        control_call::{ControlCall, ControlReply, ReceivedCall},
         event::Event,
         seeded_settings::SeededSettings,
     },
@@ -58,7 +59,7 @@
 #[derive(Debug)]
 pub enum CoreEvent {
     /// A call, and whether it was passed on by another core host already.
-    Call(ControlCall, oneshot::Sender<ControlReply>, bool),
+    Call(ReceivedCall, oneshot::Sender<ControlReply>, bool),
     /// An entry wants to follow.
     Follow(Subscriber),
     /// What an entry saw.
@@ -93,7 +94,7 @@
 
 impl CoreHandle {
     /// Makes a call.
-    pub async fn call(&self, call: ControlCall, relayed: bool) -> ControlReply {
+    pub async fn call(&self, call: ReceivedCall, relayed: bool) -> ControlReply {
         let (tx, rx) = oneshot::channel();
         self.send(CoreEvent::Call(call, tx, relayed)).await;
         rx.await.unwrap_or(ControlReply::Unavailable)
@@ -326,10 +327,18 @@
 
     async fn take_call(
         &mut self,
-        call: ControlCall,
+        received: ReceivedCall,
         reply: oneshot::Sender<ControlReply>,
         relayed: bool,
     ) {
+        let ReceivedCall { call, keyless } = received;
+        if let (true, ControlCall::Heartbeat(heartbeat)) = (keyless, &call)
+            && let Some(answer) = self.reject_keyless(heartbeat)
+        {
+            // The asker may have given up.
+            let _ = reply.send(answer);
+            return;
+        }
         if self.leading.is_some() {
             self.lead_call(call, reply).await;
             return;
@@ -347,6 +356,22 @@
         }
     }
 
+    /// Answers a heartbeat that does not say which keys its target holds, unless its service has none.
+    /// The leader cannot tell it from one of a target that holds no keys.
+    fn reject_keyless(&self, heartbeat: &Heartbeat) -> Option<ControlReply> {
+        let service = &heartbeat.service;
+        match self.catalog.desired.service(service.as_str()) {
+            Some(spec) if !spec.keyed => None,
+            Some(_) => Some(ControlReply::Refused(format!(
+                "the required fields `holds` and `released` are missing; the service `{service}` is \
+                 keyed, so a target without keys sends empty lists"
+            ))),
+            // The leader knows whether there is such a service.
+            None if self.leading.is_some() => None,
+            None => Some(ControlReply::Unavailable),
+        }
+    }
+
     fn take_reply(&mut self, reply: FromCore) {
         if let FromCore::Reply(number, reply) = reply
             && let Some(asker) = self.relays.remove(&number)
--- a/node/tests/test_targets_end.rs
+++ b/node/tests/test_targets_end.rs
@@ -2,7 +2,7 @@
 
 use crate::test_seeded::{Fleet, PATIENCE, call, exchange, fleet, order, set_up, split};
 use cornelrail_testutils::scripted::{self, Ask, Reply};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     net::TcpListener,
@@ -64,21 +64,32 @@
     }
 }
 
+/// Rows that the answer to a heartbeat grants, as the next heartbeat lists them.
+pub(crate) fn granted_rows(answer: &Value) -> Option<Vec<Value>> {
+    let rows = answer["holds"].as_array()?.iter();
+    Some(rows.map(|row| json!([row[0], row[1], row[2]])).collect())
+}
+
 async fn beat(control: SocketAddr, address: SocketAddr, number: usize, born: u64) {
+    let mut held = Vec::new();
     for serial in 1_u64.. {
         let body = json!({
             "service": "keyed", "address": address, "zone": "a", "version": "v1", "slots": 8,
             "state": "ready", "coldRemaining": "0ms", "seq": serial, "born": born,
+            "holds": held, "released": [],
         });
         let query = format!("instances.heartbeat&of=k-{number}-{born}");
         // The core answers or not, and the next heartbeat comes soon.
-        let _ = call(control, &query, &body).await;
+        let answer = call(control, &query, &body).await;
+        if let Some(rows) = answer.and_then(|(_, body)| granted_rows(&body)) {
+            held = rows;
+        }
         sleep(Duration::from_millis(100)).await;
     }
 }
 
 /// Adds a keyed service with a route of its own.
-async fn add_keyed(fleet: &Fleet) {
+pub(crate) async fn add_keyed(fleet: &Fleet) {
     let mut order = order(9, "2000ms");
     let mut service = order["upsert"]["services"]["pool"].clone();
     service["useShards"] = json!(true);
