entry: a request that may outlast a planned stop is refused before it is sent

Cause: an entry that ends took requests until the end of its grace, whatever their time limits, and broke off what its targets were working on.

Change: from the signal on, a request passes if its own limit ends before the answers do; in the first 2.5 s also if three times the usual latency of its service fits. Others are refused as not run, before a byte is sent, and their callers come back at once. Answers are awaited 0.2 s longer.

--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -16,6 +16,7 @@
 mod open;
 mod reach;
 mod router;
+mod shutdown;
 mod split;
 mod target;
 
@@ -35,6 +36,7 @@
         RejectReason, ResolvedRoute, RouteError, Router, RouterConfig, RoutingDecision,
         RoutingRequest,
     },
+    shutdown::Shutdown,
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
 };
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -340,6 +340,11 @@
         Some(model)
     }
 
+    /// Mean service time at the targets of a service, if it is known.
+    pub fn usual_latency(&self, service: &Service) -> Option<Duration> {
+        self.typical_latencies.get(service).copied()
+    }
+
     /// Records that the replica holds everything acknowledged up to `at`.
     pub fn confirm(&mut self, at: Moment) {
         self.freshness.confirm(at);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_router;
 mod test_settings;
 mod test_sharding;
+mod test_shutdown;
 mod test_status_pace;
 mod test_suspects;
 mod test_unit;
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -27,7 +27,7 @@
         event::Event,
         seeded_settings::{Role, SeededSettings},
     },
-    request::balance::{Router, RouterConfig},
+    request::balance::{Router, RouterConfig, Shutdown},
     version::feed::Peer,
 };
 use cornelrail_platform::READY_PATH;
@@ -38,8 +38,8 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -56,11 +56,11 @@
 /// Time for the balancer to learn that this entry ends: two of its questions and a bit.
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
 /// Time that is left of the grace when the process ends.
-const LAST_MARGIN: Duration = Duration::from_millis(300);
+const LAST_MARGIN: Duration = Duration::from_millis(200);
 /// Pause between two looks whether the last request has ended.
 const END_PAUSE: Duration = Duration::from_millis(50);
 /// Time that the last answers take to their callers.
-const ANSWER_TIME: Duration = Duration::from_millis(300);
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// What the tasks of an entry share.
 #[derive(Debug)]
@@ -80,7 +80,7 @@
     news: Notify,
     link_failures: Notify,
     changes: Arc<Notify>,
-    stopping: AtomicBool,
+    shutdown: OnceLock<Shutdown>,
     ending: watch::Sender<bool>,
     connections: AtomicUsize,
 }
@@ -108,7 +108,7 @@
             news: Notify::new(),
             link_failures: Notify::new(),
             changes: Arc::new(Notify::new()),
-            stopping: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             ending: watch::Sender::new(false),
             connections: AtomicUsize::new(0),
         }
@@ -147,7 +147,12 @@
 
     /// Whether the process is to end.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.shutdown.get().is_some()
+    }
+
+    /// When the process was told to end, and when it ends.
+    pub fn shutdown(&self) -> Option<&Shutdown> {
+        self.shutdown.get()
     }
 
     /// Ends once what is still open has to be answered, since the process ends.
@@ -211,8 +216,12 @@
 
     /// Ends in good order: the balancer is told first, and what was begun is finished.
     pub async fn stop(self) {
-        let end = Instant::now() + self.grace.saturating_sub(LAST_MARGIN);
-        self.entry.stopping.store(true, Ordering::Relaxed);
+        let now = self.entry.clock.now();
+        let open = self.grace.saturating_sub(LAST_MARGIN);
+        let end = Instant::now() + open;
+        let answers_end = now + open.saturating_sub(ANSWER_TIME);
+        // There is one call only, as it takes the handle.
+        let _ = self.entry.shutdown.set(Shutdown::new(now, answers_end));
         self.entry.notify_leader();
         Event::Stopping.log(format_args!("limit={:?}", self.grace));
         sleep(LEAVING_TIME.min(self.grace / 2)).await;
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -52,6 +52,8 @@
 const WAY_BACK: Duration = Duration::from_millis(20);
 /// A try that has less time than this left is not begun.
 const LEAST_LEFT: Duration = Duration::from_millis(15);
+/// Pause named to a caller at an entry that ends; the others take the request at once.
+const ENDING_PAUSE: Duration = Duration::from_millis(50);
 /// Pause named to a caller at an entry that knows too little.
 const STALE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -120,6 +122,8 @@
     Stale,
     /// Nothing was sent, as the target has named a limit meanwhile.
     Limited,
+    /// Nothing was sent, as the process ends before an answer is sure to come.
+    Ending,
     /// The target closed the connection before anything was sent.
     Closed,
     /// The target said that it has not run it.
@@ -213,6 +217,12 @@
             Ok(body) => body,
             Err(refusal) => return self.refuse(entry, refusal),
         };
+        if !self.ends_in_time(entry) {
+            if let RequestBody::Stream(body) = body {
+                discard(body);
+            }
+            return self.refuse(entry, Refusal::not_run("ending", ENDING_PAUSE));
+        }
         if let Some(left) = self.quarantine(entry, &body) {
             if let RequestBody::Stream(body) = body {
                 discard(body);
@@ -254,6 +264,7 @@
                 Tried::Answer(response) => return self.answer(entry, response),
                 Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
                 Tried::Stale => Refusal::not_run("stale", STALE_PAUSE),
+                Tried::Ending => Refusal::not_run("ending", ENDING_PAUSE),
                 Tried::Limited => Refusal::not_run(RejectReason::Limited.name(), SHED_PAUSE),
                 Tried::Closed => Refusal::not_run("closed", SHED_PAUSE),
                 Tried::NotRun { misdirected } => {
@@ -417,7 +428,7 @@
                         () = sleep_until(wake) => {}
                         () = changed => {}
                         () = entry.given_up() => {
-                            return Err(Refusal::not_run("ending", STALE_PAUSE));
+                            return Err(Refusal::not_run("ending", ENDING_PAUSE));
                         }
                     }
                 }
@@ -450,6 +461,17 @@
         }
     }
 
+    /// Whether the answer can be expected before the process ends.
+    fn ends_in_time(&self, entry: &Entry) -> bool {
+        let Some(shutdown) = entry.shutdown() else {
+            return true;
+        };
+        let now = entry.clock.now();
+        let left = self.until.saturating_duration_since(Instant::now());
+        let usual = entry.router().usual_latency(&self.routed.service);
+        shutdown.admits(now, left, usual)
+    }
+
     /// Whether there is time, a try and room in the budget for one more sending.
     fn may_go_on(&self, entry: &Entry) -> bool {
         let time = self.until.saturating_duration_since(Instant::now()) > LEAST_LEFT;
@@ -503,6 +525,10 @@
             flight.end(SendOutcome::Cancelled);
             return Tried::Unreachable;
         }
+        if !self.ends_in_time(entry) {
+            flight.end(SendOutcome::Cancelled);
+            return Tried::Ending;
+        }
         let request = self.target_request(&next.name, left, body);
         self.arrivals += 1;
         flight.count_in_pause();
--- a/node/tests/test_stopping.rs
+++ b/node/tests/test_stopping.rs
@@ -1,7 +1,8 @@
 //! A planned stop of an entry while callers keep sending: what was accepted is answered.
 
-use crate::test_seeded::{Fleet, PATIENCE, fleet, set_up, split};
-use std::{net::SocketAddr, time::Duration};
+use crate::test_seeded::{Fleet, PATIENCE, call, fleet, fleet_with, order, set_up, split};
+use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -11,6 +12,8 @@
 
 /// Time for which callers keep connecting; beyond the grace of the entry.
 const LOAD_TIME: Duration = Duration::from_secs(5);
+/// Grace of the entry, in ms.
+const GRACE_MS: u64 = 4_000;
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(2);
 
@@ -103,3 +106,159 @@
         );
     }
 }
+
+/// Fleet with a route whose timeout is as long as the grace, and a target that takes as long as the
+/// last part of the path says, in ms.
+async fn slow_fleet() -> (Fleet, Arc<Record>) {
+    let record = Arc::new(Record::default());
+    let served = record.clone();
+    let script = |ask: &Ask| {
+        let work = ask.path.rsplit('/').next();
+        let work = work.and_then(|text| text.parse().ok()).unwrap_or(0);
+        Reply::answer(ask, &ask.id).after(Duration::from_millis(work))
+    };
+    let fleet = fleet_with(|listener, _| scripted::serve(listener, served, script)).await;
+    set_up(&fleet).await;
+    let order = call(fleet.control, "config.patch", &order(8, "4000ms")).await;
+    assert_eq!(order.map(|(status, _)| status), Some(200));
+    sleep(Duration::from_millis(200)).await;
+    (fleet, record)
+}
+
+/// A request that is sent at some time after the signal.
+#[derive(Debug, Clone, Copy)]
+struct LateRequest {
+    /// Whether its connection carried a request before the signal.
+    is_kept: bool,
+    /// When its head is sent, in ms after the signal.
+    head_at: u64,
+    /// How much later its body is sent, in ms.
+    body_after: u64,
+    /// Time for which its target works, in ms.
+    work: u64,
+    /// Time for which its caller waits, in ms.
+    deadline: u64,
+}
+
+impl LateRequest {
+    /// Whether its caller waits no longer than the target works, or the target is still at work in the
+    /// last sixth of the grace on a request that was sent early in it.
+    fn may_end_unanswered(&self) -> bool {
+        let sent_at = self.head_at + self.body_after;
+        let works_too_long = sent_at + self.work > GRACE_MS * 5 / 6;
+        self.deadline < self.body_after + self.work || (sent_at <= 3_000 && works_too_long)
+    }
+
+    fn id(&self) -> String {
+        let LateRequest {
+            is_kept,
+            head_at,
+            body_after,
+            work,
+            deadline,
+        } = self;
+        format!("late-{is_kept}-{head_at}-{body_after}-{work}-{deadline}")
+    }
+
+    /// Sends it; gives the status of its answer, if one comes.
+    async fn send(self, callers: SocketAddr, signal: Instant) -> Option<u16> {
+        let connect_at = signal + Duration::from_millis(self.head_at.min(1_900));
+        if !self.is_kept {
+            tokio::time::sleep_until(connect_at).await;
+        }
+        let mut stream = TcpStream::connect(callers).await.ok()?;
+        if self.is_kept {
+            exchange_one(
+                &mut stream,
+                &self.id().replace("late", "kept"),
+                "/w/0",
+                9_000,
+                0,
+            )
+            .await?;
+            tokio::time::sleep_until(signal + Duration::from_millis(self.head_at)).await;
+        } else {
+            tokio::time::sleep_until(signal + Duration::from_millis(self.head_at)).await;
+        }
+        let path = format!("/w/{}", self.work);
+        exchange_one(
+            &mut stream,
+            &self.id(),
+            &path,
+            self.deadline,
+            self.body_after,
+        )
+        .await
+    }
+}
+
+/// Sends a request with a short body; gives the status of its answer.
+async fn exchange_one(
+    stream: &mut TcpStream,
+    id: &str,
+    path: &str,
+    deadline: u64,
+    body_after: u64,
+) -> Option<u16> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline}\r\n\
+         Content-Length: 1\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    sleep(Duration::from_millis(body_after)).await;
+    stream.write_all(b"x").await.ok()?;
+    let mut reply = Vec::new();
+    let mut buffer = [0; 4_096];
+    while !is_whole(&reply) {
+        match stream.read(&mut buffer).await {
+            Ok(count @ 1..) => reply.extend_from_slice(&buffer[..count]),
+            _ => return None,
+        }
+    }
+    Some(split(&String::from_utf8_lossy(&reply))?.0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_requests_that_came_late_in_the_grace() {
+    let (fleet, record) = slow_fleet().await;
+    let mut late = Vec::new();
+    for is_kept in [false, true] {
+        for head_at in [100, 1_000, 1_900, 2_300, 2_800] {
+            for (body_after, work) in [(0, 300), (0, 1_500), (0, 3_500), (400, 1_000), (900, 1_500)]
+            {
+                late.extend([1_200, 5_000].map(|deadline| LateRequest {
+                    is_kept,
+                    head_at,
+                    body_after,
+                    work,
+                    deadline,
+                }));
+            }
+        }
+    }
+    // Kept connections carry their first request before the signal.
+    let signal = Instant::now() + Duration::from_secs(1);
+    let mut sending = JoinSet::new();
+    for request in late.iter().copied() {
+        let callers = fleet.callers;
+        sending.spawn(async move { (request, request.send(callers, signal).await) });
+    }
+    tokio::time::sleep_until(signal).await;
+
+    fleet.entry.stop().await;
+    let ended = sending.join_all().await;
+
+    let mut served = 0;
+    for (request, status) in ended {
+        let runs = record.runs(&request.id());
+        match status {
+            Some(200) => served += 1,
+            Some(504) => assert!(request.may_end_unanswered(), "{request:?}"),
+            Some(503 | 408) => assert_eq!(runs, 0, "{request:?} ran and got {status:?}"),
+            // A connection that is closed before its request was read.
+            None => assert_eq!(runs, 0, "{request:?} was cut"),
+            Some(other) => panic!("{request:?} got {other}"),
+        }
+    }
+    assert!(served >= 8, "{served} served of those that end in time");
+}
