--- a/lib/tests/test_desired.rs
+++ b/lib/tests/test_desired.rs
@@ -302,11 +302,11 @@
     change
 }
 
+/// Version and content of each item: the service of a route, nothing of a service; `None` if removed.
+type Versions = BTreeMap<String, (u64, Option<Option<String>>)>;
+
 /// Highest version of each item by a plain map, and whether each route then has its services.
-fn reference(
-    held: &BTreeMap<String, (u64, Option<Option<String>>)>,
-    change: &Change,
-) -> Option<BTreeMap<String, (u64, Option<Option<String>>)>> {
+fn reference(held: &Versions, change: &Change) -> Option<Versions> {
     let mut after = held.clone();
     let routes = change.routes.iter().map(|(name, item)| {
         let service = item.value.as_ref().map(|route| &route.backends[0].service);
@@ -335,16 +335,16 @@
             after.insert(key, (version, content));
         }
     }
-    let services = after
+    let services: Vec<String> = after
         .values()
-        .filter_map(|(_, content)| content.clone().flatten());
+        .filter_map(|(_, content)| content.clone().flatten())
+        .collect();
     let in_force = |name: String| {
         after
             .get(&format!("service {name}"))
             .is_some_and(|s| s.1.is_some())
     };
-    let is_valid = services.map(in_force).all(|in_force| in_force);
-    is_valid.then_some(after)
+    services.into_iter().all(in_force).then_some(after)
 }
 
 crate::properties! {
