cli: a note that waits is sent until an entry takes it

Cause: README's three daemons start in the background, and the note that follows found nobody listening, or entries without a leader.

Result: test_entry::a_note_that_waits_is_lost_on_an_entry_that_does_not_listen_yet.

--- a/cli/src/command/note.rs
+++ b/cli/src/command/note.rs
@@ -57,7 +57,7 @@
     wait: Option<Duration>,
 ) -> Result<Output, CommandError> {
     let client = Client::new(entry)?;
-    let answer: NoteAnswer = client.post(NOTE_PATH, read(file)?)?;
+    let answer = send(&client, &read(file)?, wait.unwrap_or_default())?;
     let mut lines = Lines::default();
     let code = add_answer(&mut lines, &answer);
     let (NoteAnswer::Accepted { version, .. }, Some(wait)) = (&answer, wait) else {
@@ -76,6 +76,23 @@
     Ok(Output::new(lines.finish(), value).with_code(code))
 }
 
+/// Sends a note until its outcome is known or the time is over. Entries that have just started do not
+/// listen or know no leader yet, and the same note may be sent again.
+fn send(client: &Client, note: &str, wait: Duration) -> Result<NoteAnswer, CommandError> {
+    let start = Instant::now();
+    loop {
+        let answer = client.post(NOTE_PATH, note.to_owned());
+        let is_open = matches!(
+            answer,
+            Err(CommandError::Unreachable { .. }) | Ok(NoteAnswer::Unknown { .. })
+        );
+        if !is_open || start.elapsed() >= wait {
+            return answer;
+        }
+        thread::sleep(WAIT_PAUSE);
+    }
+}
+
 /// Tells on which entries a note is in force. Another note at its version is a conflict.
 pub(crate) fn status(file: &Path, entry: &Entry) -> Result<Output, CommandError> {
     let note = Note::parse(&read(file)?).map_err(|fault| CommandError::Note {
--- a/cli/tests/test_entry.rs
+++ b/cli/tests/test_entry.rs
@@ -268,3 +268,35 @@
 
     assert_eq!((wrong.code, missing.code, silent.code), (5, 1, 4));
 }
+
+#[test]
+fn a_note_that_waits_is_lost_on_an_entry_that_does_not_listen_yet() {
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = free.local_addr().expect("bound");
+    drop(free);
+    let folder = TempDir::new().expect("a folder");
+    fs::write(folder.path().join("token"), "secret\n").expect("written");
+    fs::write(folder.path().join("note.yaml"), NOTE).expect("written");
+    let listening = std::thread::spawn(move || {
+        std::thread::sleep(std::time::Duration::from_millis(700));
+        let listener = std::net::TcpListener::bind(address).expect("the port is free again");
+        // The first connection is the one that was waited for.
+        listener.accept().expect("the command connects");
+    });
+    let note = folder.path().join("note.yaml");
+    let mut command = command(&[
+        "note",
+        "apply",
+        note.to_str().expect("text"),
+        "--wait",
+        "2s",
+    ]);
+    command
+        .env("CORNELRAIL_TO", address.to_string())
+        .env("CORNELRAIL_TOKEN_FILE", folder.path().join("token"));
+
+    let run = finish(command);
+
+    listening.join().expect("connected");
+    assert_ne!(run.code, 0, "{}", run.err);
+}
