pool: a reset of a new connection is seen before a request is written to it

Cause: a target with too many connections resets new ones.

Change: an entry waits a millisecond for the reset of a new connection before it writes. The request is then not run, the caller is told so, and the target counts as reached and full.

Result: test_pool, a target that resets everything.

--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -42,6 +42,8 @@
 /// Longest time to connect to a target: a host whose link is full of uploads needs several hundred
 /// milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time in which a target that has too many connections resets a new one.
+const RESET_TIME: Duration = Duration::from_millis(1);
 /// Part of the time left for a request that may go by before it is connected.
 const CONNECT_SHARE: f64 = 0.33;
 /// Idle time after which a connection is not used again, unless the target says less: targets may
@@ -63,6 +65,9 @@
     /// No byte of the request reached the target.
     #[error("the target could not be reached; no byte was sent")]
     NotSent,
+    /// The target closed the new connection before a byte was sent: it has too many.
+    #[error("the target has too many connections; no byte was sent")]
+    TurnedAway,
     /// The connection broke after bytes may have reached the target.
     #[error("the connection broke while the target may have run the request")]
     Broken,
@@ -96,6 +101,10 @@
             .and_then(Result::ok)
             .ok_or(SendError::NotSent)?;
         stream.set_nodelay(true).map_err(|_| SendError::NotSent)?;
+        // A target says nothing before it is asked. Once a byte is sent, a reset proves nothing.
+        if timeout(RESET_TIME, stream.readable()).await.is_ok() {
+            return Err(SendError::TurnedAway);
+        }
         let (stream, control) = LimitedStream::new(stream);
         let mut builder = http1::Builder::new();
         let builder = builder.max_buf_size(HEAD_BYTES);
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -493,7 +493,12 @@
         .await;
         let connection = match taking {
             Ok(Ok(connection)) => connection,
-            Ok(Err(_)) => {
+            Ok(Err(SendError::TurnedAway)) => {
+                entry.router().reach().record_contact(id);
+                flight.end(SendOutcome::Shed);
+                return Tried::Closed;
+            }
+            Ok(Err(SendError::NotSent | SendError::Broken)) => {
                 flight.end(SendOutcome::Unreachable);
                 record_failure(entry, id);
                 return Tried::Unreachable;
@@ -577,7 +582,7 @@
         };
         let response = match answered {
             Ok(response) => response,
-            Err(SendError::NotSent) => {
+            Err(SendError::NotSent | SendError::TurnedAway) => {
                 flight.end(SendOutcome::Shed);
                 return Tried::Closed;
             }
--- a/node/src/request/proxy/detour.rs
+++ b/node/src/request/proxy/detour.rs
@@ -148,7 +148,7 @@
         let mut exchange = connection.send(request);
         let response = match exchange.head().await {
             Ok(response) => response,
-            Err(SendError::NotSent) => return Sent::Unread,
+            Err(SendError::NotSent | SendError::TurnedAway) => return Sent::Unread,
             Err(SendError::Broken) => return Sent::Broken,
         };
         let (mut parts, body) = response.into_parts();
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -2,7 +2,7 @@
 
 use cornelrail_lib::version::catalog::TargetId;
 use cornelrail_node::{
-    connection::pool::{AnswerBody, Pool, PoolPlace},
+    connection::pool::{AnswerBody, Pool, PoolPlace, SendError},
     request::proxy_body::RequestBody,
 };
 use http::Request;
@@ -133,3 +133,19 @@
         "{largest} bytes in one turn"
     );
 }
+
+#[tokio::test]
+async fn a_request_is_written_to_a_target_that_resets_what_is_over_its_cap() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            // Without lingering the connection is reset.
+            stream.set_zero_linger().expect("set");
+        }
+    });
+
+    let taken = Pool::default().take(TargetId(1), address, "1", LEFT).await;
+
+    assert_eq!(taken.err(), Some(SendError::TurnedAway));
+}
