--- a/lib/src/version/sharding/balance.rs
+++ b/lib/src/version/sharding/balance.rs
@@ -17,13 +17,9 @@
 use super::{Candidate, Candidates, KeyLoad, MAX_ROWS_PER_TARGET, TargetLoads, load::bucket_range};
 use crate::{
     moment::Moment,
-    version::catalog::{KeySpan, ShardTable, TargetId},
-};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    ops::Range,
-    time::Duration,
+    version::catalog::{KeySpan, ShardRow, ShardTable, TargetId},
 };
+use std::{ops::Range, time::Duration};
 
 /// Demand above which a target is a source of moves; 1 is all that its slots can serve.
 const MIN_SOURCE_DEMAND: f64 = 0.85;
@@ -46,11 +42,8 @@
 const MOVED_LOAD_SHARE: f64 = 0.85;
 /// Service time assumed for a target without recent answers, in seconds.
 pub(super) const DEFAULT_SERVICE_SECONDS: f64 = 0.1;
-/// Smallest bound on the spans of one service that move at the same time.
-const MIN_CONCURRENT_MOVES: usize = 12;
-/// Targets of a service for each further span that may move at the same time. Each move costs its
-/// keys a moment without an owner, so a fixed share of the targets takes part at a time.
-const TARGETS_PER_MOVE: usize = 8;
+/// Largest number of spans of one service that move at the same time.
+const MAX_CONCURRENT_MOVES: usize = 12;
 /// Largest number of spans that one source gives at one heartbeat.
 const MAX_MOVES_PER_SOURCE: usize = 4;
 
@@ -83,11 +76,10 @@
     load: &KeyLoad,
     targets: &TargetLoads,
 ) -> Vec<(KeySpan, TargetId)> {
-    let moving = moving_targets(table);
     let demands = target_demands(table, candidates, load, targets);
-    let relief = relief_moves(table, &demands, &moving, load);
+    let relief = relief_moves(table, &demands, load);
     match relief.is_empty() {
-        true => balancing_moves(now, table, demands, &moving, load),
+        true => balancing_moves(now, table, demands, load),
         false => relief,
     }
 }
@@ -97,18 +89,17 @@
 fn relief_moves(
     table: &ShardTable,
     demands: &[TargetDemand],
-    moving: &BTreeSet<TargetId>,
     load: &KeyLoad,
 ) -> Vec<(KeySpan, TargetId)> {
     let total: f64 = demands.iter().map(|target| target.demand).sum();
     let mean = total / demands.len().max(1) as f64;
     let is_source = |target: &TargetDemand| {
         let is_overloaded = target.demand > RELIEF_DEMAND && target.demand > 2.0 * mean;
-        is_overloaded && target.candidate.may_hold && !moving.contains(&target.id)
+        is_overloaded && target.candidate.may_hold && !is_moving(table, target.id)
     };
     let is_destination = |target: &TargetDemand| {
         let is_idle = target.demand < mean / 2.0 && target.rows < MAX_ROWS_PER_TARGET;
-        is_idle && target.candidate.cold_left.is_zero() && !moving.contains(&target.id)
+        is_idle && target.candidate.cold_left.is_zero() && !is_moving(table, target.id)
     };
     let mut destinations: Vec<TargetDemand> = demands.to_vec();
     destinations.retain(is_destination);
@@ -145,13 +136,11 @@
     now: Moment,
     table: &ShardTable,
     mut demands: Vec<TargetDemand>,
-    moving: &BTreeSet<TargetId>,
     load: &KeyLoad,
 ) -> Vec<(KeySpan, TargetId)> {
-    let under_way = table.rows().iter().filter(|row| row.next.is_some());
-    let max_moves = MIN_CONCURRENT_MOVES.max(demands.len() / TARGETS_PER_MOVE);
-    let mut free_moves = max_moves.saturating_sub(under_way.count());
-    demands.retain(|target| !moving.contains(&target.id));
+    let moving = table.rows().iter().filter(|row| row.next.is_some());
+    let mut free_moves = MAX_CONCURRENT_MOVES.saturating_sub(moving.count());
+    demands.retain(|target| !is_moving(table, target.id));
     let mut sources = demands.clone();
     sources.retain(|target| {
         target.candidate.may_hold
@@ -238,14 +227,6 @@
     load: &KeyLoad,
     targets: &TargetLoads,
 ) -> Vec<TargetDemand> {
-    let mut owned: BTreeMap<TargetId, (usize, f64)> = BTreeMap::new();
-    for row in table.rows() {
-        if let Some(owner) = row.owner {
-            let (rows, rate) = owned.entry(owner).or_default();
-            *rows += 1;
-            *rate += load.weight(row.span);
-        }
-    }
     let movable = candidates.iter().filter(|(_, c)| c.accepts_keys);
     movable
         .map(|(id, candidate)| {
@@ -253,25 +234,25 @@
             let service_seconds = targets
                 .service_time(*id, candidate.slots)
                 .unwrap_or(DEFAULT_SERVICE_SECONDS);
+            let rows = || table.rows().iter().filter(|row| row.owner == Some(*id));
             let cost = (service_seconds / slots).max(candidate.limit_seconds());
-            let (rows, rate) = owned.get(id).copied().unwrap_or_default();
+            let rate: f64 = rows().map(|row| load.weight(row.span)).sum();
             TargetDemand {
                 id: *id,
                 candidate: *candidate,
                 cost,
                 demand: rate * cost,
-                rows,
+                rows: rows().count(),
             }
         })
         .collect()
 }
 
-/// Targets from or to which a move is under way.
-fn moving_targets(table: &ShardTable) -> BTreeSet<TargetId> {
-    let under_way = table.rows().iter().filter(|row| row.next.is_some());
-    under_way
-        .flat_map(|row| row.next.into_iter().chain(row.owner))
-        .collect()
+/// Whether a move from or to the target is under way.
+fn is_moving(table: &ShardTable, id: TargetId) -> bool {
+    let involved =
+        |row: &ShardRow| row.next == Some(id) || (row.owner == Some(id) && row.next.is_some());
+    table.rows().iter().any(involved)
 }
 
 /// Finds the adjacent keys of a target with the most requests per second within `rates`. If none are,
--- a/lib/src/version/sharding/free_spans.rs
+++ b/lib/src/version/sharding/free_spans.rs
@@ -11,10 +11,10 @@
 };
 
 /// Stripes of keys per target in the first assignment. With 21 targets a stripe has 97 keys, so 200
-/// adjacent busy keys are spread over three targets; with 426 it has 5, and they are spread over 42.
+/// adjacent busy keys are spread over three targets.
 const STRIPES_PER_TARGET: usize = 32;
-/// Smallest number of keys in a stripe. Narrower ones would spread no load that is worth their rows.
-const MIN_STRIPE_KEYS: usize = 4;
+/// Largest number of stripes of all targets together.
+const MAX_STRIPES: usize = 2_048;
 
 /// Owners for keys that no target may hold.
 #[derive(Debug, Default)]
@@ -141,7 +141,7 @@
         .collect();
     let total: i64 = accepting.iter().map(|(_, slots)| slots).sum();
     let count = (accepting.len() * STRIPES_PER_TARGET)
-        .min(KeySpan::FULL.width() as usize / MIN_STRIPE_KEYS)
+        .min(MAX_STRIPES)
         .max(accepting.len()) as u64;
     let keys = u64::from(KeySpan::FULL.width());
     let mut credits = vec![0; accepting.len()];
