leader: keys are dealt once the first targets of a service have joined

Cause: the keys of a service were dealt 1.5 s after its first target had joined.

Change: the first assignment waits for half a second without a further target, 4 s at most.

Result: test_leader, a hundred targets that join over three seconds (50 had keys before). At a first start requests for keys wait up to 2.5 s longer.

--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -3,6 +3,9 @@
 //!
 //! Nothing here is replicated. A new leader starts from the catalog and waits for the length of a
 //! lease before it takes keys from a target whose heartbeat it has not received.
+//!
+//! Load pattern: hundreds of targets that join over seconds at the first start of a fleet. Keys that are
+//! dealt to the first of them leave the others idle until moves reach them.
 
 use super::{
     catalog::{Catalog, ShardRow, TargetId, TargetRecord, Update},
@@ -27,8 +30,13 @@
     time::Duration,
 };
 
-/// Time for the first targets of a service to join before its keys are assigned for the first time.
+/// Shortest and longest time for the first targets of a service to join before its keys are assigned for
+/// the first time. Targets that join later get keys only by moves.
 const INITIAL_JOIN_WINDOW: Duration = Duration::from_millis(1_500);
+const MAX_JOIN_WINDOW: Duration = Duration::from_millis(4_000);
+/// Time without a further target after which the window ends; several intervals between the joins of
+/// a large service.
+const JOIN_PAUSE: Duration = Duration::from_millis(500);
 /// Time without a heartbeat after which a target is removed from the catalog.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time without a heartbeat after which a target that asked to leave is removed. Until then a delayed
@@ -43,6 +51,35 @@
 /// Time from the reply to a heartbeat until the target can serve requests under the new lease.
 const LEASE_REPLY_DELAY: Duration = Duration::from_millis(5);
 
+/// Joins of the first targets of a service.
+#[derive(Debug)]
+struct FirstJoins {
+    begun: Moment,
+    latest: Moment,
+    count: usize,
+}
+
+impl FirstJoins {
+    fn new(now: Moment) -> Self {
+        FirstJoins {
+            begun: now,
+            latest: now,
+            count: 0,
+        }
+    }
+
+    /// Whether no further target is expected soon, now that there are so many.
+    fn are_over(&mut self, now: Moment, count: usize) -> bool {
+        if count > self.count {
+            self.count = count;
+            self.latest = now;
+        }
+        let time = now.since(self.begun);
+        let is_quiet = now.since(self.latest) >= JOIN_PAUSE;
+        time >= INITIAL_JOIN_WINDOW && (is_quiet || time >= MAX_JOIN_WINDOW)
+    }
+}
+
 /// An update that the leader wants committed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlannedUpdate {
@@ -60,8 +97,8 @@
     loads: BTreeMap<TargetId, (LoadReport, Moment)>,
     key_loads: BTreeMap<Service, KeyLoad>,
     target_loads: TargetLoads,
-    /// When the first target of each service was seen.
-    first_candidates: BTreeMap<Service, Moment>,
+    /// How the first targets of each service join.
+    first_joins: BTreeMap<Service, FirstJoins>,
     /// Services whose last plan is not applied yet, with the targets that lose keys by it.
     active_plans: BTreeMap<Service, BTreeSet<TargetId>>,
     last_plan: Moment,
@@ -79,7 +116,7 @@
             loads: BTreeMap::new(),
             key_loads: BTreeMap::new(),
             target_loads: TargetLoads::default(),
-            first_candidates: BTreeMap::new(),
+            first_joins: BTreeMap::new(),
             active_plans: BTreeMap::new(),
             last_plan: now,
             status_pace: StatusPace::new(now),
@@ -325,8 +362,9 @@
         if candidates.is_empty() {
             return Vec::new();
         }
-        let first_seen = *self.first_candidates.entry(service.clone()).or_insert(now);
-        if !catalog.shards.contains_key(service) && now.since(first_seen) < INITIAL_JOIN_WINDOW {
+        let joins = self.first_joins.entry(service.clone());
+        let joins = joins.or_insert_with(|| FirstJoins::new(now));
+        if !catalog.shards.contains_key(service) && !joins.are_over(now, candidates.len()) {
             return Vec::new();
         }
         let load = self.key_loads.entry(service.clone()).or_default();
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -201,3 +201,46 @@
         }
     }
 }
+
+/// Heartbeat of one of many targets.
+fn heartbeat_of(number: u16) -> Heartbeat {
+    Heartbeat {
+        name: Target(format!("w{number}")),
+        address: ([10, 0, 0, 1], 8_000 + number).into(),
+        ..heartbeat(1)
+    }
+}
+
+#[test]
+fn targets_that_join_beyond_the_first_seconds_get_no_keys_at_the_start() {
+    // A large service joins for three seconds, with a gap after the first half.
+    let joins: Vec<u64> = (0..100)
+        .map(|number| number * 26 + 400 * u64::from(number >= 50))
+        .collect();
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let start = Moment::from_millis(60_000);
+
+    // Shorter than the first leases.
+    for step in 0..38 {
+        let at = step * 100;
+        let now = start + Duration::from_millis(at);
+        for number in (0..100).filter(|number| (at..at + 100).contains(&joins[*number as usize])) {
+            let heartbeat = heartbeat_of(number);
+            leader.heartbeat(now, &catalog, &heartbeat);
+            catalog.apply(&Update::Join(heartbeat.record()));
+            let (id, _) = catalog.find(&heartbeat.name).expect("joined");
+            leader.renew_lease(now, &catalog, id);
+        }
+        for planned in leader.plan(now, &catalog) {
+            catalog.apply(&planned.update);
+            if let Some(service) = planned.completes {
+                leader.finish_plan(&service);
+            }
+        }
+    }
+
+    let rows = catalog.shards["s"].rows();
+    let owners = rows.iter().filter_map(|row| row.owner);
+    let owners: std::collections::BTreeSet<_> = owners.collect();
+    assert_eq!(owners.len(), 100);
+}
