tests: the target of a keyed service lists what it holds

The other runs passed because the first request came before the entry knew of the key, and all later ones were refused: nothing was tested.

The odd heartbeats of test_drawn have lists, so that their odd field is what is told from the others.

--- a/node/tests/test_drawn.rs
+++ b/node/tests/test_drawn.rs
@@ -174,7 +174,8 @@
     loop {
         let mut beat = json!({
             "service": "pool", "address": address, "zone": "a", "version": "v1", "slots": 4,
-            "state": "ready", "coldRemaining": "0ms", "seq": 1, "born": 1000,
+            "state": "ready", "coldRemaining": "0ms", "seq": 1, "born": 1000, "holds": [],
+            "released": [],
         });
         let (field, value) = match rng.next_u32() % 6 {
             0 => ("born", json!(u64::MAX)),
--- a/node/tests/test_lost_words.rs
+++ b/node/tests/test_lost_words.rs
@@ -216,10 +216,16 @@
     let keyed = call(fleet.control, "config.patch", &keyed_order()).await;
     assert_eq!(keyed.map(|(status, _)| status), Some(200));
     let begun = Instant::now();
+    // Only a keyed service rejects a request without a key.
+    while ask(&fleet, Method::POST, "/w/up", "keyless", 0).await.0 == 200 {
+        assert!(begun.elapsed() < PATIENCE, "the service is not keyed");
+        sleep(Duration::from_millis(50)).await;
+    }
     while ask_keyed(&fleet, "/w/up", "up").await.0 != 200 {
         assert!(begun.elapsed() < PATIENCE, "no request is served");
         sleep(Duration::from_millis(50)).await;
     }
+    let mut served = 0;
 
     for number in 0..10 {
         let id = format!("twice-{number}");
@@ -229,7 +235,9 @@
         assert!(runs <= 1, "{id} ran {runs} times");
         assert!(status != 503 || runs == 0, "{id} ran and is told not run");
         assert!(status != 200 || body == id, "{id} got {body}");
+        served += usize::from(status == 200);
     }
+    assert!(served > 0, "no request is sent once more");
 }
 
 #[tokio::test]
--- a/node/tests/test_odd_heartbeats.rs
+++ b/node/tests/test_odd_heartbeats.rs
@@ -1,8 +1,8 @@
 //! Heartbeats of another writer under a target's name, while the target itself goes on as before.
 
 use crate::{
-    test_seeded::{Fleet, PATIENCE, ask, call, exchange, fleet, set_up, split},
-    test_targets_end::{add_keyed, granted_rows},
+    test_seeded::{Fleet, PATIENCE, ask, call, exchange, fleet, granted_rows, set_up, split},
+    test_targets_end::add_keyed,
 };
 use http::Method;
 use serde_json::{Value, json};
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -202,17 +202,28 @@
 }
 
 async fn beat(control: SocketAddr, address: SocketAddr) {
+    let mut held = Vec::new();
     for serial in 1_u64.. {
         let body = json!({
             "service": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
             "slots": 4, "state": "ready", "coldRemaining": "0ms", "seq": serial, "born": 1000,
+            "holds": held, "released": [],
         });
         // The core may not listen yet; the next heartbeat comes soon.
-        let _ = call(control, "instances.heartbeat&of=t-1", &body).await;
+        let answer = call(control, "instances.heartbeat&of=t-1", &body).await;
+        if let Some(rows) = answer.and_then(|(_, body)| granted_rows(&body)) {
+            held = rows;
+        }
         sleep(Duration::from_millis(100)).await;
     }
 }
 
+/// Rows that the answer to a heartbeat grants, as the next heartbeat lists them.
+pub(crate) fn granted_rows(answer: &Value) -> Option<Vec<Value>> {
+    let rows = answer["holds"].as_array()?.iter();
+    Some(rows.map(|row| json!([row[0], row[1], row[2]])).collect())
+}
+
 /// Makes a call to the control address; gives status and body.
 pub(crate) async fn call(control: SocketAddr, query: &str, body: &Value) -> Option<(u16, Value)> {
     let body = body.to_string();
--- a/node/tests/test_targets_end.rs
+++ b/node/tests/test_targets_end.rs
@@ -1,8 +1,10 @@
 //! All targets of a service that are killed together, and come back as new incarnations.
 
-use crate::test_seeded::{Fleet, PATIENCE, call, exchange, fleet, order, set_up, split};
+use crate::test_seeded::{
+    Fleet, PATIENCE, call, exchange, fleet, granted_rows, order, set_up, split,
+};
 use cornelrail_testutils::scripted::{self, Ask, Reply};
-use serde_json::{Value, json};
+use serde_json::json;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     net::TcpListener,
@@ -64,12 +66,6 @@
     }
 }
 
-/// Rows that the answer to a heartbeat grants, as the next heartbeat lists them.
-pub(crate) fn granted_rows(answer: &Value) -> Option<Vec<Value>> {
-    let rows = answer["holds"].as_array()?.iter();
-    Some(rows.map(|row| json!([row[0], row[1], row[2]])).collect())
-}
-
 async fn beat(control: SocketAddr, address: SocketAddr, number: usize, born: u64) {
     let mut held = Vec::new();
     for serial in 1_u64.. {
