balance: a target that answers nothing in time counts as slow

Cause: a request that ended at its time limit was recorded like one whose caller had left, which tells nothing of its target.

Change: the time of such a request is a lower bound of the target's latency. The entry learns from it, and reports it to the leader like an answer, unless it is shorter than usual. Requests that cannot end in time are refused at once, and the leader sees the demand of a slow target. Messages are unchanged.

Result: test_silent (the third request waited 600 ms) and two tests of test_router fail without it.

--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -589,13 +589,19 @@
         let Some(model) = self.models.get_mut(&id) else {
             return;
         };
+        // A time that ended without an answer is a lower bound, which must not reduce the mean.
+        let (is_counted, is_unqueued) = match outcome {
+            SendOutcome::Answered => (true, load.is_some_and(|load| load.waiting == 0)),
+            SendOutcome::Late => (time > model.service_time(now), model.has_no_queue(now)),
+            _ => (false, false),
+        };
         model.record_outcome(now, outcome, time);
         let stats = self.target_stats.entry(id).or_default();
-        if outcome == SendOutcome::Answered {
+        if is_counted {
             stats.busy_time += time;
             stats.answers += 1;
         }
-        if outcome == SendOutcome::Answered && load.is_some_and(|load| load.waiting == 0) {
+        if is_counted && is_unqueued {
             stats.unqueued_time += time;
             stats.unqueued += 1;
         }
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -3,6 +3,9 @@
 //!
 //! Load pattern: targets whose speed changes within a second and whose reports arrive late. Old
 //! observations lose weight, so a target that was slow or failed is soon tried again.
+//!
+//! A target that turns so slow that it answers nothing in time tells nothing of itself. The time of a
+//! request that it has not answered is a lower bound of its latency, and counts as one.
 
 use crate::moment::Moment;
 use serde::{Deserialize, Serialize};
@@ -51,6 +54,8 @@
     Unreachable,
     /// The connection broke, or the answer was invalid.
     Broken,
+    /// The target did not answer within the time of the request.
+    Late,
     /// The attempt was abandoned, for example because the caller disconnected.
     Cancelled,
 }
@@ -66,6 +71,8 @@
     report: Option<(LoadReport, Moment)>,
     sent_since: u32,
     failures: u32,
+    /// Requests without an answer since the last answer.
+    late: u32,
     backoff_until: Moment,
 }
 
@@ -81,6 +88,7 @@
             report: None,
             sent_since: 0,
             failures: 0,
+            late: 0,
             backoff_until: Moment::ZERO,
         }
     }
@@ -91,13 +99,14 @@
         self.sent_since += 1;
     }
 
-    /// Records how an attempt ended and how long it took. Only answers given without a queue at the
+    /// Records how an attempt ended and how long it took. Only attempts that ended without a queue at the
     /// target change the service time, as others include the wait.
     pub fn record_outcome(&mut self, now: Moment, outcome: SendOutcome, time: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
             SendOutcome::Answered => {
                 self.failures = 0;
+                self.late = 0;
                 if self.has_no_queue(now) {
                     let weight = SERVICE_TIME_WEIGHT;
                     self.set_service_time(
@@ -111,6 +120,20 @@
                 self.backoff_until = now + backoff.min(MAX_BACKOFF);
                 self.failures += 1;
             }
+            // Without a report of an empty queue it may have spent the time waiting.
+            SendOutcome::Late => {
+                let usual = self.decayed_service_time(now);
+                if time > usual && self.has_no_queue(now) {
+                    // One request may take long for reasons of its own.
+                    let learned = if self.late == 0 {
+                        (usual + time) / 2
+                    } else {
+                        time
+                    };
+                    self.set_service_time(now, learned);
+                    self.late += 1;
+                }
+            }
             SendOutcome::Shed | SendOutcome::Cancelled => {}
         }
     }
@@ -209,7 +232,8 @@
             .filter(|(_, at)| now.since(*at) < REPORT_MAX_AGE)
     }
 
-    fn has_no_queue(&self, now: Moment) -> bool {
+    /// Whether no recent report tells of a queue at the target.
+    pub fn has_no_queue(&self, now: Moment) -> bool {
         self.recent_report(now)
             .is_none_or(|(report, _)| report.waiting == 0)
     }
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -210,13 +210,13 @@
 pub struct TargetTraffic {
     /// Target that answered.
     pub id: TargetId,
-    /// Number of answered requests.
+    /// Number of answered requests, and of those without an answer that took longer than usual.
     pub answers: u32,
-    /// Sum of the times from sending to answer of all answered requests.
+    /// Sum of the times from sending to the end of all these requests.
     pub total_time: Duration,
-    /// Number of answered requests whose answer reported an empty queue at the target.
+    /// Number of these requests at whose end the target had no queue, as far as is known.
     pub unqueued: u32,
-    /// Sum of the times from sending to answer of the requests counted in `unqueued`.
+    /// Sum of the times from sending to the end of the requests counted in `unqueued`.
     pub unqueued_time: Duration,
     /// Latest load report of the target and its age in ms.
     pub load: Option<(LoadReport, u16)>,
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -461,6 +461,45 @@
     assert_eq!(sent_to(&later), Some(TargetId(3)));
 }
 
+/// Ends a request of the keyed service at its first target.
+fn end_request(router: &mut Router, now: Moment, outcome: SendOutcome, time: Duration) {
+    assert!(!router.record_sent(TargetId(1)));
+    router.record_outcome(now, TargetId(1), outcome, time, None);
+}
+
+#[test]
+fn a_target_that_answers_nothing_in_time_passes_for_a_usual_one() {
+    let mut router = router();
+    let limit = latency_bounds().time_left;
+    route(&mut router, at(10), "keyed", Some(1));
+
+    for number in 1..=5 {
+        end_request(&mut router, at(number * 800), SendOutcome::Late, limit);
+    }
+    let next = route(&mut router, at(4_001), "keyed", Some(1));
+    let report = router.take_report(at(4_002));
+
+    assert!(
+        matches!(next, RoutingDecision::Reject(RejectReason::Busy, _)),
+        "{next:?}"
+    );
+    let traffic = &report.targets[0];
+    assert_eq!((traffic.answers, traffic.unqueued), (5, 5));
+    assert_eq!(traffic.total_time, 5 * limit);
+}
+
+#[test]
+fn requests_with_little_time_make_a_target_look_fast() {
+    let mut router = router();
+    route(&mut router, at(10), "keyed", Some(1));
+
+    let time = Duration::from_millis(15);
+    end_request(&mut router, at(30), SendOutcome::Late, time);
+
+    let report = router.take_report(at(31));
+    assert!(report.targets.iter().all(|traffic| traffic.answers == 0));
+}
+
 #[test]
 fn eight_entries_together_keep_to_the_rate_of_a_cold_target() {
     let rate = 18_000;
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -576,7 +576,7 @@
         request: Request<RequestBody>,
     ) -> Tried {
         let exchange = connection.send(request);
-        let awaited = AwaitedAnswer::new(&self.id, flight, exchange);
+        let awaited = AwaitedAnswer::new(&self.id, self.until, flight, exchange);
         let Some((mut flight, exchange, answered)) = awaited.head().await else {
             return Tried::Broken;
         };
--- a/node/src/request/proxy/awaited.rs
+++ b/node/src/request/proxy/awaited.rs
@@ -17,19 +17,30 @@
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
 use std::sync::Arc;
-use tokio::{runtime::Handle, time::timeout};
+use tokio::{
+    runtime::Handle,
+    time::{Instant, timeout},
+};
 
 /// An answer that has not begun yet.
 #[derive(Debug)]
 pub(super) struct AwaitedAnswer<'a> {
     request: &'a str,
+    until: Instant,
     under_way: Option<(Flight, Exchange)>,
 }
 
 impl<'a> AwaitedAnswer<'a> {
-    pub(super) fn new(request: &'a str, flight: Flight, exchange: Exchange) -> Self {
+    /// Answer to a request whose time ends at `until`.
+    pub(super) fn new(
+        request: &'a str,
+        until: Instant,
+        flight: Flight,
+        exchange: Exchange,
+    ) -> Self {
         AwaitedAnswer {
             request,
+            until,
             under_way: Some((flight, exchange)),
         }
     }
@@ -50,7 +61,10 @@
         let Some((mut flight, exchange)) = self.under_way.take() else {
             return;
         };
-        flight.end(SendOutcome::Cancelled);
+        flight.end(match Instant::now() < self.until {
+            true => SendOutcome::Cancelled,
+            false => SendOutcome::Late,
+        });
         // There is no runtime any more if the process ends.
         let Ok(runtime) = Handle::try_current() else {
             return;
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -30,6 +30,7 @@
 mod test_releases;
 mod test_replica;
 mod test_seeded;
+mod test_silent;
 mod test_stopping;
 mod test_store;
 mod test_streams;
