balance: one broken answer turns no other requests away

Cause: an entry sent nothing to a target for 200 ms after one broken connection.

Change: the second broken answer in a row starts the pause. A target that cannot be reached is left at once, as before.

Result: test_router::one_broken_answer_turns_the_next_requests_away fails without it.

--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -115,11 +115,10 @@
                     );
                 }
             }
-            SendOutcome::Unreachable | SendOutcome::Broken => {
-                let backoff = MIN_BACKOFF * (1 << self.failures.min(5));
-                self.backoff_until = now + backoff.min(MAX_BACKOFF);
-                self.failures += 1;
-            }
+            SendOutcome::Unreachable => self.back_off(now),
+            // One broken answer says nothing of the next request.
+            SendOutcome::Broken if self.failures == 0 => self.failures = 1,
+            SendOutcome::Broken => self.back_off(now),
             // Without a report of an empty queue it may have spent the time waiting.
             SendOutcome::Late => {
                 let usual = self.decayed_service_time(now);
@@ -138,6 +137,12 @@
         }
     }
 
+    fn back_off(&mut self, now: Moment) {
+        let backoff = MIN_BACKOFF * (1 << self.failures.min(5));
+        self.backoff_until = now + backoff.min(MAX_BACKOFF);
+        self.failures += 1;
+    }
+
     /// Records a load report that this or another entry received at `reported_at`. Ignores it if a
     /// later one is known.
     pub fn record_report(&mut self, reported_at: Moment, report: LoadReport) {
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -467,6 +467,24 @@
     router.record_outcome(now, TargetId(1), outcome, time, None);
 }
 
+#[test]
+fn one_broken_answer_turns_the_next_requests_away() {
+    let mut router = router();
+    let time = Duration::from_millis(20);
+    route(&mut router, at(10), "keyed", Some(1));
+
+    end_request(&mut router, at(30), SendOutcome::Broken, time);
+    let after_one = route(&mut router, at(31), "keyed", Some(1));
+    end_request(&mut router, at(50), SendOutcome::Broken, time);
+    let after_two = route(&mut router, at(51), "keyed", Some(1));
+
+    assert_eq!(sent_to(&after_one), Some(TargetId(1)));
+    assert!(
+        matches!(after_two, RoutingDecision::Reject(RejectReason::Failing, _)),
+        "{after_two:?}"
+    );
+}
+
 #[test]
 fn a_target_that_answers_nothing_in_time_passes_for_a_usual_one() {
     let mut router = router();
