sharding: keys are dealt in proportion to the speed of their targets

Cause: all targets of a service got as many keys at the first assignment. Moves cannot make up for it: a target with a queue releases keys only when their requests have ended.

Change: three entries, in the mean, ask each new target of a keyed service at its health path, where it tells how long work takes, and report that to the leader as load. The leader keeps the least of the first four figures, then a slow mean of all, and deals, drains and replaces keys by it.

Tests of lib/ and test_probe fail without it.

--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod limits;
 mod open;
+mod probe;
 mod reach;
 mod router;
 mod shutdown;
@@ -31,6 +32,7 @@
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
     open::{ClosingTimes, OpenTargets, Openness, TargetNotice},
+    probe::{Probe, Probes},
     reach::{LinkCheck, NoPeer, Peers, Reach},
     router::{
         RejectReason, ResolvedRoute, RouteError, Router, RouterConfig, RoutingDecision,
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -17,6 +17,7 @@
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
     open::{ClosingTimes, OpenTargets, Openness, TargetNotice},
+    probe::{Probe, Probes},
     reach::{NoPeer, Peers, Reach},
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
@@ -204,6 +205,7 @@
     retry_budgets: HashMap<Service, RetryBudget>,
     key_counts: HashMap<(Service, u16), u32>,
     target_stats: HashMap<TargetId, TargetStats>,
+    probes: Probes,
 }
 
 impl Router {
@@ -236,6 +238,7 @@
             retry_budgets: HashMap::new(),
             key_counts: HashMap::new(),
             target_stats: HashMap::new(),
+            probes: Probes::default(),
         }
     }
 
@@ -245,6 +248,9 @@
             return false;
         }
         self.index = Some(index);
+        let new = catalog.targets.keys().copied();
+        self.probes
+            .extend(new.filter(|id| !self.catalog.targets.contains_key(id)));
         self.catalog = catalog;
         self.rebuild_routing();
         true
@@ -260,6 +266,7 @@
             let applied = self.catalog.apply(update);
             if let (Update::Join(record), Applied::Joined(id)) = (update, &applied) {
                 self.assume_cold(now, *id, &record.service);
+                self.probes.extend([*id]);
             }
             let is_change = matches!(update, Update::Desired(_));
             routes_changed |= is_change && matches!(applied, Applied::Changed { .. });
@@ -467,6 +474,23 @@
         self.open.pause_left(now, id)
     }
 
+    /// Targets that this entry asks how fast they are.
+    pub fn take_probes(&mut self) -> Vec<Probe> {
+        if self.status_at.is_none() {
+            return Vec::new();
+        }
+        let (rng, entries) = (&mut self.rng, self.entry_count.get());
+        let draw = || f64::from(rng.next_u32()) / f64::from(u32::MAX);
+        self.probes.take(&self.catalog, entries, draw)
+    }
+
+    /// Records the load that a target names in the answer to a probe.
+    pub fn record_probe(&mut self, now: Moment, id: TargetId, load: LoadReport) {
+        if self.model(id).is_some() {
+            self.record_load(now, id, load);
+        }
+    }
+
     /// Records what a target said of itself in an answer; returns what of it is news.
     pub fn record_notice(
         &mut self,
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -158,6 +158,8 @@
         for traffic in report.targets {
             self.target_loads.record(&traffic);
             if let Some((load, age)) = traffic.load {
+                self.target_loads
+                    .record_latency(traffic.id, load.latency_percent);
                 let measured = now - Duration::from_millis(u64::from(age));
                 let latest = self.loads.entry(traffic.id).or_insert((load, measured));
                 if latest.1 <= measured {
@@ -392,6 +394,7 @@
             cold_left: self.leases.cold_left(now, id),
             next_heartbeat: self.leases.next_heartbeat(now, id),
             slots: record.slots,
+            slowness: self.target_loads.slowness(id),
             limit: self.permits.limit(id),
         }
     }
--- a/lib/src/version/sharding/free_spans.rs
+++ b/lib/src/version/sharding/free_spans.rs
@@ -16,6 +16,9 @@
 /// Largest number of stripes of all targets together.
 const MAX_STRIPES: usize = 2_048;
 
+/// Share of the first assignment that one slot of the usual speed gets.
+const SHARE_UNIT: f64 = 1_000.0;
+
 /// Owners for keys that no target may hold.
 #[derive(Debug, Default)]
 pub(super) struct FreeSpans {
@@ -131,15 +134,18 @@
 }
 
 /// Assigns all keys in stripes to the targets that accept keys, by smooth weighted round robin over
-/// their slots. Busy keys are adjacent and no load is known yet, so with one wide span per target a
+/// their slots and speed. Busy keys are adjacent and no load is known yet, so with one wide span per target a
 /// single target could own all busy keys.
 fn initial_grants(candidates: &Candidates) -> Vec<SpanGrant> {
     let accepting: Vec<(TargetId, i64)> = candidates
         .iter()
         .filter(|(_, c)| c.accepts_keys)
-        .map(|(id, c)| (*id, i64::from(c.slots.max(1))))
+        .map(|(id, c)| {
+            let share = f64::from(c.slots.max(1)) * SHARE_UNIT / c.slowness;
+            (*id, share.max(1.0) as i64)
+        })
         .collect();
-    let total: i64 = accepting.iter().map(|(_, slots)| slots).sum();
+    let total: i64 = accepting.iter().map(|(_, share)| share).sum();
     let count = (accepting.len() * STRIPES_PER_TARGET)
         .min(MAX_STRIPES)
         .max(accepting.len()) as u64;
@@ -149,8 +155,8 @@
     for stripe in 0..count {
         let first = keys * stripe / count;
         let last = keys * (stripe + 1) / count - 1;
-        for (credit, (_, slots)) in credits.iter_mut().zip(&accepting) {
-            *credit += slots;
+        for (credit, (_, share)) in credits.iter_mut().zip(&accepting) {
+            *credit += share;
         }
         let next =
             (0..accepting.len()).max_by_key(|index| (credits[*index], std::cmp::Reverse(*index)));
--- a/lib/src/version/sharding/load.rs
+++ b/lib/src/version/sharding/load.rs
@@ -3,6 +3,9 @@
 //! Load pattern: busy keys are adjacent. Requests are counted per bucket of adjacent keys, so that
 //! the size of the state does not depend on the number of keys in use. All rates are means with
 //! exponential decay.
+//!
+//! The speed of a target is what it says of itself, as it is known before the target has answered
+//! a request. Neighbours slow a target down for moments, so the least of its first figures counts.
 
 use crate::version::{
     catalog::{KeySpan, TargetId},
@@ -134,10 +137,25 @@
     }
 }
 
+/// Figures of a target that are too few for a mean.
+const FIRST_FIGURES: u32 = 4;
+/// Weight of the latest figure in the moving average.
+const FIGURE_WEIGHT: f64 = 1.0 / 32.0;
+/// Bounds of a slowness; a figure beyond them is taken for a moment's.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.25..=4.0;
+
+/// How long work takes at a target, as a multiple of the usual time.
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    mean: f64,
+    figures: u32,
+}
+
 /// Load of the targets of all services.
 #[derive(Debug, Clone, Default)]
 pub struct TargetLoads {
     loads: BTreeMap<TargetId, TargetLoad>,
+    slowness: BTreeMap<TargetId, Slowness>,
 }
 
 impl TargetLoads {
@@ -162,6 +180,26 @@
         load.unqueued_concurrency += traffic.unqueued_time.as_secs_f64() / window;
     }
 
+    /// Records how long work takes at a target now, in percent of the usual time.
+    pub fn record_latency(&mut self, id: TargetId, percent: u32) {
+        let figure = f64::from(percent) / 100.0;
+        let figure = figure.clamp(*SLOWNESS.start(), *SLOWNESS.end());
+        let known = self.slowness.entry(id).or_insert(Slowness {
+            mean: figure,
+            figures: 0,
+        });
+        known.figures = known.figures.saturating_add(1);
+        known.mean = match known.figures <= FIRST_FIGURES {
+            true => known.mean.min(figure),
+            false => known.mean * (1.0 - FIGURE_WEIGHT) + figure * FIGURE_WEIGHT,
+        };
+    }
+
+    /// How long work takes at a target, as a multiple of the usual time; 1 if it is not known.
+    pub fn slowness(&self, id: TargetId) -> f64 {
+        self.slowness.get(&id).map_or(1.0, |known| known.mean)
+    }
+
     /// Recent load of a target; zero if it has not answered.
     pub fn get(&self, id: TargetId) -> TargetLoad {
         self.loads.get(&id).copied().unwrap_or_default()
@@ -179,6 +217,7 @@
     /// Drops the loads of targets for which `is_present` is false.
     pub fn retain(&mut self, mut is_present: impl FnMut(TargetId) -> bool) {
         self.loads.retain(|id, _| is_present(*id));
+        self.slowness.retain(|id, _| is_present(*id));
     }
 }
 
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -5,7 +5,9 @@
 //! balance the load. It is called often, and each call proposes only a few changes.
 //!
 //! Load pattern: busy keys are adjacent, so keys are assigned in narrow stripes at first and split
-//! by their load later. When many targets end together, the few that are left cannot get the stripes
+//! by their load later. Targets differ in speed, and the release of keys by a target with a queue takes as
+//! long as its requests, so moves cannot make up for an even first assignment: a target gets keys in
+//! proportion to its speed. When many targets end together, the few that are left cannot get the stripes
 //! of all others as single rows, since the answer to a heartbeat has room for some rows only. Adjacent
 //! free rows are then assigned as wide spans.
 
@@ -51,6 +53,8 @@
     pub next_heartbeat: Moment,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
+    /// How long work takes at the target, as a multiple of the usual time.
+    pub slowness: f64,
     /// Limit on the rate of its requests that the target has named.
     pub limit: Option<RateLimit>,
 }
@@ -113,7 +117,7 @@
 /// Load and rows that each target will have after the moves under way and the planned changes.
 #[derive(Debug)]
 struct ProjectedLoads {
-    /// Slots of the targets that accept keys, reduced for those that are cold or have a limit.
+    /// Slots of the targets that accept keys, reduced for those that are slow, cold or have a limit.
     capacities: BTreeMap<TargetId, f64>,
     loads: BTreeMap<TargetId, f64>,
     rows: BTreeMap<TargetId, usize>,
@@ -130,7 +134,7 @@
                 } else {
                     COLD_CAPACITY_SHARE
                 };
-                let slots = f64::from(c.slots.max(1)) * share;
+                let slots = f64::from(c.slots.max(1)) * share / c.slowness;
                 let seconds = balance::DEFAULT_SERVICE_SECONDS / slots;
                 (*id, slots * seconds / seconds.max(c.limit_seconds()))
             })
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -8,8 +8,9 @@
     },
     moment::Moment,
     name::{Incarnation, Service, Target, Zone},
+    request::balance::LoadReport,
     version::{
-        catalog::{Catalog, Update},
+        catalog::{Catalog, TargetId, Update},
         desired::{Change, Item, ItemVersion, ServiceSpec},
         feed::{TargetTraffic, TrafficReport},
         leader::LeaderState,
@@ -244,3 +245,56 @@
     let owners: std::collections::BTreeSet<_> = owners.collect();
     assert_eq!(owners.len(), 100);
 }
+
+/// What an entry has heard of a target that has answered no request yet.
+fn load_of(id: TargetId, latency_percent: u32) -> TargetTraffic {
+    let load = LoadReport {
+        running: 0,
+        waiting: 0,
+        slots: 4,
+        latency_percent,
+    };
+    TargetTraffic {
+        id,
+        load: Some((load, 0)),
+        ..TargetTraffic::default()
+    }
+}
+
+#[test]
+fn keys_are_dealt_without_a_look_at_the_speed_of_targets() {
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let start = Moment::from_millis(60_000);
+    for number in 0..2 {
+        let heartbeat = heartbeat_of(number);
+        leader.heartbeat(start, &catalog, &heartbeat);
+        catalog.apply(&Update::Join(heartbeat.record()));
+        let (id, _) = catalog.find(&heartbeat.name).expect("joined");
+        leader.renew_lease(start, &catalog, id);
+        leader.record_traffic(
+            start,
+            TrafficReport {
+                targets: vec![load_of(id, 50 + 100 * u32::from(number))],
+                ..TrafficReport::default()
+            },
+        );
+    }
+
+    for step in 0..30 {
+        let now = start + Duration::from_millis(step * 100);
+        for planned in leader.plan(now, &catalog) {
+            catalog.apply(&planned.update);
+        }
+    }
+
+    let keys = |number: u16| {
+        let (id, _) = catalog
+            .find(&heartbeat_of(number).name)
+            .expect("it has joined");
+        let rows = catalog.shards["s"].rows().iter();
+        let rows = rows.filter(move |row| row.owner == Some(id));
+        rows.map(|row| row.span.width()).sum::<u32>()
+    };
+    let ratio = f64::from(keys(0)) / f64::from(keys(1));
+    assert!((2.7..3.3).contains(&ratio), "{ratio}");
+}
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -461,6 +461,42 @@
     assert_eq!(sent_to(&later), Some(TargetId(3)));
 }
 
+#[test]
+fn all_entries_or_none_ask_a_new_target_how_fast_it_is() {
+    let entries = 195;
+    let mut asked: BTreeMap<TargetId, u32> = BTreeMap::new();
+
+    for seed in 0..u64::from(entries) {
+        let mut router = router_with(seed, Catalog::default());
+        let early = router.take_probes();
+        router.apply_status(
+            at(1),
+            LeaderStatus {
+                entries,
+                ..leader_status()
+            },
+        );
+        router.install_snapshot(11, catalog());
+        let join = Update::Join(target_record(5, "keyed", "a"));
+        router.apply_updates(at(2), 12, &[join]);
+        let probes = router.take_probes();
+
+        assert!(early.is_empty());
+        assert!(router.take_probes().is_empty(), "a target is asked twice");
+        for probe in probes {
+            assert_eq!(probe.path, "/health");
+            *asked.entry(probe.id).or_default() += 1;
+        }
+    }
+
+    let keyed: Vec<TargetId> = [1, 2, 5].map(TargetId).to_vec();
+    assert_eq!(asked.keys().copied().collect::<Vec<_>>(), keyed);
+    assert!(
+        asked.values().all(|count| (1..=9).contains(count)),
+        "{asked:?}"
+    );
+}
+
 /// Ends a request of the keyed service at its first target.
 fn end_request(router: &mut Router, now: Moment, outcome: SendOutcome, time: Duration) {
     assert!(!router.record_sent(TargetId(1)));
--- a/lib/tests/test_sharding.rs
+++ b/lib/tests/test_sharding.rs
@@ -49,6 +49,7 @@
         cold_left: Duration::ZERO,
         next_heartbeat: now(),
         slots: SLOTS,
+        slowness: 1.0,
     };
     (1..=TARGETS).map(|id| (TargetId(id), candidate)).collect()
 }
@@ -151,6 +152,40 @@
     );
 }
 
+#[test]
+fn slow_targets_get_as_many_keys_as_fast_ones() {
+    let mut catalog = catalog();
+    let mut candidates = candidates();
+    let slowness = |id: TargetId| [0.6, 1.0, 1.4][id.0 as usize % 3];
+    for (id, candidate) in &mut candidates {
+        candidate.slowness = slowness(*id);
+    }
+
+    settle(&mut catalog, &candidates, &Loads::default(), 1);
+
+    let busy_times = catalog.targets.keys().map(|id| {
+        let rows = catalog.shards[SERVICE].rows().iter();
+        let rows = rows.filter(|row| row.owner == Some(*id));
+        f64::from(rows.map(|row| row.span.width()).sum::<u32>()) * slowness(*id)
+    });
+    let busy_times: Vec<f64> = busy_times.collect();
+    let least = busy_times.iter().copied().fold(f64::MAX, f64::min);
+    let most = busy_times.iter().copied().fold(0.0, f64::max);
+    assert!(most < 1.1 * least, "{busy_times:?}");
+}
+
+#[test]
+fn a_moment_in_which_a_host_is_busy_makes_its_target_slow_for_good() {
+    let mut loads = TargetLoads::default();
+
+    for percent in [180, 60, 180] {
+        loads.record_latency(TargetId(1), percent);
+    }
+
+    assert_eq!(loads.slowness(TargetId(1)), 0.6);
+    assert_eq!(loads.slowness(TargetId(2)), 1.0);
+}
+
 #[test]
 fn busy_neighbours_lie_on_several_targets_from_the_start() {
     let mut catalog = catalog();
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod front;
 mod links;
+mod probe;
 mod questions;
 mod watch_replica;
 
@@ -200,6 +201,7 @@
     tokio::spawn(sweep(entry.clone()));
     tokio::spawn(watch_replica::run(entry.clone()));
     tokio::spawn(links::run(entry.clone()));
+    tokio::spawn(probe::run(entry.clone()));
     Ok(EntryHandle {
         entry,
         seeds,
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_odd_heartbeats;
 mod test_operator;
 mod test_pool;
+mod test_probe;
 mod test_processes;
 mod test_program;
 mod test_releases;
