balance: a target whose last answer broke is the last choice of a pool for a moment

Cause: reading: with the pause after one broken answer gone, a pool's next requests went to the same target, though others were there. A probe could also go to a target that takes no work.

Probes go only to targets that accept work.

Result: test_router::a_pool_request_goes_to_a_target_whose_last_answer_broke.

--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -65,7 +65,7 @@
         } else {
             zone_cost
         };
-        (candidate.model.is_backing_off(now), end + distance)
+        (candidate.model.is_avoided(now), end + distance)
     };
     candidates.min_by_key(cost)
 }
--- a/lib/src/request/balance/probe.rs
+++ b/lib/src/request/balance/probe.rs
@@ -53,7 +53,7 @@
             let Some(spec) = catalog.desired.service(record.service.as_str()) else {
                 return true;
             };
-            if spec.keyed && draw() < share {
+            if spec.keyed && catalog.accepts_work(record) && draw() < share {
                 taken.push(Probe {
                     id: *id,
                     name: record.name.as_str().to_owned(),
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -74,6 +74,8 @@
     /// Requests without an answer since the last answer.
     late: u32,
     backoff_until: Moment,
+    /// Until when other targets are preferred.
+    avoid_until: Moment,
 }
 
 impl TargetModel {
@@ -90,6 +92,7 @@
             failures: 0,
             late: 0,
             backoff_until: Moment::ZERO,
+            avoid_until: Moment::ZERO,
         }
     }
 
@@ -116,8 +119,11 @@
                 }
             }
             SendOutcome::Unreachable => self.back_off(now),
-            // One broken answer says nothing of the next request.
-            SendOutcome::Broken if self.failures == 0 => self.failures = 1,
+            // One broken answer says little of the next request.
+            SendOutcome::Broken if self.failures == 0 => {
+                self.failures = 1;
+                self.avoid_until = now + MIN_BACKOFF;
+            }
             SendOutcome::Broken => self.back_off(now),
             // Without a report of an empty queue it may have spent the time waiting.
             SendOutcome::Late => {
@@ -175,6 +181,11 @@
         now < self.backoff_until
     }
 
+    /// Whether the target failed recently, so that others are preferred.
+    pub fn is_avoided(&self, now: Moment) -> bool {
+        now < self.avoid_until.max(self.backoff_until)
+    }
+
     /// Time at which a failed target may be tried again.
     pub fn backoff_until(&self) -> Moment {
         self.backoff_until
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -521,6 +521,24 @@
     );
 }
 
+#[test]
+fn a_pool_request_goes_to_a_target_whose_last_answer_broke() {
+    let mut router = router();
+    route(&mut router, at(10), "pool", None);
+    let time = Duration::from_millis(20);
+    for id in [TargetId(3), TargetId(4)] {
+        router.record_sent(id);
+    }
+
+    router.record_outcome(at(30), TargetId(3), SendOutcome::Broken, time, None);
+    router.record_outcome(at(30), TargetId(4), SendOutcome::Answered, time, None);
+
+    for _ in 0..10 {
+        let next = route(&mut router, at(31), "pool", None);
+        assert_eq!(sent_to(&next), Some(TargetId(4)));
+    }
+}
+
 #[test]
 fn a_target_that_answers_nothing_in_time_passes_for_a_usual_one() {
     let mut router = router();
