--- a/lib/src/request/balance/probe.rs
+++ b/lib/src/request/balance/probe.rs
@@ -1,9 +1,9 @@
 //! Which targets an entry asks how fast they are, before they get keys.
 //!
-//! Load pattern: targets of one service that differ in speed. Without traffic nothing is known of it, and
-//! keys that are dealt evenly overload the slow ones for as long as the traffic lasts. Each new target
-//! of a keyed service is asked by a few entries, whatever their number, as one answer may be that of a
-//! moment at which its host is busy.
+//! Load pattern: targets of one service that differ in speed. Before any traffic nothing is known of
+//! it, and keys that are dealt evenly overload the slow ones for as long as the traffic lasts. Each new
+//! target of a keyed service is asked by a few entries, whatever their number, as one answer may be
+//! that of a moment at which its host is busy.
 
 use crate::version::catalog::{Catalog, TargetId};
 use std::net::SocketAddr;
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -102,8 +102,8 @@
         self.sent_since += 1;
     }
 
-    /// Records how an attempt ended and how long it took. Only attempts that ended without a queue at the
-    /// target change the service time, as others include the wait.
+    /// Records how an attempt ended and how long it took. Only attempts that ended without a queue at
+    /// the target change the service time, as others include the wait.
     pub fn record_outcome(&mut self, now: Moment, outcome: SendOutcome, time: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
--- a/lib/src/version/sharding/free_spans.rs
+++ b/lib/src/version/sharding/free_spans.rs
@@ -134,8 +134,8 @@
 }
 
 /// Assigns all keys in stripes to the targets that accept keys, by smooth weighted round robin over
-/// their slots and speed. Busy keys are adjacent and no load is known yet, so with one wide span per target a
-/// single target could own all busy keys.
+/// their slots and speed. Busy keys are adjacent and no load is known yet, so with one wide span per
+/// target a single target could own all busy keys.
 fn initial_grants(candidates: &Candidates) -> Vec<SpanGrant> {
     let accepting: Vec<(TargetId, i64)> = candidates
         .iter()
--- a/lib/src/version/sharding/mod.rs
+++ b/lib/src/version/sharding/mod.rs
@@ -5,11 +5,13 @@
 //! balance the load. It is called often, and each call proposes only a few changes.
 //!
 //! Load pattern: busy keys are adjacent, so keys are assigned in narrow stripes at first and split
-//! by their load later. Targets differ in speed, and the release of keys by a target with a queue takes as
-//! long as its requests, so moves cannot make up for an even first assignment: a target gets keys in
-//! proportion to its speed. When many targets end together, the few that are left cannot get the stripes
+//! by their load later. When many targets end together, the few that are left cannot get the stripes
 //! of all others as single rows, since the answer to a heartbeat has room for some rows only. Adjacent
 //! free rows are then assigned as wide spans.
+//!
+//! Targets differ in speed. A target with a queue releases keys only when the requests for them have
+//! ended, so moves come too late for an uneven first assignment, and a target gets keys in
+//! proportion to its speed.
 
 mod balance;
 mod free_spans;
