leader: a heartbeat that changes nothing causes no status

Cause: each renewal of a lease made the next status due, so with 155 keyed targets that send a heartbeat every 870 ms every entry got a status each 15 ms, over links of 1.5 Mbit/s and with a twentieth to a tenth of a core. Change: a status is hastened only if the renewal changes which of the target's rows are served.

--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -145,8 +145,22 @@
         if !spec.keyed || self.is_losing_keys(id) {
             return None;
         }
-        self.hasten_status();
-        Some(self.leases.grant(now, catalog, id))
+        let served_before = self.served_rows(now, catalog, id);
+        let lease = self.leases.grant(now, catalog, id);
+        // Most heartbeats renew what is served already, hundreds of them a second in a large fleet.
+        if self.served_rows(now, catalog, id) != served_before {
+            self.hasten_status();
+        }
+        Some(lease)
+    }
+
+    /// Number of rows that a target owns and serves.
+    fn served_rows(&self, now: Moment, catalog: &Catalog, id: TargetId) -> usize {
+        let service = catalog.targets.get(&id).map(|record| &record.service);
+        let table = service.and_then(|service| catalog.shards.get(service));
+        let rows = table.into_iter().flat_map(|table| table.rows());
+        let served = |row: &&ShardRow| row.owner == Some(id) && self.leases.is_active(now, row);
+        rows.filter(served).count()
     }
 
     /// Adds the traffic that an entry saw to the measured loads.
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -298,3 +298,69 @@
     let ratio = f64::from(keys(0)) / f64::from(keys(1));
     assert!((2.7..3.3).contains(&ratio), "{ratio}");
 }
+
+/// Keyed target that holds all keys under a grant, with the heartbeats by which it got them.
+fn serve_all_keys(leader: &mut LeaderState, catalog: &mut Catalog, now: Moment) -> TargetId {
+    join(leader, catalog, now);
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    let mut at = now;
+    while catalog.shards.is_empty() {
+        at = at + Duration::from_millis(100);
+        for planned in leader.plan(at, catalog) {
+            catalog.apply(&planned.update);
+            if let Some(service) = planned.completes {
+                leader.finish_plan(&service);
+            }
+        }
+        assert!(at.since(now) < Duration::from_secs(10), "no keys assigned");
+    }
+    id
+}
+
+fn count_statuses(leader: &mut LeaderState, catalog: &Catalog, from: Moment, renews: bool) -> u32 {
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    let mut statuses = 0;
+    for millis in 0..1_000 {
+        let now = from + Duration::from_millis(millis);
+        if renews && millis % 5 == 0 {
+            leader.renew_lease(now, catalog, id);
+        }
+        statuses += u32::from(leader.status(now, 1, 60, catalog).is_some());
+    }
+    statuses
+}
+
+/// Guards against a status for each heartbeat: with 155 keyed targets they were 60 a second.
+#[test]
+fn heartbeats_that_change_nothing_cause_no_status() {
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let start = Moment::from_millis(60_000);
+    serve_all_keys(&mut leader, &mut catalog, start);
+    let now = start + Duration::from_secs(12);
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    leader.renew_lease(now, &catalog, id);
+
+    let calm = count_statuses(&mut leader, &catalog, now + Duration::from_secs(1), false);
+    let busy = count_statuses(&mut leader, &catalog, now + Duration::from_secs(2), true);
+
+    assert!(
+        busy <= calm + 1,
+        "{busy} statuses with heartbeats, {calm} without"
+    );
+}
+
+/// Guards against entries that hold requests back for keys that are served again.
+#[test]
+fn a_heartbeat_that_renews_an_expired_lease_causes_a_status() {
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let start = Moment::from_millis(60_000);
+    let id = serve_all_keys(&mut leader, &mut catalog, start);
+    let now = start + Duration::from_secs(12);
+    let expired = leader.status(now, 1, 60, &catalog).expect("due");
+
+    leader.renew_lease(now + Duration::from_millis(20), &catalog, id);
+    let next = leader.status(now + Duration::from_millis(20), 1, 60, &catalog);
+
+    assert!(!expired.pending.is_empty());
+    assert!(next.is_some_and(|status| status.pending.is_empty()));
+}
