entry: run pipelined requests of one connection concurrently

Cause: the HTTP library serves the requests of a connection one after the other, so callers that pipeline wait for all requests before their own. The time of a request counted from when its turn came, so a target could get more time than the caller had left.

Change: an entry of a seeded fleet reads ahead on a caller's connection by 16 requests and 64 KiB. Requests without a body whose route is idempotent start at once, each in a library connection over a stream in memory; the first other request ends the reading ahead, and the connection goes to the library with all unused bytes. Answers are written in order. Deadlines count from when the head was read. While the entry stops nothing further starts, and only the last started request's answer closes.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -5,5 +5,6 @@
 pub mod heartbeat;
 pub mod lease;
 pub mod order;
+pub mod pipeline;
 pub mod pull_lease;
 mod rivals;
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -446,6 +446,11 @@
         })
     }
 
+    /// Kind of the route that matches a request; `None` without one.
+    pub fn route_kind(&self, host: &str, path: &str) -> Option<RouteKind> {
+        Some(self.routing.find(host, path)?.route.kind)
+    }
+
     /// Counts a new request for the retry budget and the load of its key.
     pub fn record_arrival(&mut self, now: Moment, service: &Service, key: Option<u16>) {
         self.retry_budget(service).record_request(now);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_owner;
 mod test_owner_lease;
 mod test_permits;
+mod test_pipeline;
 mod test_pull_lease;
 mod test_quarantine;
 mod test_raft_rules;
--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -7,6 +7,7 @@
 pub mod limited_stream;
 pub mod message;
 pub mod peer;
+pub mod pipeline;
 pub mod pool;
 pub mod target;
 pub mod wire;
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -1,7 +1,11 @@
 //! Connections of callers.
 
 use super::Entry;
-use crate::request::proxy;
+use crate::{
+    connection::pipeline::{self, ConnectionLimits},
+    request::proxy,
+};
+use http::{HeaderValue, header::CONNECTION};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
@@ -12,8 +16,8 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, watch},
-    time::{Instant, sleep, sleep_until},
+    sync::watch,
+    time::{Instant, sleep},
 };
 
 /// Least size of the buffer for a head that the HTTP library takes.
@@ -81,34 +85,43 @@
     let _ = stream.set_nodelay(true);
     let limits = open.entry.router().request_limits();
     let entry = open.entry.clone();
-    let first_until = Instant::now() + FIRST_REQUEST_TIME;
-    let first = Arc::new(Notify::new());
-    let notifier = first.clone();
+    let head_size = usize::try_from(limits.head_size).unwrap_or(LEAST_HEAD_BYTES);
+    let limits = ConnectionLimits {
+        head_size: head_size.max(LEAST_HEAD_BYTES),
+        idle_time: limits.idle_time,
+        first_until: Instant::now() + FIRST_REQUEST_TIME,
+    };
+    let reading = pipeline::run(stream, entry.clone(), limits, closing.clone());
+    let Some(stream) = reading.await else {
+        return;
+    };
+    let read_at = stream.read_moment();
     let service = service_fn(move |request| {
-        notifier.notify_one();
-        let entry = entry.clone();
-        async move { Ok::<_, Infallible>(proxy::serve(entry, request).await) }
+        let (entry, since) = (entry.clone(), read_at.get());
+        async move {
+            let mut response = proxy::serve(&entry, request, since).await;
+            if entry.is_stopping() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
-    let head_size = usize::try_from(limits.head_size).unwrap_or(LEAST_HEAD_BYTES);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library counts the idle time before a head as part of its arrival.
         .header_read_timeout(limits.idle_time)
-        .max_buf_size(head_size.max(LEAST_HEAD_BYTES))
+        .max_buf_size(limits.head_size)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     tokio::select! {
+        // The library takes what was read ahead first; it would close a connection without a
+        // request at once.
+        biased;
         // A caller that breaks off needs no answer.
         _ = connection.as_mut() => return,
         _ = closing.wait_for(|closing| *closing) => {}
     }
-    // The library would close a connection without a request at once.
-    tokio::select! {
-        biased;
-        _ = connection.as_mut() => return,
-        () = first.notified() => {}
-        () = sleep_until(first_until) => {}
-    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -136,24 +136,22 @@
     Late,
 }
 
-/// Serves one request.
-pub async fn serve(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let since = entry.clock.now();
+/// Serves one request, whose head was read off the wire at `since`.
+pub async fn serve(
+    entry: &Arc<Entry>,
+    request: Request<Incoming>,
+    since: Moment,
+) -> Response<ReplyBody> {
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts.headers);
     let id = head.id.clone().unwrap_or_default();
-    let mut response = match begin(&entry, &parts, head, since) {
-        Ok(job) => job.run(&entry, body).await,
+    match begin(entry, &parts, head, since) {
+        Ok(job) => job.run(entry, body).await,
         Err(refusal) => {
             discard(body);
             refuse(&id, refusal, entry.clock.now().since(since))
         }
-    };
-    if entry.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
     }
-    response
 }
 
 /// Finds the route and the bounds of a request.
@@ -172,14 +170,16 @@
         return Err(Refusal::denied(StatusCode::BAD_REQUEST, "no-identity"));
     };
     let is_detour = parts.headers.contains_key(header::DETOUR);
+    let now = entry.clock.now();
     let mut router = entry.router();
     let limit = router.request_limits().body_size;
-    let routed = router
-        .resolve_route(since, host, parts.uri.path())
-        .map_err(|denial| match denial {
-            RouteError::NoRoute => Refusal::denied(StatusCode::NOT_FOUND, "no-route"),
-            RouteError::Stale => Refusal::not_run("stale", STALE_PAUSE),
-        })?;
+    let routed =
+        router
+            .resolve_route(now, host, parts.uri.path())
+            .map_err(|denial| match denial {
+                RouteError::NoRoute => Refusal::denied(StatusCode::NOT_FOUND, "no-route"),
+                RouteError::Stale => Refusal::not_run("stale", STALE_PAUSE),
+            })?;
     let length = parts.headers.get(CONTENT_LENGTH);
     let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
     if length.is_some_and(|length| length > limit) {
@@ -188,7 +188,7 @@
     // The entry by which a request goes counts it.
     let needs_detour = !is_detour && router.needs_detour();
     if !needs_detour {
-        router.record_arrival(since, &routed.service, head.key.filter(|_| routed.keyed));
+        router.record_arrival(now, &routed.service, head.key.filter(|_| routed.keyed));
     }
     let waits = head.timeout.unwrap_or(USUAL_DEADLINE);
     let left = waits.saturating_sub(WAY_BACK).min(routed.timeout);
@@ -203,7 +203,7 @@
         parts,
         length: length.unwrap_or_default(),
         since,
-        until: Instant::now() + left,
+        until: entry.clock.instant(since) + left,
         tried: Vec::new(),
         strayed: Vec::new(),
         arrivals: 0,
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -29,6 +29,7 @@
 mod test_odd_heartbeats;
 mod test_operator;
 mod test_orders;
+mod test_pipelining;
 mod test_pool;
 mod test_probe;
 mod test_processes;
--- /dev/null
+++ b/node/tests/test_pipelining.rs
@@ -0,0 +1,380 @@
+//! Requests that a caller sends on one connection without waiting for answers.
+
+use crate::test_seeded::{Fleet, PATIENCE, call, fleet_with, order, set_up};
+use cornelrail_testutils::scripted::{self, Ask, Ending, Record, Reply};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+/// Length of a body that is passed on as it comes.
+const LONG: usize = 200_000;
+/// Requests of one connection that run at once.
+const REQUESTS_MAX: usize = 16;
+
+/// Answer as the last part of the path says: after so many ms, in parts, or not at all.
+fn script(ask: &Ask) -> Reply {
+    let own = Reply::answer(ask, &ask.id).with_field("server-load", "0,0,64,20");
+    match ask.path.rsplit('/').next().unwrap_or_default() {
+        "silent" => Reply::silence(ask),
+        "cut" => own.cut_at(0).ending(Ending::Close),
+        "long" => Reply::answer(ask, &"x".repeat(LONG)),
+        "long-cut" => Reply::answer(ask, &"x".repeat(LONG))
+            .cut_at(LONG / 2)
+            .ending(Ending::Close),
+        work => own.after(Duration::from_millis(work.parse().unwrap_or(0))),
+    }
+}
+
+async fn slow_fleet() -> (Fleet, Arc<Record>) {
+    let record = Arc::new(Record::default());
+    let served = record.clone();
+    let fleet = fleet_with(|listener, _| scripted::serve(listener, served, script)).await;
+    set_up(&fleet).await;
+    let order = call(fleet.control, "config.patch", &order(8, "4000ms")).await;
+    assert_eq!(order.map(|(status, _)| status), Some(200));
+    sleep(Duration::from_millis(200)).await;
+    (fleet, record)
+}
+
+fn get(path: &str, id: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\r\n"
+    )
+}
+
+fn post(path: &str, id: &str, deadline: u64) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline}\r\n\
+         Content-Length: 1\r\n\r\nx"
+    )
+}
+
+/// A whole answer.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    closes: bool,
+    body: String,
+}
+
+/// Connection of a caller.
+struct Caller(BufReader<TcpStream>);
+
+impl Caller {
+    async fn connect(callers: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(callers).await.expect("connected");
+        stream.set_nodelay(true).expect("a socket");
+        Caller(BufReader::new(stream))
+    }
+
+    async fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("sent");
+    }
+
+    /// Reads one whole answer; `None` at the end of the connection, or if it ends within one.
+    async fn answer(&mut self) -> Option<Answer> {
+        let reading = async {
+            let mut head = String::new();
+            while !head.ends_with("\r\n\r\n") {
+                self.0.read_line(&mut head).await.ok().filter(|n| *n > 0)?;
+            }
+            let head = head.to_lowercase();
+            let length = head.split("content-length: ").nth(1);
+            let length = length.and_then(|rest| rest.split("\r\n").next()?.parse().ok());
+            let mut body = vec![0; length.expect("a length")];
+            self.0.read_exact(&mut body).await.ok()?;
+            Some(Answer {
+                status: head.split(' ').nth(1)?.parse().ok()?,
+                closes: head.contains("connection: close"),
+                body: String::from_utf8(body).ok()?,
+            })
+        };
+        timeout(PATIENCE, reading).await.expect("in time")
+    }
+
+    /// Reads answers until the connection ends.
+    async fn answers(&mut self) -> Vec<Answer> {
+        let mut answers = Vec::new();
+        while let Some(answer) = self.answer().await {
+            answers.push(answer);
+        }
+        answers
+    }
+}
+
+fn in_ms(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
+/// Each took its time after the one before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn eight_requests_of_one_connection_take_as_long_as_one() {
+    let (fleet, record) = slow_fleet().await;
+    let mut caller = Caller::connect(fleet.callers).await;
+    let heads: String = (0..8)
+        .map(|n| get("/r/300", &format!("eight-{n}")))
+        .collect();
+    let begun = Instant::now();
+
+    caller.send(&heads).await;
+
+    for number in 0..8 {
+        let answer = caller.answer().await.expect("an answer");
+        let id = format!("eight-{number}");
+        assert_eq!((answer.status, &answer.body), (200, &id));
+        assert!(!answer.closes);
+        assert_eq!(record.runs(&id), 1);
+    }
+    let took = begun.elapsed();
+    println!("took {took:?}");
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    // The connection goes on.
+    caller.send(&get("/r/0", "eight-more")).await;
+    assert_eq!(caller.answer().await.map(|answer| answer.status), Some(200));
+}
+
+/// A later answer that is ready first would be taken for that of an earlier request.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_come_whole_and_in_the_order_of_their_requests() {
+    let (fleet, _) = slow_fleet().await;
+    let mut caller = Caller::connect(fleet.callers).await;
+    let paths = ["400", "0", "long", "cut", "200", "long", "0", "none"];
+    let heads = paths.iter().enumerate().map(|(n, path)| match *path {
+        // Without a route it is refused at once.
+        "none" => get("/none/", &format!("order-{n}")),
+        path => get(&format!("/r/{path}"), &format!("order-{n}")),
+    });
+
+    caller.send(&heads.collect::<String>()).await;
+
+    for (number, path) in paths.iter().enumerate() {
+        let answer = caller.answer().await.expect("an answer");
+        match *path {
+            "long" => assert_eq!((answer.status, answer.body.len()), (200, LONG)),
+            "cut" => assert_eq!(answer.status, 502, "it may have run"),
+            "none" => assert_eq!(answer.status, 404),
+            _ => assert_eq!(
+                (answer.status, answer.body),
+                (200, format!("order-{number}"))
+            ),
+        }
+    }
+}
+
+/// One that runs beside an earlier one could overtake what it depends on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_must_run_once_waits_until_all_before_it_are_answered() {
+    let (fleet, record) = slow_fleet().await;
+    let mut caller = Caller::connect(fleet.callers).await;
+    let text = get("/r/300", "turn-0") + &post("/w/100", "turn-1", 3_000) + &get("/r/0", "turn-2");
+
+    caller.send(&text).await;
+    sleep(Duration::from_millis(200)).await;
+    let early = ["turn-0", "turn-1", "turn-2"].map(|id| record.runs(id));
+
+    for number in 0..3 {
+        let answer = caller.answer().await.expect("an answer");
+        assert_eq!(
+            (answer.status, answer.body),
+            (200, format!("turn-{number}"))
+        );
+    }
+    assert_eq!(early, [1, 0, 0]);
+    assert_eq!(
+        ["turn-0", "turn-1", "turn-2"].map(|id| record.runs(id)),
+        [1, 1, 1]
+    );
+}
+
+/// Targets would work for nobody, and requests be sent that nobody waits for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_all_of_its_requests() {
+    let (fleet, record) = slow_fleet().await;
+    for closes_all in [true, false] {
+        let mut caller = Caller::connect(fleet.callers).await;
+        let ids: Vec<_> = (0..4).map(|n| format!("left-{closes_all}-{n}")).collect();
+        let heads: String = ids.iter().map(|id| get("/r/silent", id)).collect();
+        let behind = format!("left-{closes_all}-behind");
+        caller.send(&(heads + &post("/w/0", &behind, 3_000))).await;
+        sleep(Duration::from_millis(300)).await;
+        assert!(ids.iter().all(|id| record.runs(id) == 1), "all have begun");
+
+        match closes_all {
+            true => drop(caller),
+            false => {
+                caller.0.shutdown().await.expect("closed");
+                assert!(caller.answer().await.is_none());
+            }
+        }
+
+        sleep(Duration::from_millis(400)).await;
+        assert!(
+            ids.iter().all(|id| record.closed(id).is_some()),
+            "targets learn of it"
+        );
+        assert_eq!(record.runs(&behind), 0);
+    }
+}
+
+/// Callers take what they sent behind an answer that closes as unread, and send it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_behind_an_answer_that_closes_reaches_a_target() {
+    let (fleet, record) = slow_fleet().await;
+    let mut caller = Caller::connect(fleet.callers).await;
+    caller
+        .send(&(get("/r/700", "stop-0") + &get("/r/900", "stop-1")))
+        .await;
+    sleep(Duration::from_millis(100)).await;
+
+    let stopping = tokio::spawn(fleet.entry.stop());
+    sleep(Duration::from_millis(200)).await;
+    caller
+        .send(&(get("/r/0", "stop-2") + &post("/w/0", "stop-3", 3_000)))
+        .await;
+    let answers = caller.answers().await;
+
+    let told: Vec<_> = answers
+        .iter()
+        .map(|one| (one.body.as_str(), one.closes))
+        .collect();
+    assert_eq!(told, [("stop-0", false), ("stop-1", true)]);
+    stopping.await.expect("it ends");
+    let ran = ["stop-0", "stop-1", "stop-2", "stop-3"].map(|id| record.runs(id));
+    assert_eq!(ran, [1, 1, 0, 0]);
+}
+
+/// A target would get more time than its caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_time_of_a_request_counts_while_it_waits_for_its_turn() {
+    let (fleet, _) = slow_fleet().await;
+    let first = [get("/r/700", "time-0"), post("/w/700", "time-1", 3_000)];
+    for (number, first) in first.into_iter().enumerate() {
+        let mut caller = Caller::connect(fleet.callers).await;
+        let begun = Instant::now();
+        let second = post("/w/500", &format!("time-behind-{number}"), 1_000);
+
+        caller.send(&(first + &second)).await;
+        let statuses = [caller.answer().await, caller.answer().await];
+        let statuses = statuses.map(|answer| answer.expect("an answer").status);
+
+        let took = begun.elapsed();
+        println!("{statuses:?} after {took:?}");
+        assert_eq!(statuses[0], 200);
+        assert!(matches!(statuses[1], 503 | 504), "{statuses:?}");
+        assert!(took < Duration::from_millis(1_100), "{took:?}");
+    }
+}
+
+/// One caller could fill the memory of an entry and the slots of all targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_of_a_thousand_requests_runs_a_few_at_a_time() {
+    let (fleet, record) = slow_fleet().await;
+    let mut held = Caller::connect(fleet.callers).await;
+    let heads: String = (0..1_000)
+        .map(|n| get("/r/silent", &format!("held-{n}")))
+        .collect();
+    let from = Instant::now();
+    held.send(&heads).await;
+    let arrived = (
+        sleep(Duration::from_millis(500)).await,
+        record.arrivals(from, in_ms(0)),
+    )
+        .1;
+    drop(held);
+    let caller = Caller::connect(fleet.callers).await;
+    let heads: String = (0..1_000)
+        .map(|n| get("/r/0", &format!("burst-{n}")))
+        .collect();
+
+    let (mut reading, mut writing) = caller.0.into_inner().into_split();
+    let sending = tokio::spawn(async move {
+        writing.write_all(heads.as_bytes()).await.expect("sent");
+        writing
+    });
+    let mut text = String::new();
+    let mut part = vec![0; 64 << 10];
+    while text.matches("HTTP/1.1 ").count() < 1_000 || !text.ends_with("burst-999") {
+        let read = timeout(PATIENCE, reading.read(&mut part)).await;
+        let read = read.expect("in time").expect("read");
+        assert!(read > 0, "the connection goes on");
+        text += std::str::from_utf8(&part[..read]).expect("text");
+    }
+    drop(sending.await.expect("sent"));
+
+    println!("{arrived} of the first burst at once");
+    assert!((4..=REQUESTS_MAX).contains(&arrived), "{arrived} at once");
+    let bodies = text.split("HTTP/1.1 200 OK").skip(1);
+    let in_order = bodies
+        .enumerate()
+        .all(|(n, one)| one.ends_with(&format!("\r\n\r\nburst-{n}")));
+    assert!(in_order, "each has its answer");
+}
+
+/// A head that comes slowly holds up neither the answers before it nor its own request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_in_many_parts_is_read_while_others_run() {
+    let (fleet, record) = slow_fleet().await;
+    let mut caller = Caller::connect(fleet.callers).await;
+    caller.send(&get("/r/300", "parts-0")).await;
+
+    for byte in get("/r/0", "parts-1").chars() {
+        caller.send(&byte.to_string()).await;
+        sleep(Duration::from_millis(1)).await;
+    }
+    sleep(Duration::from_millis(20)).await;
+    let beside = record.runs("parts-1");
+
+    for number in 0..2 {
+        let answer = caller.answer().await.expect("an answer");
+        assert_eq!(
+            (answer.status, answer.body),
+            (200, format!("parts-{number}"))
+        );
+    }
+    assert_eq!(beside, 1, "it ran beside the one before it");
+}
+
+/// What cannot be read ends the connection, but not the requests before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_is_refused_behind_the_answers_before_it() {
+    let (fleet, _) = slow_fleet().await;
+    let garbage = [
+        ("\u{1}\u{2}nothing of HTTP\r\n\r\n".to_owned(), 400),
+        (
+            get("/r/0", "bad").replace("Host:", "Content-Length: -4\r\nHost:"),
+            400,
+        ),
+        (
+            get("/r/0", "bad").replace("Host:", &format!("x: {}\r\nHost:", "f".repeat(20_000))),
+            431,
+        ),
+    ];
+    for (text, status) in garbage {
+        let mut caller = Caller::connect(fleet.callers).await;
+        caller
+            .send(&(get("/r/200", "good-0") + &get("/r/0", "good-1") + &text))
+            .await;
+
+        let answers = caller.answers().await;
+
+        let statuses: Vec<_> = answers.iter().map(|answer| answer.status).collect();
+        assert_eq!(statuses, [200, 200, status], "{text}");
+    }
+}
+
+/// An answer that breaks off must not be completed by the bytes of the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_off_ends_the_connection_behind_the_whole_ones() {
+    let (fleet, _) = slow_fleet().await;
+    let mut caller = Caller::connect(fleet.callers).await;
+    let text = get("/r/300", "whole") + &get("/r/long-cut", "broken") + &get("/r/0", "behind");
+
+    caller.send(&text).await;
+    let answers = caller.answers().await;
+
+    let bodies: Vec<_> = answers.iter().map(|answer| answer.body.as_str()).collect();
+    assert_eq!(bodies, ["whole"]);
+}
