balance: factors for the work of the routes of one service

Cause: the service time of a target mixed all routes. A pool that runs requests of 130 and 750 ms judged the short ones by the mean of 400 ms: those with little time left were refused as busy although slots were free.

Change: work.rs learns for each service and route the mean time (geometric, as 3 % of the requests take seven times as long) over that of the service. Times that enter a target's model or the leader's report are divided by it, expected times are multiplied by it. It needs 8 answers without a queue, reaches its full value over 8 more, and lies between 0.1 and 10. Queues are still counted in mean requests.

--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -44,6 +44,8 @@
     pub model: &'a TargetModel,
     /// Whether it runs in the zone of this entry.
     pub same_zone: bool,
+    /// Work of the request over that of the mean request of its service.
+    pub work: f64,
 }
 
 /// Returns the candidate that is expected to answer first, preferring those that did not fail
@@ -59,7 +61,8 @@
             .min(1 << 10);
     let zone_cost = CROSS_ZONE_LATENCY + body_cost.min(MAX_BODY_COST);
     let cost = |candidate: &Candidate<'_>| {
-        let end = candidate.model.wait(now) + candidate.model.service_time(now);
+        let service_time = candidate.model.service_time(now).mul_f64(candidate.work);
+        let end = candidate.model.wait(now) + service_time;
         let distance = if candidate.same_zone {
             Duration::ZERO
         } else {
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod split;
 mod target;
+mod work;
 
 pub use self::{
     abandoned::{ABANDONED_TIME, AbandonedAnswers},
@@ -41,4 +42,5 @@
     shutdown::Shutdown,
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
+    work::WorkFactors,
 };
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -21,6 +21,7 @@
     reach::{NoPeer, Peers, Reach},
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
+    work::WorkFactors,
 };
 use crate::{
     moment::Moment,
@@ -104,6 +105,8 @@
 pub struct RoutingRequest<'a> {
     /// Service that gets the request.
     pub service: &'a Service,
+    /// Name of the route that the request matches.
+    pub route: &'a str,
     /// Key of the request, if it has one.
     pub key: Option<u16>,
     /// Time limits and priority.
@@ -170,7 +173,8 @@
     Reject(RejectReason, Duration),
 }
 
-/// Answers and load of a target since the last traffic report.
+/// Answers and load of a target since the last traffic report. Times are in units of the mean request
+/// of its service; see [`WorkFactors`].
 #[derive(Debug, Default)]
 struct TargetStats {
     answers: u32,
@@ -205,6 +209,7 @@
     retry_budgets: HashMap<Service, RetryBudget>,
     key_counts: HashMap<(Service, u16), u32>,
     target_stats: HashMap<TargetId, TargetStats>,
+    work: WorkFactors,
     probes: Probes,
 }
 
@@ -238,6 +243,7 @@
             retry_budgets: HashMap::new(),
             key_counts: HashMap::new(),
             target_stats: HashMap::new(),
+            work: WorkFactors::default(),
             probes: Probes::default(),
         }
     }
@@ -347,9 +353,10 @@
         Some(model)
     }
 
-    /// Mean service time at the targets of a service, if it is known.
-    pub fn usual_latency(&self, service: &Service) -> Option<Duration> {
-        self.typical_latencies.get(service).copied()
+    /// Mean service time of the requests of a route at the targets of a service, if it is known.
+    pub fn usual_latency(&self, service: &Service, route: &str) -> Option<Duration> {
+        let typical = self.typical_latencies.get(service)?;
+        Some(typical.mul_f64(self.work.factor(service, route)))
     }
 
     /// Records that the replica holds everything acknowledged up to `at`.
@@ -601,35 +608,43 @@
         draw_some(&mut self.rng, addresses, count)
     }
 
-    /// Records the outcome of an attempt.
+    /// Records the outcome of an attempt to send a request of a route.
     pub fn record_outcome(
         &mut self,
         now: Moment,
         id: TargetId,
+        route: &str,
         outcome: SendOutcome,
         time: Duration,
         load: Option<LoadReport>,
     ) {
-        let Some(model) = self.models.get_mut(&id) else {
+        let record = self.catalog.targets.get(&id);
+        let (Some(model), Some(record)) = (self.models.get_mut(&id), record) else {
             return;
         };
+        let work = self.work.factor(&record.service, route);
+        let mean_time = time.div_f64(work);
         // A time that ended without an answer is a lower bound, which must not reduce the mean.
         let (is_counted, is_unqueued) = match outcome {
             SendOutcome::Answered => (true, load.is_some_and(|load| load.waiting == 0)),
             SendOutcome::Late => {
-                let is_slow = time > model.service_time(now) && model.is_silent_since(now, time);
+                let is_slow =
+                    mean_time > model.service_time(now) && model.is_silent_since(now, time);
                 (is_slow, model.has_no_queue(now))
             }
             _ => (false, false),
         };
-        model.record_outcome(now, outcome, time);
+        model.record_outcome(now, outcome, time, work);
+        if outcome == SendOutcome::Answered && is_unqueued {
+            self.work.record(&record.service, route, time);
+        }
         let stats = self.target_stats.entry(id).or_default();
         if is_counted {
-            stats.busy_time += time;
+            stats.busy_time += mean_time;
             stats.answers += 1;
         }
         if is_counted && is_unqueued {
-            stats.unqueued_time += time;
+            stats.unqueued_time += mean_time;
             stats.unqueued += 1;
         }
         if let Some(load) = load {
@@ -722,6 +737,7 @@
         for (id, _) in &open {
             self.model(*id);
         }
+        let work = self.work.factor(request.service, request.route);
         let mut pool = open;
         let count = sample_size(pool.len(), self.entry_count());
         for at in 0..count {
@@ -736,6 +752,7 @@
                     id: *id,
                     model: self.models.get(id)?,
                     same_zone: *local,
+                    work,
                 })
             });
             let Some(id) = choose(now, request.body_bytes, candidates).map(|c| c.id) else {
@@ -757,6 +774,7 @@
 
     /// Admits a request to a target that can answer it in time, and takes a token of a cold one.
     fn admit(&mut self, now: Moment, request: RoutingRequest<'_>, id: TargetId) -> RoutingDecision {
+        let work = self.work.factor(request.service, request.route);
         let Some(model) = self.model(id) else {
             return RoutingDecision::Reject(RejectReason::Unowned, NO_OWNER_DELAY);
         };
@@ -767,7 +785,10 @@
         let admission = match model.trial_wait(now) {
             Some(Duration::ZERO) => Admission::Admit,
             Some(wait) => Admission::Reject(wait),
-            None => admit(request.latency, model.wait(now), model.service_time(now)),
+            None => {
+                let service_time = model.service_time(now).mul_f64(work);
+                admit(request.latency, model.wait(now), service_time)
+            }
         };
         if let Admission::Reject(delay) = admission {
             return RoutingDecision::Reject(RejectReason::Busy, delay);
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -135,8 +135,10 @@
     }
 
     /// Records how an attempt ended and how long it took. Only attempts that ended without a queue at
-    /// the target change the service time, as others include the wait.
-    pub fn record_outcome(&mut self, now: Moment, outcome: SendOutcome, time: Duration) {
+    /// the target change the service time, as others include the wait. `work` is the factor of the
+    /// request's route.
+    pub fn record_outcome(&mut self, now: Moment, outcome: SendOutcome, time: Duration, work: f64) {
+        let mean_time = time.div_f64(work);
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
             SendOutcome::Answered => {
@@ -148,7 +150,7 @@
                     let weight = if was_late { 8 } else { SERVICE_TIME_WEIGHT };
                     self.set_service_time(
                         now,
-                        (self.decayed_service_time(now) * (8 - weight) + time * weight) / 8,
+                        (self.decayed_service_time(now) * (8 - weight) + mean_time * weight) / 8,
                     );
                 }
             }
@@ -165,12 +167,12 @@
                     self.trial_at = now + TRIAL_PAUSE;
                 }
                 let usual = self.decayed_service_time(now);
-                if time > usual && self.has_no_queue(now) {
+                if mean_time > usual && self.has_no_queue(now) {
                     // One request may take long for reasons of its own.
                     let learned = if self.late == 0 {
-                        (usual + time) / 2
+                        (usual + mean_time) / 2
                     } else {
-                        time
+                        mean_time
                     };
                     self.set_service_time(now, learned);
                     self.late += 1;
@@ -228,7 +230,7 @@
         self.backoff_until
     }
 
-    /// Expected service time of a request that starts now.
+    /// Expected service time of the mean request of the service, if it starts now.
     pub fn service_time(&self, now: Moment) -> Duration {
         let report = self.recent_report(now);
         let recent = report.filter(|(_, at)| now.since(*at) < LATENCY_PERCENT_MAX_AGE);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code, reason = "the example `dispatch` uses the rest")]
 mod dispatch_model;
 mod model;
+mod pool_model;
 mod property;
 mod raft_cluster;
 mod test_abandoned;
@@ -40,3 +41,4 @@
 mod test_status_pace;
 mod test_suspects;
 mod test_unit;
+mod test_work;
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -145,6 +145,7 @@
     let service = Service::from(service);
     let request = RoutingRequest {
         service: &service,
+        route: "r",
         key,
         latency: latency_bounds(),
         body_bytes: 0,
@@ -158,6 +159,7 @@
     let service = Service::from("pool");
     let request = RoutingRequest {
         service: &service,
+        route: "r",
         key: None,
         latency: latency_bounds(),
         body_bytes,
@@ -372,6 +374,7 @@
     router.record_outcome(
         at(60),
         TargetId(1),
+        "keyed",
         SendOutcome::Answered,
         Duration::from_millis(60),
         Some(busy),
@@ -449,6 +452,7 @@
     router.record_outcome(
         at(5),
         TargetId(3),
+        "pool",
         SendOutcome::Unreachable,
         Duration::ZERO,
         None,
@@ -500,7 +504,7 @@
 /// Ends a request of the keyed service at its first target.
 fn end_request(router: &mut Router, now: Moment, outcome: SendOutcome, time: Duration) {
     assert!(!router.record_sent(TargetId(1)));
-    router.record_outcome(now, TargetId(1), outcome, time, None);
+    router.record_outcome(now, TargetId(1), "keyed", outcome, time, None);
 }
 
 #[test]
@@ -530,8 +534,15 @@
         router.record_sent(id);
     }
 
-    router.record_outcome(at(30), TargetId(3), SendOutcome::Broken, time, None);
-    router.record_outcome(at(30), TargetId(4), SendOutcome::Answered, time, None);
+    router.record_outcome(at(30), TargetId(3), "pool", SendOutcome::Broken, time, None);
+    router.record_outcome(
+        at(30),
+        TargetId(4),
+        "pool",
+        SendOutcome::Answered,
+        time,
+        None,
+    );
 
     for _ in 0..10 {
         let next = route(&mut router, at(31), "pool", None);
@@ -577,17 +588,38 @@
     let mut ends = hang(&mut router, Duration::from_secs(2));
     let after = ends.split_off(10);
     for (millis, limit) in ends {
-        router.record_outcome(at(millis), TargetId(1), SendOutcome::Late, limit, None);
+        router.record_outcome(
+            at(millis),
+            TargetId(1),
+            "keyed",
+            SendOutcome::Late,
+            limit,
+            None,
+        );
     }
 
     let first = route(&mut router, at(2_460), "keyed", Some(1));
     router.record_sent(TargetId(1));
     let quick = Duration::from_millis(20);
-    router.record_outcome(at(2_480), TargetId(1), SendOutcome::Answered, quick, None);
+    router.record_outcome(
+        at(2_480),
+        TargetId(1),
+        "keyed",
+        SendOutcome::Answered,
+        quick,
+        None,
+    );
 
     assert_eq!(sent_to(&first), Some(TargetId(1)));
     for (millis, limit) in after {
-        router.record_outcome(at(millis), TargetId(1), SendOutcome::Late, limit, None);
+        router.record_outcome(
+            at(millis),
+            TargetId(1),
+            "keyed",
+            SendOutcome::Late,
+            limit,
+            None,
+        );
         let next = route(&mut router, at(millis), "keyed", Some(1));
         assert_eq!(sent_to(&next), Some(TargetId(1)), "{millis}: {next:?}");
     }
@@ -598,7 +630,14 @@
     let mut router = router();
     let limit = latency_bounds().time_left;
     for (millis, limit) in hang(&mut router, limit) {
-        router.record_outcome(at(millis), TargetId(1), SendOutcome::Late, limit, None);
+        router.record_outcome(
+            at(millis),
+            TargetId(1),
+            "keyed",
+            SendOutcome::Late,
+            limit,
+            None,
+        );
     }
     let mut sent = Vec::new();
 
@@ -608,7 +647,14 @@
             router.record_sent(TargetId(1));
         }
         if sent.last().is_some_and(|sent| sent + 800 == millis) {
-            router.record_outcome(at(millis), TargetId(1), SendOutcome::Late, limit, None);
+            router.record_outcome(
+                at(millis),
+                TargetId(1),
+                "keyed",
+                SendOutcome::Late,
+                limit,
+                None,
+            );
         }
     }
 
@@ -788,6 +834,7 @@
     let owner = [TargetId(1)];
     let request = |tried, misdirected| RoutingRequest {
         service: &service,
+        route: "r",
         key: Some(5),
         latency: latency_bounds(),
         body_bytes: 0,
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -449,6 +449,7 @@
     fn wish(&self) -> RoutingRequest<'_> {
         RoutingRequest {
             service: &self.routed.service,
+            route: &self.routed.name,
             key: self.head.key,
             latency: LatencyBounds {
                 goal: self.routed.goal,
@@ -468,7 +469,9 @@
         };
         let now = entry.clock.now();
         let left = self.until.saturating_duration_since(Instant::now());
-        let usual = entry.router().usual_latency(&self.routed.service);
+        let usual = entry
+            .router()
+            .usual_latency(&self.routed.service, &self.routed.name);
         shutdown.admits(now, left, usual)
     }
 
@@ -484,7 +487,7 @@
     /// Sends the request to one target.
     async fn attempt(&mut self, entry: &Arc<Entry>, next: &Next, body: RequestBody) -> Tried {
         let id = next.id;
-        let mut flight = Flight::begin(entry, id);
+        let mut flight = Flight::begin(entry, id, &self.routed.name);
         let left = self.until.saturating_duration_since(Instant::now());
         let taking = timeout_at(
             self.until,
--- a/node/src/request/proxy/flight.rs
+++ b/node/src/request/proxy/flight.rs
@@ -15,6 +15,8 @@
 pub(super) struct Flight {
     pub(super) entry: Arc<Entry>,
     pub(super) id: TargetId,
+    /// Name of the request's route.
+    route: String,
     since: Moment,
     /// Load that the answer names.
     load: Option<LoadReport>,
@@ -22,13 +24,14 @@
 }
 
 impl Flight {
-    pub(super) fn begin(entry: &Arc<Entry>, id: TargetId) -> Self {
+    pub(super) fn begin(entry: &Arc<Entry>, id: TargetId, route: &str) -> Self {
         if entry.router().record_sent(id) {
             metrics::counter!("cornelrail_limited_sends_total").increment(1);
         }
         Flight {
             entry: entry.clone(),
             id,
+            route: route.to_owned(),
             since: entry.clock.now(),
             load: None,
             over: false,
@@ -101,7 +104,7 @@
         let spent = now.since(self.since);
         self.entry
             .router()
-            .record_outcome(now, self.id, outcome, spent, self.load);
+            .record_outcome(now, self.id, &self.route, outcome, spent, self.load);
     }
 }
 
