balance: move the routing of pool requests into its own module

route_pool becomes pool_route.rs, without a change of behaviour; placement grows there. Fields and functions of the router that it uses are visible in the balance module.

--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod limits;
 mod open;
+mod pool_route;
 mod probe;
 mod reach;
 mod router;
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -11,7 +11,6 @@
     admit::{Admission, LatencyBounds, admit},
     breaks::Breaks,
     budget::RetryBudget,
-    choose::{Candidate, choose, sample_size},
     cold::ColdRateLimiter,
     entry_count::EntryCount,
     freshness::Freshness,
@@ -47,7 +46,7 @@
 /// Maximum share of the time left for which a request waits for an owner of its key.
 const MAX_WAIT_SHARE: f64 = 0.6;
 /// Retry delay of a request whose key nobody serves.
-const NO_OWNER_DELAY: Duration = Duration::from_millis(500);
+pub(super) const NO_OWNER_DELAY: Duration = Duration::from_millis(500);
 
 /// Settings of a [`Router`].
 #[derive(Debug, Clone)]
@@ -187,29 +186,29 @@
 /// Catalog replica of one entry, with what the entry observed of the targets itself.
 #[derive(Debug)]
 pub struct Router {
-    rng: ChaCha8Rng,
-    config: RouterConfig,
-    catalog: Catalog,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) config: RouterConfig,
+    pub(super) catalog: Catalog,
     routing: Routing,
     index: Option<u64>,
-    status: LeaderStatus,
+    pub(super) status: LeaderStatus,
     status_at: Option<Moment>,
     entry_count: EntryCount,
     freshness: Freshness,
-    models: HashMap<TargetId, TargetModel>,
+    pub(super) models: HashMap<TargetId, TargetModel>,
     typical_latencies: HashMap<Service, Duration>,
     cold_targets: HashMap<TargetId, (Moment, ColdRateLimiter)>,
     limits: TargetLimits,
     breaks: Breaks,
     reach: Reach,
     peers: Peers,
-    open: OpenTargets,
+    pub(super) open: OpenTargets,
     abandoned: AbandonedAnswers,
     splitters: HashMap<String, Splitter>,
     retry_budgets: HashMap<Service, RetryBudget>,
     key_counts: HashMap<(Service, u16), u32>,
     target_stats: HashMap<TargetId, TargetStats>,
-    work: WorkFactors,
+    pub(super) work: WorkFactors,
     probes: Probes,
 }
 
@@ -342,7 +341,7 @@
     }
 
     /// Returns the model of a target in the replica, created if necessary.
-    fn model(&mut self, id: TargetId) -> Option<&mut TargetModel> {
+    pub(super) fn model(&mut self, id: TargetId) -> Option<&mut TargetModel> {
         let record = self.catalog.targets.get(&id)?;
         let typical = self.typical_latencies.get(&record.service).copied();
         let model = self.models.entry(id);
@@ -719,61 +718,13 @@
         }
     }
 
-    fn route_pool(&mut self, now: Moment, request: RoutingRequest<'_>) -> RoutingDecision {
-        let mut shortest_pause: Option<Duration> = None;
-        let mut open: Vec<(TargetId, bool)> = Vec::new();
-        for (id, record) in self.catalog.targets_of(request.service) {
-            if request.tried.contains(&id) || self.status.unresponsive.contains(&id) {
-                continue;
-            }
-            match self.open.state(now, &self.catalog, id, false) {
-                Openness::Open => open.push((id, record.zone == self.config.zone)),
-                Openness::Closed => {}
-                Openness::Paused(left) => {
-                    shortest_pause = Some(shortest_pause.map_or(left, |pause| pause.min(left)));
-                }
-            }
-        }
-        for (id, _) in &open {
-            self.model(*id);
-        }
-        let work = self.work.factor(request.service, request.route);
-        let mut pool = open;
-        let count = sample_size(pool.len(), self.entry_count());
-        for at in 0..count {
-            let other = at + self.rng.next_u32() as usize % (pool.len() - at);
-            pool.swap(at, other);
-        }
-        let mut rejected = shortest_pause.map(|pause| (RejectReason::Paused, pause));
-        // If a target has no room the next best one is tried, in the end also those not sampled.
-        while !pool.is_empty() {
-            let candidates = pool.iter().take(count.max(1)).filter_map(|(id, local)| {
-                Some(Candidate {
-                    id: *id,
-                    model: self.models.get(id)?,
-                    same_zone: *local,
-                    work,
-                })
-            });
-            let Some(id) = choose(now, request.body_bytes, candidates).map(|c| c.id) else {
-                break;
-            };
-            match self.admit(now, request, id) {
-                RoutingDecision::Reject(reason, delay) => {
-                    if rejected.is_none_or(|(_, shortest)| delay < shortest) {
-                        rejected = Some((reason, delay));
-                    }
-                    pool.retain(|(other, _)| *other != id);
-                }
-                other => return other,
-            }
-        }
-        let (reason, delay) = rejected.unwrap_or((RejectReason::Unowned, NO_OWNER_DELAY));
-        RoutingDecision::Reject(reason, delay)
-    }
-
     /// Admits a request to a target that can answer it in time, and takes a token of a cold one.
-    fn admit(&mut self, now: Moment, request: RoutingRequest<'_>, id: TargetId) -> RoutingDecision {
+    pub(super) fn admit(
+        &mut self,
+        now: Moment,
+        request: RoutingRequest<'_>,
+        id: TargetId,
+    ) -> RoutingDecision {
         let work = self.work.factor(request.service, request.route);
         let Some(model) = self.model(id) else {
             return RoutingDecision::Reject(RejectReason::Unowned, NO_OWNER_DELAY);
@@ -847,7 +798,7 @@
         })
     }
 
-    fn entry_count(&self) -> u32 {
+    pub(super) fn entry_count(&self) -> u32 {
         self.entry_count.get()
     }
 
