balance: place pool requests on free slots and crowd no target

Cause: 60 entries with the same half-second-old status each compared 14 of 107 targets and took the fastest, so most requests queued at few targets while others were idle.

Change: the sample falls with the square of the entries (2 of each zone with 60); a free slot goes before a queue; expected answers within 0.7 of the goal are equal, then an open connection counts, then the share of taken slots; up to six targets with an open connection join the sample. A long body still waits a little in its own zone. The node names no open connections yet.

--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -28,7 +28,7 @@
     admit::{Admission, LatencyBounds, admit},
     breaks::Breaks,
     budget::RetryBudget,
-    choose::{Candidate, choose},
+    choose::{Candidate, Demand, choose},
     cold::ColdRateLimiter,
     entry_count::EntryCount,
     freshness::Freshness,
--- a/lib/src/request/balance/pool_route.rs
+++ b/lib/src/request/balance/pool_route.rs
@@ -1,7 +1,11 @@
 //! Routing of the requests of pool services, whose targets all serve every request.
+//!
+//! Load pattern: many entries that know the load of targets from reports up to half a second old, and
+//! narrow links, over which a new connection costs a round trip. Each request is compared at a small
+//! sample of targets, and at some to which this entry has an open connection.
 
 use super::{
-    choose::{Candidate, choose, sample_size},
+    choose::{Candidate, Demand, choose, sample_size},
     open::Openness,
     router::{NO_OWNER_DELAY, RejectReason, Router, RoutingDecision, RoutingRequest},
 };
@@ -9,6 +13,9 @@
 use rand_chacha::rand_core::RngCore;
 use std::time::Duration;
 
+/// Targets with an open connection that join the sample. More of them crowd the fastest ones.
+const MAX_CONNECTED: usize = 6;
+
 impl Router {
     /// Selects the target of a request of a pool service.
     pub(super) fn route_pool(
@@ -33,13 +40,13 @@
         for (id, _) in &open {
             self.model(*id);
         }
-        let work = self.work.factor(request.service, request.route);
         let mut pool = open;
-        let count = sample_size(pool.len(), self.entry_count());
-        for at in 0..count {
-            let other = at + self.rng.next_u32() as usize % (pool.len() - at);
-            pool.swap(at, other);
-        }
+        let count = self.sample(&mut pool, request.connected);
+        let demand = Demand {
+            body_bytes: request.body_bytes,
+            goal: request.latency.goal,
+            work: self.work.factor(request.service, request.route),
+        };
         let mut rejected = shortest_pause.map(|pause| (RejectReason::Paused, pause));
         // If a target has no room the next best one is tried, in the end also those not sampled.
         while !pool.is_empty() {
@@ -48,10 +55,13 @@
                     id: *id,
                     model: self.models.get(id)?,
                     same_zone: *local,
-                    work,
+                    connect_time: match request.connected.contains(id) {
+                        true => Duration::ZERO,
+                        false => request.connect_time,
+                    },
                 })
             });
-            let Some(id) = choose(now, request.body_bytes, candidates).map(|c| c.id) else {
+            let Some(id) = choose(now, demand, candidates).map(|c| c.id) else {
                 break;
             };
             match self.admit(now, request, id) {
@@ -67,4 +77,35 @@
         let (reason, delay) = rejected.unwrap_or((RejectReason::Unowned, NO_OWNER_DELAY));
         RoutingDecision::Reject(reason, delay)
     }
+
+    /// Shuffles the targets and puts a sample in front: some of each zone, and some with an open
+    /// connection. Returns its size.
+    fn sample(&mut self, pool: &mut [(TargetId, bool)], connected: &[TargetId]) -> usize {
+        for at in 0..pool.len() {
+            let other = at + self.rng.next_u32() as usize % (pool.len() - at);
+            pool.swap(at, other);
+        }
+        let entries = self.entry_count();
+        let own = pool.iter().filter(|(_, local)| *local).count();
+        let mut own_left = sample_size(own, entries);
+        let mut other_left = sample_size(pool.len() - own, entries);
+        let mut connected_left = MAX_CONNECTED.min(connected.len());
+        let mut count = 0;
+        for at in 0..pool.len() {
+            let (id, local) = pool[at];
+            let left = match local {
+                true => &mut own_left,
+                false => &mut other_left,
+            };
+            let left = match *left > 0 {
+                true => left,
+                false if connected_left > 0 && connected.contains(&id) => &mut connected_left,
+                false => continue,
+            };
+            *left -= 1;
+            pool.swap(count, at);
+            count += 1;
+        }
+        count
+    }
 }
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -112,6 +112,10 @@
     pub latency: LatencyBounds,
     /// Length of the body according to the headers, 0 if they do not tell.
     pub body_bytes: u64,
+    /// Targets to which an idle connection may carry the request.
+    pub connected: &'a [TargetId],
+    /// Usual time to set up a connection.
+    pub connect_time: Duration,
     /// Targets of earlier attempts; a pool target gets a request at most once.
     pub tried: &'a [TargetId],
     /// Tried targets that reported that they do not own the key.
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -272,6 +272,16 @@
             .max(in_flight)
     }
 
+    /// Estimated share of the slots that are taken; above 1 with a queue.
+    pub fn taken_share(&self, now: Moment) -> f64 {
+        self.backlog(now) / f64::from(self.slots)
+    }
+
+    /// Whether a request that is sent now is expected to run at once.
+    pub fn has_free_slot(&self, now: Moment) -> bool {
+        self.backlog(now) + 1.0 <= f64::from(self.slots)
+    }
+
     /// Expected time in the queue of a request that is sent now.
     pub fn wait(&self, now: Moment) -> Duration {
         let ahead = self.backlog(now) + 1.0 - f64::from(self.slots);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -26,6 +26,7 @@
 mod test_owner;
 mod test_owner_lease;
 mod test_permits;
+mod test_pool_route;
 mod test_pull_lease;
 mod test_quarantine;
 mod test_raft_rules;
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -149,6 +149,8 @@
         key,
         latency: latency_bounds(),
         body_bytes: 0,
+        connected: &[],
+        connect_time: Duration::ZERO,
         tried: &[],
         misdirected: &[],
     };
@@ -163,6 +165,8 @@
         key: None,
         latency: latency_bounds(),
         body_bytes,
+        connected: &[],
+        connect_time: Duration::ZERO,
         tried: &[],
         misdirected: &[],
     };
@@ -416,6 +420,28 @@
     assert_eq!(sent_to(&busy_choice), Some(TargetId(4)));
 }
 
+/// The rest of what runs in the slots is unknown, and a request that was sent stays at its target.
+#[test]
+fn a_free_slot_of_a_slower_target_goes_before_a_queue() {
+    let mut router = router();
+    let full = LoadReport {
+        running: 4,
+        waiting: 0,
+        slots: 4,
+        latency_percent: 100,
+    };
+    let status = LeaderStatus {
+        loads: vec![(TargetId(3), full, 0)],
+        service_times: vec![(TargetId(3), 60), (TargetId(4), 130)],
+        ..leader_status()
+    };
+    router.apply_status(at(1), status);
+
+    let decision = route(&mut router, at(2), "pool", None);
+
+    assert_eq!(sent_to(&decision), Some(TargetId(4)));
+}
+
 #[test]
 fn an_upload_waits_a_little_for_its_own_zone() {
     let mut router = router();
@@ -838,6 +864,8 @@
         key: Some(5),
         latency: latency_bounds(),
         body_bytes: 0,
+        connected: &[],
+        connect_time: Duration::ZERO,
         tried,
         misdirected,
     };
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -457,6 +457,8 @@
                 lowest_priority: self.routed.lowest_priority,
             },
             body_bytes: self.length,
+            connected: &[],
+            connect_time: Duration::ZERO,
             tried: &self.tried,
             misdirected: &self.strayed,
         }
