--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod limits;
 mod open;
+mod pool_route;
 mod probe;
 mod reach;
 mod router;
@@ -27,7 +28,7 @@
     admit::{Admission, LatencyBounds, admit},
     breaks::Breaks,
     budget::RetryBudget,
-    choose::{Candidate, choose},
+    choose::{Candidate, Demand, choose},
     cold::ColdRateLimiter,
     entry_count::EntryCount,
     freshness::Freshness,
