lib: budget and admission of a narrow link

Cause: on a link of 3.7 Mbit/s one upload of 60 KB holds every short message back for 130 ms, and a burst of uploads for seconds.

Change: LinkBudget assigns pieces of 4 KiB of bulk to a clock for each direction, which short bytes advance and never wait for. Bulk keeps a tenth of the rate. A body is admitted if a forecast of bodies that take turns ends it in time without making another one late.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -4,6 +4,8 @@
 pub mod health;
 pub mod heartbeat;
 pub mod lease;
+pub mod link_budget;
+mod link_forecast;
 pub mod order;
 pub mod pull_lease;
 mod rivals;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_key;
 mod test_leader;
 mod test_lease;
+mod test_link_budget;
 mod test_membership;
 mod test_note;
 mod test_once;
