node: link budget of an entry

Cause: connections of an entry on a narrow link send and read bulk as fast as the socket allows.

Change: the setting `link` wraps callers' and targets' connections into paced streams.

--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -189,6 +189,12 @@
     LeavingHeard = 74, Info, "leaving-heard";
     /// A request was written to a target within a pause that it had asked this entry for.
     SentInPause = 75, Warn, "sent-in-pause";
+    /// Uploads are refused since the link of this entry is full.
+    LinkFull = 80, Warn, "link-full";
+    /// Uploads are admitted again.
+    LinkFree = 81, Info, "link-free";
+    /// A caller took nothing of its response and was cut off.
+    CallerStalled = 82, Info, "caller-stalled";
 }
 
 impl Event {
--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -150,6 +150,8 @@
     pub tolerated_losses: u8,
     /// Limit on retries.
     pub retry: RetryLimit,
+    /// Capacity of the link of the host in each direction, in megabits per second.
+    pub link: Option<f64>,
     /// Destination, format and level of the log.
     pub log: Log,
 }
@@ -174,6 +176,7 @@
     grace: HumanDuration,
     tolerated_losses: Option<u8>,
     retry: RetryLimit,
+    link: Option<f64>,
     log: Option<LogLevel>,
 }
 
@@ -211,6 +214,7 @@
             grace: content.grace.0,
             tolerated_losses: content.tolerated_losses.unwrap_or(DEFAULT_TOLERATED_LOSSES),
             retry: content.retry,
+            link: content.link,
             log: Log {
                 level: content.log.unwrap_or(LogLevel::Info),
                 ..Log::default()
@@ -278,5 +282,11 @@
             "a ratio from 0 to 10 and a floor of at least 0",
         ));
     }
+    if content
+        .link
+        .is_some_and(|link| !link.is_finite() || link <= 0.0)
+    {
+        return Err(out_of_range("link", "a number above 0"));
+    }
     Ok(())
 }
--- a/node/src/connection/limited_stream.rs
+++ b/node/src/connection/limited_stream.rs
@@ -8,6 +8,7 @@
 //! The user of a stream, which the library owns, sets the bounds by a [`StreamControl`], and closes the
 //! writing side alone by it.
 
+use super::paced_stream::PacedStream;
 use std::{
     io,
     pin::Pin,
@@ -17,10 +18,7 @@
     },
     task::{Context, Poll},
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Longest head of an answer, with the interim answers before it.
 pub const HEAD_BYTES: usize = 64 << 10;
@@ -61,7 +59,7 @@
 /// Stream that fails instead of reading on once its limit is used up.
 #[derive(Debug)]
 pub struct LimitedStream {
-    stream: TcpStream,
+    stream: PacedStream,
     limit: StreamControl,
     /// Bytes read since the task last gave way.
     turn: usize,
@@ -69,13 +67,13 @@
 
 impl LimitedStream {
     /// Stream without a bound at first, and its limit.
-    pub fn new(stream: TcpStream) -> (Self, StreamControl) {
+    pub fn new(stream: impl Into<PacedStream>) -> (Self, StreamControl) {
         let limit = StreamControl(Arc::new(Shared {
             left: AtomicUsize::new(usize::MAX),
             closes: AtomicBool::new(false),
         }));
         let limited = LimitedStream {
-            stream,
+            stream: stream.into(),
             limit: limit.clone(),
             turn: 0,
         };
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -7,7 +7,11 @@
 //! was turned away never carries that request again, as a second copy of the refusal would look like
 //! its answer.
 
-use super::limited_stream::{HEAD_BYTES, LimitedStream, StreamControl};
+use super::{
+    limited_stream::{HEAD_BYTES, LimitedStream, StreamControl},
+    link::{Admission, Link},
+    paced_stream::{PacedStream, StreamHandle},
+};
 use crate::request::{body::Broken, proxy_body::RequestBody};
 use bytes::{Bytes, BytesMut};
 use cornelrail_lib::version::catalog::TargetId;
@@ -78,6 +82,7 @@
     sender: SendRequest<RequestBody>,
     driver: Pin<Box<Connection<TokioIo<LimitedStream>, RequestBody>>>,
     control: StreamControl,
+    handle: StreamHandle,
     requests: u32,
     /// Digests of the identities of requests that were turned away on it.
     refused: Vec<u64>,
@@ -93,7 +98,11 @@
 }
 
 impl TargetConnection {
-    async fn open(address: SocketAddr, left: Duration) -> Result<Self, SendError> {
+    async fn open(
+        address: SocketAddr,
+        left: Duration,
+        link: Option<Arc<Link>>,
+    ) -> Result<Self, SendError> {
         let limit = CONNECT_TIMEOUT.min(left.mul_f64(CONNECT_SHARE));
         let connecting = timeout(limit, TcpStream::connect(address)).await;
         let stream = connecting
@@ -105,6 +114,8 @@
         if timeout(RESET_TIME, stream.readable()).await.is_ok() {
             return Err(SendError::TurnedAway);
         }
+        let stream = PacedStream::target(stream, link);
+        let handle = stream.handle();
         let (stream, control) = LimitedStream::new(stream);
         let mut builder = http1::Builder::new();
         let builder = builder.max_buf_size(HEAD_BYTES);
@@ -114,6 +125,7 @@
             sender,
             driver: Box::pin(driver),
             control,
+            handle,
             requests: 0,
             refused: Vec::new(),
             over: false,
@@ -141,6 +153,13 @@
         self.refused.is_empty() || !self.refused.contains(&digest(request))
     }
 
+    /// Has the body of the next request counted as part of an admitted one.
+    pub fn carry(&self, admission: Option<&Admission>) {
+        if let Some(admission) = admission {
+            self.handle.carry(admission);
+        }
+    }
+
     /// Sends a request, whose answer is then awaited.
     pub fn send(mut self, request: Request<RequestBody>) -> Exchange {
         self.requests = self.requests.saturating_add(1);
@@ -252,9 +271,18 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<TargetId, Vec<Idle>>>>,
+    link: Option<Arc<Link>>,
 }
 
 impl Pool {
+    /// Pool whose connections share the budget of a link.
+    pub fn paced(link: Option<Arc<Link>>) -> Self {
+        Pool {
+            link,
+            ..Pool::default()
+        }
+    }
+
     /// An idle connection, or a new one, for the request with this identity that has so much time
     /// left.
     pub async fn take(
@@ -270,7 +298,7 @@
             }
         }
         metrics::counter!("cornelrail_target_connections_total").increment(1);
-        TargetConnection::open(address, left).await
+        TargetConnection::open(address, left, self.link.clone()).await
     }
 
     /// Connections that are idle now.
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -1,8 +1,9 @@
 //! Connections of callers.
 
 use super::Entry;
-use crate::request::proxy;
-use hyper::{server::conn::http1, service::service_fn};
+use crate::{connection::paced_stream::PacedStream, request::proxy};
+use http::Request;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     convert::Infallible,
@@ -79,12 +80,15 @@
 async fn serve(stream: TcpStream, open: Open, mut closing: watch::Receiver<bool>) {
     // Without it answers are only later.
     let _ = stream.set_nodelay(true);
+    let stream = PacedStream::caller(stream, open.entry.link.clone());
+    let handle = stream.handle();
     let limits = open.entry.router().request_limits();
     let entry = open.entry.clone();
     let first_until = Instant::now() + FIRST_REQUEST_TIME;
     let first = Arc::new(Notify::new());
     let notifier = first.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(handle.clone());
         notifier.notify_one();
         let entry = entry.clone();
         async move { Ok::<_, Infallible>(proxy::serve(entry, request).await) }
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -19,6 +19,7 @@
 };
 use crate::connection::{
     http_server::{self, respond},
+    link::Link,
     pool::Pool,
 };
 use bytes::Bytes;
@@ -68,6 +69,8 @@
 pub struct Entry {
     /// Clock of the process.
     pub clock: Clock,
+    /// Budget of the link, if its rate is set.
+    pub link: Option<Arc<Link>>,
     /// Connections to targets.
     pub pool: Pool,
     /// Connections to other entries.
@@ -98,10 +101,13 @@
             retry_floor: settings.retry.floor,
             retry_window: settings.retry.window.0,
         };
+        let clock = Clock::start();
+        let link = Link::new(settings.link, clock);
         Entry {
-            clock: Clock::start(),
-            pool: Pool::default(),
-            peers: Pool::default(),
+            clock,
+            pool: Pool::paced(link.clone()),
+            peers: Pool::paced(link.clone()),
+            link,
             address,
             zone: settings.zone.clone(),
             router: Mutex::new(Router::new(config)),
@@ -260,6 +266,9 @@
     let mut pause = interval(SWEEP_PAUSE);
     loop {
         pause.tick().await;
+        if let Some(link) = &entry.link {
+            link.sweep();
+        }
         let router = entry.router();
         entry.pool.sweep(|id| router.has_target(id));
         entry.peers.sweep(|_| true);
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -15,11 +15,16 @@
     proxy_body::{ReplyBody, RequestBody, read_short},
 };
 use crate::{
-    connection::pool::{AnswerBody, PoolPlace, SendError, TargetConnection},
+    connection::{
+        link::Admission,
+        paced_stream::StreamHandle,
+        pool::{AnswerBody, PoolPlace, SendError, TargetConnection},
+    },
     process::{entry::Entry, logging::EventLog},
 };
 use bytes::Bytes;
 use cornelrail_lib::{
+    connection::link_budget::{SHORT_BYTES, Upload},
     moment::Moment,
     name::Target,
     process::event::Event,
@@ -100,6 +105,8 @@
     strayed: Vec<TargetId>,
     arrivals: u32,
     unknown: bool,
+    /// Place of the body on the link, until the request ends.
+    admission: Option<Admission>,
 }
 
 /// Target that gets the request next.
@@ -208,11 +215,15 @@
         strayed: Vec::new(),
         arrivals: 0,
         unknown: false,
+        admission: None,
     })
 }
 
 impl Job {
     async fn run(mut self, entry: &Arc<Entry>, body: Incoming) -> Response<ReplyBody> {
+        if let Err(refusal) = self.admit_body(entry, &body) {
+            return self.refuse_body(entry, refusal, body);
+        }
         let mut body = match self.read_body(entry, body).await {
             Ok(body) => body,
             Err(refusal) => return self.refuse(entry, refusal),
@@ -375,6 +386,46 @@
         Fingerprint::of(&[method, host, uri.as_bytes(), key, &length, &digest])
     }
 
+    /// Waits for nothing: a body that the link cannot carry in time is refused before it is read.
+    fn admit_body(&mut self, entry: &Entry, body: &Incoming) -> Result<(), Refusal> {
+        let Some(link) = &entry.link else {
+            return Ok(());
+        };
+        let length = body.size_hint().exact().unwrap_or_default();
+        if length <= SHORT_BYTES {
+            return Ok(());
+        }
+        let upload = Upload {
+            bytes: length,
+            is_held: length <= WHOLE_BYTES,
+        };
+        let usual = entry.router().usual_latency(&self.routed.service);
+        let left = self.until.saturating_duration_since(Instant::now());
+        let admission = link
+            .admit(upload, left.saturating_sub(usual.unwrap_or_default()))
+            .map_err(|pause| Refusal::not_run("link-full", pause))?;
+        if let Some(handle) = self.parts.extensions.get::<StreamHandle>() {
+            handle.carry(&admission);
+        }
+        self.admission = Some(admission);
+        Ok(())
+    }
+
+    /// Refuses a request whose body was not read. The rest of a long one is not worth the link.
+    fn refuse_body(&self, entry: &Entry, refusal: Refusal, body: Incoming) -> Response<ReplyBody> {
+        let is_long = body
+            .size_hint()
+            .exact()
+            .is_some_and(|length| length > WHOLE_BYTES);
+        discard(body);
+        let mut response = self.refuse(entry, refusal);
+        if is_long {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
     /// Reads a short body whole; a longer one is passed on as it comes.
     async fn read_body(&self, entry: &Entry, body: Incoming) -> Result<RequestBody, Refusal> {
         let exact = body.size_hint().exact();
@@ -387,7 +438,12 @@
         let limit = entry.router().request_limits().body_size;
         let reading = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX)).collect();
         match timeout_at(self.until, reading).await {
-            Ok(Ok(collected)) => Ok(RequestBody::Whole(Some(collected.to_bytes()))),
+            Ok(Ok(collected)) => {
+                if let Some(admission) = &self.admission {
+                    admission.end_arrival();
+                }
+                Ok(RequestBody::Whole(Some(collected.to_bytes())))
+            }
             Ok(Err(_)) => Err(Refusal::denied(StatusCode::BAD_REQUEST, "body-broken")),
             Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body-late")),
         }
@@ -534,6 +590,7 @@
             flight.end(SendOutcome::Cancelled);
             return Tried::Ending;
         }
+        connection.carry(self.admission.as_ref());
         let request = self.target_request(&next.name, left, body);
         self.arrivals += 1;
         flight.count_in_pause();
--- a/node/src/request/proxy/detour.rs
+++ b/node/src/request/proxy/detour.rs
@@ -145,6 +145,7 @@
         set_time_left(headers, left);
         headers.insert(header::DETOUR, HeaderValue::from_static("1"));
         super::frame_body(&mut request);
+        connection.carry(self.admission.as_ref());
         let mut exchange = connection.send(request);
         let response = match exchange.head().await {
             Ok(response) => response,
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -478,6 +478,9 @@
         ("longest_lease: 10s", "longest_lease: 1s", "longest_lease"),
         ("heartbeat: 1s", "heartbeat: 1", "unit"),
         ("grace: 6s\n", "grace: 6s\nin_force: 500ms\n", "in_force"),
+        ("grace: 6s\n", "grace: 6s\nlink: 0\n", "link"),
+        ("grace: 6s\n", "grace: 6s\nlink: -3.7\n", "link"),
+        ("grace: 6s\n", "grace: 6s\nlink: .nan\n", "link"),
         ("grace: 6s\n", "grace: 6s\nmore: 1\n", "more"),
         ("window: 10s}\n", "", ""),
     ];
