--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -2,11 +2,14 @@
 
 use super::Entry;
 use crate::{
-    connection::pipeline::{self, ConnectionLimits},
+    connection::{
+        paced_stream::PacedStream,
+        pipeline::{self, ConnectionLimits},
+    },
     request::proxy,
 };
-use http::{HeaderValue, header::CONNECTION};
-use hyper::{server::conn::http1, service::service_fn};
+use http::{HeaderValue, Request, header::CONNECTION};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     convert::Infallible,
@@ -83,6 +86,8 @@
 async fn serve(stream: TcpStream, open: Open, mut closing: watch::Receiver<bool>) {
     // Without it answers are only later.
     let _ = stream.set_nodelay(true);
+    let stream = PacedStream::caller(stream, open.entry.link.clone());
+    let handle = stream.handle();
     let limits = open.entry.router().request_limits();
     let entry = open.entry.clone();
     let head_size = usize::try_from(limits.head_size).unwrap_or(LEAST_HEAD_BYTES);
@@ -96,7 +101,8 @@
         return;
     };
     let read_at = stream.read_moment();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(handle.clone());
         let (entry, since) = (entry.clone(), read_at.get());
         async move {
             let mut response = proxy::serve(&entry, request, since).await;
