entry: notice callers that leave behind pipelined requests in turn

Cause: the HTTP library does not read on while it holds bytes of the next request. When the caller of two such requests left, the first one went on at its target, and the second was sent once the first was answered. The idle time of a connection also counted from an earlier request where the last one was refused at once.

Change: behind the hand-over the library gets the bytes of one request at a time, and the stream reads ahead itself while that one is served. So the end of the caller's stream is seen, and each request has the time of its own read. Behind a request whose end its head does not tell, all bytes are passed on, as before. Starting a request ends the idle time.

--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the tie to one target or peer.
 
 pub mod announce;
+pub mod caller_stream;
 pub mod core_link;
 pub mod http_server;
 pub mod incoming;
--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -5,23 +5,17 @@
 //! only finds the end of a head, and writes the answers in the order of their requests. All
 //! exchanges belong to the task of their connection, so that they end with it.
 
-use crate::{
-    process::{clock::Clock, entry::Entry},
-    request::{proxy, proxy_body::ReplyBody},
-};
+use super::caller_stream::{CallerStream, CountedBody, ReadAhead, Served};
+use crate::{process::entry::Entry, request::proxy};
 use bytes::{Buf, Bytes, BytesMut};
-use cornelrail_lib::{
-    connection::pipeline::{
-        ExchangeEnd, NextRequest, Pipeline, READ_BYTES_MAX, ReadTimes, Step, WAITING_BYTES_MAX,
-    },
-    moment::Moment,
+use cornelrail_lib::connection::pipeline::{
+    ExchangeEnd, NextRequest, Pipeline, Step, WAITING_BYTES_MAX,
 };
 use futures_util::{FutureExt, Stream, future::BoxFuture, stream::FuturesUnordered};
 use http::{
     HeaderName, HeaderValue, Method, Uri,
     header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING, UPGRADE},
 };
-use http_body::{Body, Frame, SizeHint};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use std::{
@@ -29,11 +23,10 @@
     convert::Infallible,
     future::poll_fn,
     io,
-    mem::MaybeUninit,
     pin::{Pin, pin},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     task::{Context, Poll, Waker, ready},
     time::Duration,
@@ -44,10 +37,6 @@
     time::{Instant, Sleep, sleep_until, timeout},
 };
 
-/// Maximum number of header fields of a head; the default of the HTTP library.
-const FIELDS_MAX: usize = 100;
-/// Bytes that one read takes at most.
-const READ_BYTES: usize = 8 << 10;
 /// Bytes of the answer that is being written which are held at most, beside those of others.
 const WRITE_BYTES: usize = 64 << 10;
 /// Time for which bytes are read and dropped behind an answer that closes the connection. A
@@ -130,9 +119,7 @@
     bytes: BytesMut,
     /// Whether all earlier answers are passed on.
     is_first: bool,
-    /// Whether the HTTP library has taken all of the body.
-    has_body: bool,
-    /// Whether it has written all of the answer.
+    /// Whether the HTTP library has written all of the answer.
     is_whole: bool,
     end: Option<ExchangeEnd>,
     writer: Option<Waker>,
@@ -158,11 +145,7 @@
     stream: S,
     entry: Arc<Entry>,
     limits: ConnectionLimits,
-    /// What was read and not used.
-    buffer: BytesMut,
-    times: ReadTimes,
-    /// Length of the buffer when it was last found to hold no whole head.
-    scanned: usize,
+    ahead: ReadAhead,
     /// Whether the next request is one for the HTTP library.
     is_other: bool,
     has_read_end: bool,
@@ -187,9 +170,7 @@
             stream,
             entry,
             limits,
-            buffer: BytesMut::new(),
-            times: ReadTimes::default(),
-            scanned: 0,
+            ahead: ReadAhead::default(),
             is_other: false,
             has_read_end: false,
             pipeline: Arc::default(),
@@ -205,14 +186,7 @@
     }
 
     fn into_stream(self) -> CallerStream<S> {
-        let read_at = ReadMoment(Arc::new(AtomicU64::new(0)));
-        CallerStream {
-            stream: self.stream,
-            buffer: self.buffer,
-            times: self.times,
-            clock: self.entry.clock,
-            read_at,
-        }
+        CallerStream::new(self.stream, self.ahead, self.entry.clock)
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Ended> {
@@ -246,24 +220,14 @@
 
     /// Reads once; returns whether that brought anything.
     fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
-        if self.has_read_end || self.buffer.len() >= READ_BYTES_MAX {
+        if self.has_read_end || !self.ahead.has_room() {
             return Ok(false);
         }
-        let mut space = [MaybeUninit::uninit(); READ_BYTES];
-        let room = READ_BYTES.min(READ_BYTES_MAX - self.buffer.len());
-        let mut read = ReadBuf::uninit(&mut space[..room]);
-        match Pin::new(&mut self.stream).poll_read(cx, &mut read) {
-            Poll::Pending => return Ok(false),
-            Poll::Ready(read) => read?,
-        }
-        let read = read.filled();
-        if read.is_empty() {
-            self.has_read_end = true;
-        } else {
-            let now = self.entry.clock.now();
-            self.times.record(now, read.len(), self.scanned > 0);
-            self.buffer.extend_from_slice(read);
-        }
+        let clock = self.entry.clock;
+        let Poll::Ready(read) = self.ahead.poll_read(cx, &mut self.stream, clock) else {
+            return Ok(false);
+        };
+        self.has_read_end = !read?;
         Ok(true)
     }
 
@@ -284,86 +248,62 @@
         }
     }
 
-    /// What the buffer begins with, and the length of its head.
+    /// What the bytes ahead begin with, and the length of its head.
     fn next_request(&mut self) -> (NextRequest, usize) {
-        if self.is_other {
-            return (NextRequest::Other, 0);
-        }
-        let may_end = self.scanned == 0 || ends_head(&self.buffer, self.scanned);
-        let next = match self.buffer.is_empty() || !may_end {
-            true => None,
-            false => self.parse(),
-        };
-        let size = self.limits.head_size.min(READ_BYTES_MAX);
-        match next {
-            Some((kind, length)) => {
-                self.scanned = 0;
-                self.is_other = kind == NextRequest::Other || length > self.limits.head_size;
-            }
-            None => {
-                self.scanned = self.buffer.len();
-                self.is_other = self.scanned >= size;
-            }
+        let size = self.limits.head_size;
+        if !self.is_other {
+            let next = match self.ahead.parse_head(find_route) {
+                Some(Ok((length, Some((host, uri))))) if length <= size => {
+                    match self.entry.router().route_kind(&host, uri.path()) {
+                        Some(kind) if !kind.is_idempotent() => NextRequest::Other,
+                        Some(_) => return (NextRequest::Idempotent, length),
+                        None => return (NextRequest::Unrouted, length),
+                    }
+                }
+                Some(_) => NextRequest::Other,
+                // The library refuses what is longer.
+                None if self.ahead.bytes.len() >= size || !self.ahead.has_room() => {
+                    NextRequest::Other
+                }
+                None => NextRequest::Incomplete,
+            };
+            self.is_other = next == NextRequest::Other;
         }
-        match next {
-            _ if self.is_other => (NextRequest::Other, 0),
-            Some(next) => next,
-            None => (NextRequest::Incomplete, 0),
+        match self.is_other {
+            true => (NextRequest::Other, 0),
+            false => (NextRequest::Incomplete, 0),
         }
     }
 
-    /// Kind of the request whose head the buffer begins with; `None` if that is not whole.
-    fn parse(&self) -> Option<(NextRequest, usize)> {
-        let mut fields = [MaybeUninit::uninit(); FIELDS_MAX];
-        let mut head = httparse::Request::new(&mut []);
-        let length = match head.parse_with_uninit_headers(&self.buffer, &mut fields) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) => return None,
-            Err(_) => return Some((NextRequest::Other, 0)),
-        };
-        let kind = match find_route(&head) {
-            Some((host, uri)) => match self.entry.router().route_kind(&host, uri.path()) {
-                Some(kind) if kind.is_idempotent() => NextRequest::Idempotent,
-                Some(_) => NextRequest::Other,
-                None => NextRequest::Unrouted,
-            },
-            None => NextRequest::Other,
-        };
-        Some((kind, length))
-    }
-
     /// Starts the request whose head has this length.
     fn start(&mut self, length: usize) {
-        let since = self.times.time_of(length);
+        let since = self.ahead.times.time_of(length);
         let since = since.unwrap_or_else(|| self.entry.clock.now());
-        self.times.consume(length);
-        let head = self.buffer.split_to(length).freeze();
-        if self.buffer.is_empty() {
-            // An idle connection holds no memory for what it may read.
-            self.buffer = BytesMut::new();
-        }
+        let head = self.ahead.split_to(length).freeze();
+        self.is_idle = false;
         if lock(&self.pipeline).unanswered() > 0 {
             metrics::counter!("cornelrail_pipelined_requests_total").increment(1);
         }
         let number = lock(&self.pipeline).start();
         let answer = Arc::default();
+        let served = Arc::<Served>::default();
         let stream = ExchangeStream {
             head,
             answer: Arc::clone(&answer),
             waiting: self.waiting.clone(),
+            served: served.clone(),
         };
         let (entry, pipeline) = (self.entry.clone(), self.pipeline.clone());
-        let body_answer = answer.clone();
         let service = service_fn(move |request| {
             let (entry, pipeline) = (entry.clone(), pipeline.clone());
-            let answer = body_answer.clone();
+            let served = served.clone();
             async move {
                 let mut response = proxy::serve(&entry, request, since).await;
                 if lock(&pipeline).closes(number, entry.is_stopping()) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                Ok::<_, Infallible>(response.map(|body| ExchangeBody { body, answer }))
+                Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, served)))
             }
         });
         let connection = http1::Builder::new()
@@ -476,7 +416,7 @@
         let Some(idle) = &mut self.idle else {
             return Poll::Pending;
         };
-        if self.is_closing && self.buffer.is_empty() {
+        if self.is_closing && self.ahead.bytes.is_empty() {
             if has_started {
                 return Poll::Ready(());
             }
@@ -488,16 +428,6 @@
     }
 }
 
-/// Whether the bytes from the last three before `from` on hold an empty line.
-fn ends_head(bytes: &[u8], from: usize) -> bool {
-    let bytes = &bytes[from.saturating_sub(3)..];
-    let mut ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
-    ends.any(|(at, _)| {
-        let behind = &bytes[at + 1..];
-        behind.starts_with(b"\n") || behind.starts_with(b"\r\n")
-    })
-}
-
 /// Host and URI of a request that has no body and concerns no more than its exchange.
 fn find_route(head: &httparse::Request<'_, '_>) -> Option<(String, Uri)> {
     let is_plain = head.version == Some(1) && head.method != Some(Method::CONNECT.as_str());
@@ -532,6 +462,7 @@
     head: Bytes,
     answer: Arc<Mutex<Answer>>,
     waiting: Arc<AtomicUsize>,
+    served: Arc<Served>,
 }
 
 impl AsyncRead for ExchangeStream {
@@ -572,8 +503,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // The library flushes the stream once it has written all that it holds.
-        let mut answer = lock(&self.answer);
-        answer.is_whole = answer.has_body;
+        lock(&self.answer).is_whole = self.served.answered() > 0;
         Poll::Ready(Ok(()))
     }
 
@@ -581,124 +511,3 @@
         Poll::Ready(Ok(()))
     }
 }
-
-/// Body of an answer, which tells when the HTTP library has taken all of it.
-struct ExchangeBody {
-    body: ReplyBody,
-    answer: Arc<Mutex<Answer>>,
-}
-
-impl Drop for ExchangeBody {
-    fn drop(&mut self) {
-        lock(&self.answer).has_body = true;
-    }
-}
-
-impl Body for ExchangeBody {
-    type Data = <ReplyBody as Body>::Data;
-    type Error = <ReplyBody as Body>::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// When the last bytes were read from a [`CallerStream`]. A request that was read with others
-/// before it was read no later than that.
-#[derive(Debug, Clone)]
-pub struct ReadMoment(Arc<AtomicU64>);
-
-impl ReadMoment {
-    /// The time of the last read.
-    pub fn get(&self) -> Moment {
-        Moment::from_micros(self.0.load(Ordering::Relaxed))
-    }
-
-    fn set(&self, moment: Moment) {
-        self.0.store(moment.as_micros(), Ordering::Relaxed);
-    }
-}
-
-/// Stream of a caller behind what was read ahead on it.
-#[derive(Debug)]
-pub struct CallerStream<S> {
-    stream: S,
-    buffer: BytesMut,
-    times: ReadTimes,
-    clock: Clock,
-    read_at: ReadMoment,
-}
-
-impl<S> CallerStream<S> {
-    /// When the last bytes were read.
-    pub fn read_moment(&self) -> ReadMoment {
-        self.read_at.clone()
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for CallerStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        // One read ahead at a time, so that each request gets the time of its own.
-        if let Some((bytes, at)) = self.times.first_read() {
-            let length = bytes.min(buf.remaining());
-            buf.put_slice(&self.buffer.split_to(length));
-            self.times.consume(length);
-            if self.buffer.is_empty() {
-                self.buffer = BytesMut::new();
-            }
-            self.read_at.set(at);
-            return Poll::Ready(Ok(()));
-        }
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.read_at.set(self.clock.now());
-        }
-        polled
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for CallerStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -2,7 +2,10 @@
 
 use super::Entry;
 use crate::{
-    connection::pipeline::{self, ConnectionLimits},
+    connection::{
+        caller_stream::CountedBody,
+        pipeline::{self, ConnectionLimits},
+    },
     request::proxy,
 };
 use http::{HeaderValue, header::CONNECTION};
@@ -95,16 +98,17 @@
     let Some(stream) = reading.await else {
         return;
     };
-    let read_at = stream.read_moment();
+    let served = stream.served();
     let service = service_fn(move |request| {
-        let (entry, since) = (entry.clone(), read_at.get());
+        let (entry, served) = (entry.clone(), served.clone());
+        let since = served.read_at();
         async move {
             let mut response = proxy::serve(&entry, request, since).await;
             if entry.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, served)))
         }
     });
     let connection = http1::Builder::new()
--- a/node/tests/test_pipelining.rs
+++ b/node/tests/test_pipelining.rs
@@ -2,10 +2,14 @@
 
 use crate::test_seeded::{Fleet, PATIENCE, call, fleet_with, order, set_up};
 use cornelrail_testutils::scripted::{self, Ask, Ending, Record, Reply};
+use rand_chacha::rand_core::RngCore;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
-    net::TcpStream,
+    io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     time::{Instant, sleep, timeout},
 };
 
@@ -61,7 +65,7 @@
 }
 
 /// Connection of a caller.
-struct Caller(BufReader<TcpStream>);
+struct Caller<S = TcpStream>(BufReader<S>);
 
 impl Caller {
     async fn connect(callers: SocketAddr) -> Caller {
@@ -70,10 +74,17 @@
         Caller(BufReader::new(stream))
     }
 
+    fn split(self) -> (Caller<OwnedReadHalf>, OwnedWriteHalf) {
+        let (reading, writing) = self.0.into_inner().into_split();
+        (Caller(BufReader::new(reading)), writing)
+    }
+
     async fn send(&mut self, text: &str) {
         self.0.write_all(text.as_bytes()).await.expect("sent");
     }
+}
 
+impl<S: AsyncRead + Unpin> Caller<S> {
     /// Reads one whole answer; `None` at the end of the connection, or if it ends within one.
     async fn answer(&mut self) -> Option<Answer> {
         let reading = async {
@@ -105,10 +116,6 @@
     }
 }
 
-fn in_ms(ms: u64) -> Instant {
-    Instant::now() + Duration::from_millis(ms)
-}
-
 /// Each took its time after the one before it.
 #[tokio::test(flavor = "multi_thread")]
 async fn eight_requests_of_one_connection_take_as_long_as_one() {
@@ -189,33 +196,42 @@
     );
 }
 
-/// Targets would work for nobody, and requests be sent that nobody waits for.
+/// Targets would work for nobody, and requests be sent that nobody waits for. The HTTP library sees no
+/// end of a stream behind the bytes of a next request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_ends_all_of_its_requests() {
     let (fleet, record) = slow_fleet().await;
-    for closes_all in [true, false] {
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+    for (case, count, is_chunked, drops) in [
+        ("whole", 4, false, true),
+        ("half", 4, false, false),
+        ("once", 1, false, true),
+        ("once-chunked", 1, true, true),
+    ] {
+        let ids: Vec<_> = (0..count).map(|n| format!("left-{case}-{n}")).collect();
+        let first = ids.iter().map(|id| match case.starts_with("once") {
+            true => post("/w/silent", id, 3_000),
+            false => get("/r/silent", id),
+        });
+        let behind = post("/w/0", case, 3_000);
+        let behind = match is_chunked {
+            true => behind.replace("Content-Length: 1\r\n\r\nx", chunked),
+            false => behind,
+        };
         let mut caller = Caller::connect(fleet.callers).await;
-        let ids: Vec<_> = (0..4).map(|n| format!("left-{closes_all}-{n}")).collect();
-        let heads: String = ids.iter().map(|id| get("/r/silent", id)).collect();
-        let behind = format!("left-{closes_all}-behind");
-        caller.send(&(heads + &post("/w/0", &behind, 3_000))).await;
+        caller.send(&(first.collect::<String>() + &behind)).await;
         sleep(Duration::from_millis(300)).await;
-        assert!(ids.iter().all(|id| record.runs(id) == 1), "all have begun");
+        assert!(ids.iter().all(|id| record.runs(id) == 1), "{case}: begun");
 
-        match closes_all {
+        match drops {
             true => drop(caller),
-            false => {
-                caller.0.shutdown().await.expect("closed");
-                assert!(caller.answer().await.is_none());
-            }
+            false => caller.0.shutdown().await.expect("closed"),
         }
-
         sleep(Duration::from_millis(400)).await;
-        assert!(
-            ids.iter().all(|id| record.closed(id).is_some()),
-            "targets learn of it"
-        );
-        assert_eq!(record.runs(&behind), 0);
+
+        let closed = ids.iter().all(|id| record.closed(id).is_some());
+        assert!(closed, "{case}: targets learn of it");
+        assert_eq!(record.runs(case), 0, "{case}");
     }
 }
 
@@ -278,39 +294,26 @@
         .collect();
     let from = Instant::now();
     held.send(&heads).await;
-    let arrived = (
-        sleep(Duration::from_millis(500)).await,
-        record.arrivals(from, in_ms(0)),
-    )
-        .1;
+    sleep(Duration::from_millis(500)).await;
+    let arrived = record.arrivals(from, Instant::now());
     drop(held);
-    let caller = Caller::connect(fleet.callers).await;
+    println!("{arrived} of the first burst at once");
+    assert!((4..=REQUESTS_MAX).contains(&arrived), "{arrived} at once");
+
+    let (mut caller, mut writing) = Caller::connect(fleet.callers).await.split();
     let heads: String = (0..1_000)
         .map(|n| get("/r/0", &format!("burst-{n}")))
         .collect();
-
-    let (mut reading, mut writing) = caller.0.into_inner().into_split();
     let sending = tokio::spawn(async move {
         writing.write_all(heads.as_bytes()).await.expect("sent");
         writing
     });
-    let mut text = String::new();
-    let mut part = vec![0; 64 << 10];
-    while text.matches("HTTP/1.1 ").count() < 1_000 || !text.ends_with("burst-999") {
-        let read = timeout(PATIENCE, reading.read(&mut part)).await;
-        let read = read.expect("in time").expect("read");
-        assert!(read > 0, "the connection goes on");
-        text += std::str::from_utf8(&part[..read]).expect("text");
+    for number in 0..1_000 {
+        let answer = caller.answer().await.expect("an answer");
+        let wanted = (200, format!("burst-{number}"));
+        assert_eq!((answer.status, answer.body), wanted);
     }
     drop(sending.await.expect("sent"));
-
-    println!("{arrived} of the first burst at once");
-    assert!((4..=REQUESTS_MAX).contains(&arrived), "{arrived} at once");
-    let bodies = text.split("HTTP/1.1 200 OK").skip(1);
-    let in_order = bodies
-        .enumerate()
-        .all(|(n, one)| one.ends_with(&format!("\r\n\r\nburst-{n}")));
-    assert!(in_order, "each has its answer");
 }
 
 /// A head that comes slowly holds up neither the answers before it nor its own request.
@@ -337,44 +340,104 @@
     assert_eq!(beside, 1, "it ran beside the one before it");
 }
 
-/// What cannot be read ends the connection, but not the requests before it.
+/// What cannot be read, and an answer that breaks off, end the connection, but not the answers before.
+/// The bytes of a next answer would complete one that broke off.
 #[tokio::test(flavor = "multi_thread")]
-async fn garbage_is_refused_behind_the_answers_before_it() {
+async fn what_ends_a_connection_ends_it_behind_the_answers_before() {
     let (fleet, _) = slow_fleet().await;
-    let garbage = [
-        ("\u{1}\u{2}nothing of HTTP\r\n\r\n".to_owned(), 400),
-        (
-            get("/r/0", "bad").replace("Host:", "Content-Length: -4\r\nHost:"),
-            400,
-        ),
-        (
-            get("/r/0", "bad").replace("Host:", &format!("x: {}\r\nHost:", "f".repeat(20_000))),
-            431,
-        ),
-    ];
-    for (text, status) in garbage {
+    let bad = |field: &str| get("/r/0", "bad").replace("Host:", &format!("{field}\r\nHost:"));
+    let long = format!("x: {}", "f".repeat(20_000));
+    for (text, last) in [
+        ("\u{1}\u{2}nothing of HTTP\r\n\r\n".to_owned(), Some(400)),
+        (bad("Content-Length: -4"), Some(400)),
+        (bad(&long), Some(431)),
+        (get("/r/long-cut", "cut") + &get("/r/0", "behind"), None),
+    ] {
         let mut caller = Caller::connect(fleet.callers).await;
-        caller
-            .send(&(get("/r/200", "good-0") + &get("/r/0", "good-1") + &text))
-            .await;
+        let good = get("/r/200", "good-0") + &get("/r/0", "good-1");
+        caller.send(&(good + &text)).await;
 
         let answers = caller.answers().await;
 
         let statuses: Vec<_> = answers.iter().map(|answer| answer.status).collect();
-        assert_eq!(statuses, [200, 200, status], "{text}");
+        let wanted: Vec<_> = [200, 200].into_iter().chain(last).collect();
+        assert_eq!(statuses, wanted, "{text}");
     }
 }
 
-/// An answer that breaks off must not be completed by the bytes of the next one.
+/// Bytes of one request must not be lost or taken for another, wherever reads end.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_answer_that_breaks_off_ends_the_connection_behind_the_whole_ones() {
-    let (fleet, _) = slow_fleet().await;
-    let mut caller = Caller::connect(fleet.callers).await;
-    let text = get("/r/300", "whole") + &get("/r/long-cut", "broken") + &get("/r/0", "behind");
-
-    caller.send(&text).await;
-    let answers = caller.answers().await;
+async fn any_mix_of_requests_in_any_parts_gets_each_request_its_answer() {
+    let (fleet, record) = slow_fleet().await;
+    for seed in 0..24_u64 {
+        let mut rng = scripted::rng_of(seed, "mix", 0);
+        let mut below = |bound: u32| rng.next_u32() % bound;
+        let idempotent = below(20);
+        let kinds: Vec<_> = (0..30)
+            .map(|n| if n < idempotent { 0 } else { below(4) })
+            .collect();
+        let requests = kinds.iter().enumerate().map(|(n, kind)| {
+            let id = format!("mix-{seed}-{n}");
+            let work = below(20);
+            let body = "x".repeat(below(20_000) as usize);
+            let length = format!("Content-Length: {}", body.len());
+            match kind {
+                0 | 1 => get(&format!("/r/{work}"), &id),
+                2 => get("/none/", &id),
+                _ => post(&format!("/w/{work}"), &id, 3_000)
+                    .replace("Content-Length: 1", &length)
+                    .replace("\r\n\r\nx", &format!("\r\n\r\n{body}")),
+            }
+        });
+        let text = requests.collect::<String>().into_bytes();
+        let (mut caller, mut writing) = Caller::connect(fleet.callers).await.split();
+        let sending = tokio::spawn(async move {
+            let mut rest = &text[..];
+            while !rest.is_empty() {
+                let length = (rng.next_u32() as usize % 3_000 + 1).min(rest.len());
+                writing.write_all(&rest[..length]).await.expect("sent");
+                rest = &rest[length..];
+                sleep(Duration::from_micros(u64::from(rng.next_u32() % 2_000))).await;
+            }
+            writing
+        });
+
+        for (number, kind) in kinds.iter().enumerate() {
+            let answer = caller.answer().await.expect("an answer");
+            let id = format!("mix-{seed}-{number}");
+            match kind {
+                2 => assert_eq!(answer.status, 404, "{id}"),
+                _ => assert_eq!(
+                    (answer.status, &answer.body, record.runs(&id)),
+                    (200, &id, 1)
+                ),
+            }
+        }
+        drop(sending.await.expect("sent"));
+    }
+}
 
-    let bodies: Vec<_> = answers.iter().map(|answer| answer.body.as_str()).collect();
-    assert_eq!(bodies, ["whole"]);
+/// Time between requests counts from the last one, not from the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_ends_once_it_was_idle_for_its_time() {
+    let (fleet, _) = slow_fleet().await;
+    let mut limits = order(9, "4000ms");
+    limits["upsert"]["limits"]["idleTimeout"] = "600ms".into();
+    let order = call(fleet.control, "config.patch", &limits).await;
+    assert_eq!(order.map(|(status, _)| status), Some(200));
+    sleep(Duration::from_millis(200)).await;
+    for path in ["/none/", "/r/0", "/r/700"] {
+        let mut caller = Caller::connect(fleet.callers).await;
+        for _ in 0..3 {
+            sleep(Duration::from_millis(400)).await;
+            caller.send(&get(path, "idle")).await;
+            assert!(caller.answer().await.is_some(), "{path}");
+        }
+        let begun = Instant::now();
+        // A head that never ends keeps it open no longer.
+        caller.send("GET /r/0 HTTP/1.1\r\n").await;
+        assert!(caller.answer().await.is_none());
+        let took = begun.elapsed();
+        assert!((500..900).contains(&took.as_millis()), "{path}: {took:?}");
+    }
 }
