--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -3,6 +3,7 @@
 use super::Entry;
 use crate::{
     connection::{
+        caller_stream::CountedBody,
         paced_stream::PacedStream,
         pipeline::{self, ConnectionLimits},
     },
@@ -100,17 +101,18 @@
     let Some(stream) = reading.await else {
         return;
     };
-    let read_at = stream.read_moment();
+    let served = stream.served();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(handle.clone());
-        let (entry, since) = (entry.clone(), read_at.get());
+        let (entry, served) = (entry.clone(), served.clone());
+        let since = served.read_at();
         async move {
             let mut response = proxy::serve(&entry, request, since).await;
             if entry.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, served)))
         }
     });
     let connection = http1::Builder::new()
