--- a/node/src/connection/caller_stream.rs
+++ b/node/src/connection/caller_stream.rs
@@ -5,6 +5,7 @@
 //! one request at a time, and reads ahead itself while that one is served. Where the end of a
 //! request is not known from its head, such as that of a chunked one, it passes on all that comes.
 
+use super::reset_stream::ResetOnClose;
 use crate::{process::clock::Clock, request::proxy_body::ReplyBody};
 use bytes::BytesMut;
 use cornelrail_lib::{
@@ -260,6 +261,12 @@
     (head.method != Some("CONNECT")).then_some(length.unwrap_or(0))
 }
 
+impl<S: ResetOnClose> ResetOnClose for CallerStream<S> {
+    fn reset_on_close(&self, resets: bool) -> io::Result<()> {
+        self.stream.reset_on_close(resets)
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for CallerStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the tie to one target or peer.
 
 pub mod announce;
+pub mod caller_acceptor;
 pub mod caller_stream;
 pub mod core_link;
 pub mod http_server;
@@ -12,5 +13,6 @@
 pub mod peer;
 pub mod pipeline;
 pub mod pool;
+pub mod reset_stream;
 pub mod target;
 pub mod wire;
--- a/node/src/connection/paced_stream.rs
+++ b/node/src/connection/paced_stream.rs
@@ -4,7 +4,10 @@
 //! asked for what they send. A stream reserves a piece only once its socket can take or give bytes,
 //! so that one with a slow peer holds no more than one piece of the budget.
 
-use super::link::{Admission, Admitted, Link, Purpose};
+use super::{
+    link::{Admission, Admitted, Link, Purpose},
+    reset_stream::ResetOnClose,
+};
 use crate::process::logging::EventLog;
 use cornelrail_lib::{
     connection::link_budget::{Direction, MessageSizes, PIECE_BYTES, Reservation},
@@ -360,6 +363,12 @@
     }
 }
 
+impl ResetOnClose for PacedStream {
+    fn reset_on_close(&self, resets: bool) -> io::Result<()> {
+        self.stream.reset_on_close(resets)
+    }
+}
+
 impl Drop for PacedStream {
     fn drop(&mut self) {
         self.reset_if_aborted();
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -6,6 +6,7 @@
         caller_stream::CountedBody,
         paced_stream::PacedStream,
         pipeline::{self, ConnectionLimits},
+        reset_stream::ResetStream,
     },
     request::proxy,
 };
@@ -120,7 +121,7 @@
         // The library counts the idle time before a head as part of its arrival.
         .header_read_timeout(limits.idle_time)
         .max_buf_size(limits.head_size)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ResetStream::new(stream)), service);
     let mut connection = pin!(connection);
     tokio::select! {
         // The library takes what was read ahead first; it would close a connection without a
