zones: a bounded share of pool requests leaves the zone

Change: with `zones.cost_per_kib` in the settings of an entry, requests of pool services stay in their zone. For each service a share of them may leave. Longer bodies leave only for a wait that is worth their price. A request that no target of the zone admits goes to another zone whatever the share, and a zone without targets sends everything out at once. Events CR0078 and CR0079 and two metrics tell. Without the setting nothing changes.

--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -189,6 +189,10 @@
     LeavingHeard = 74, Info, "leaving-heard";
     /// A request was written to a target within a pause that it had asked this entry for.
     SentInPause = 75, Warn, "sent-in-pause";
+    /// Requests of a service begin to leave the zone of this entry.
+    SpillBegun = 78, Info, "spill-begun";
+    /// Requests of a service leave the zone of this entry no more.
+    SpillEnded = 79, Info, "spill-ended";
 }
 
 impl Event {
--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -25,6 +25,8 @@
 const DEFAULT_TOLERATED_LOSSES: u8 = 2;
 /// Shortest `in_force`: entries ask twice a second whether their replica is current.
 const MIN_IN_FORCE: Duration = Duration::from_secs(1);
+/// Highest `zones.cost_per_kib`: at it a body of 64 KiB waits for a minute.
+const MAX_COST_PER_KIB: Duration = Duration::from_secs(1);
 
 /// Error in the settings of a process of a seeded fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
@@ -111,6 +113,14 @@
     pub window: HumanDuration,
 }
 
+/// Price of traffic between zones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZonePrice {
+    /// Wait that is accepted to keep one KiB of a request in the zone.
+    pub cost_per_kib: HumanDuration,
+}
+
 /// Validated settings of one process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SeededSettings {
@@ -150,6 +160,8 @@
     pub tolerated_losses: u8,
     /// Limit on retries.
     pub retry: RetryLimit,
+    /// Price of traffic between zones; without it an entry compares each request at all zones.
+    pub zones: Option<ZonePrice>,
     /// Destination, format and level of the log.
     pub log: Log,
 }
@@ -174,6 +186,7 @@
     grace: HumanDuration,
     tolerated_losses: Option<u8>,
     retry: RetryLimit,
+    zones: Option<ZonePrice>,
     log: Option<LogLevel>,
 }
 
@@ -211,6 +224,7 @@
             grace: content.grace.0,
             tolerated_losses: content.tolerated_losses.unwrap_or(DEFAULT_TOLERATED_LOSSES),
             retry: content.retry,
+            zones: content.zones,
             log: Log {
                 level: content.log.unwrap_or(LogLevel::Info),
                 ..Log::default()
@@ -278,5 +292,11 @@
             "a ratio from 0 to 10 and a floor of at least 0",
         ));
     }
+    if content
+        .zones
+        .is_some_and(|zones| zones.cost_per_kib.0 > MAX_COST_PER_KIB)
+    {
+        return Err(out_of_range("zones.cost_per_kib", "at most 1s"));
+    }
     Ok(())
 }
--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -13,14 +13,6 @@
 use crate::{moment::Moment, version::catalog::TargetId};
 use std::time::Duration;
 
-/// Latency that a round trip to another zone adds.
-const CROSS_ZONE_LATENCY: Duration = Duration::from_millis(6);
-/// Wait in the own zone that is accepted to keep one KiB off the links between zones: a body of
-/// 60 KiB waits for a target of its own zone for about its service time.
-const CROSS_ZONE_COST_PER_KIB: Duration = Duration::from_micros(1_300);
-/// Maximum wait that is accepted to keep a body off the links between zones.
-const MAX_BODY_COST: Duration = Duration::from_millis(120);
-
 /// Number of entries up to which each compares all targets without overloading one: the requests
 /// that they send before the next status fill the slots of only a few targets.
 const MAX_ENTRIES_FULL_SAMPLE: usize = 8;
@@ -47,23 +39,18 @@
 }
 
 /// Returns the candidate that is expected to answer first, preferring those that did not fail
-/// recently.
+/// recently. A candidate in another zone answers later by `hop_cost`.
 pub fn choose<'a>(
     now: Moment,
-    body_bytes: u64,
+    hop_cost: Duration,
     candidates: impl Iterator<Item = Candidate<'a>>,
 ) -> Option<Candidate<'a>> {
-    let body_cost = CROSS_ZONE_COST_PER_KIB
-        * u32::try_from(body_bytes >> 10)
-            .unwrap_or(u32::MAX)
-            .min(1 << 10);
-    let zone_cost = CROSS_ZONE_LATENCY + body_cost.min(MAX_BODY_COST);
     let cost = |candidate: &Candidate<'_>| {
         let end = candidate.model.wait(now) + candidate.model.service_time(now);
         let distance = if candidate.same_zone {
             Duration::ZERO
         } else {
-            zone_cost
+            hop_cost
         };
         (candidate.model.is_avoided(now), end + distance)
     };
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod split;
 mod target;
+mod zone_spill;
 
 pub use self::{
     abandoned::{ABANDONED_TIME, AbandonedAnswers},
@@ -41,4 +42,7 @@
     shutdown::Shutdown,
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
+    zone_spill::{
+        FirstChoice, Hop, Outlook, SpillChange, SpillReason, SpillRequest, ZoneSpill, ZoneTargets,
+    },
 };
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -21,6 +21,9 @@
     reach::{NoPeer, Peers, Reach},
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
+    zone_spill::{
+        FirstChoice, Hop, SpillChange, SpillRequest, ZoneSpill, ZoneTargets, default_hop_cost,
+    },
 };
 use crate::{
     moment::Moment,
@@ -67,6 +70,9 @@
     pub retry_floor: f64,
     /// Length of the window over which retries are counted.
     pub retry_window: Duration,
+    /// Wait that is accepted to keep one KiB in the zone; without it each request is compared at
+    /// all zones.
+    pub hop_price: Option<Duration>,
 }
 
 /// Route that matches a request, with the service selected for it.
@@ -206,6 +212,7 @@
     key_counts: HashMap<(Service, u16), u32>,
     target_stats: HashMap<TargetId, TargetStats>,
     probes: Probes,
+    zone_spill: Option<ZoneSpill>,
 }
 
 impl Router {
@@ -216,6 +223,7 @@
             evacuate: config.evacuate,
         };
         Router {
+            zone_spill: config.hop_price.map(ZoneSpill::new),
             rng: ChaCha8Rng::seed_from_u64(config.seed),
             freshness: Freshness::new(config.in_force),
             config,
@@ -464,6 +472,18 @@
         }
     }
 
+    /// Whether a target runs in the zone of this entry.
+    pub fn is_own_zone(&self, id: TargetId) -> bool {
+        let record = self.catalog.targets.get(&id);
+        record.is_some_and(|record| record.zone == self.config.zone)
+    }
+
+    /// Returns the services that began or ceased to leave the zone since the last call.
+    pub fn take_spill_changes(&mut self, now: Moment) -> Vec<SpillChange> {
+        let spill = self.zone_spill.as_mut();
+        spill.map_or_else(Vec::new, |spill| spill.take_changes(now))
+    }
+
     /// Whether a selected target still accepts requests, checked again once a connection is open.
     pub fn still_accepts(&self, now: Moment, id: TargetId, keyed: bool) -> bool {
         self.open.state(now, &self.catalog, id, keyed) == Openness::Open
@@ -724,6 +744,7 @@
         }
         let mut pool = open;
         let count = sample_size(pool.len(), self.entry_count());
+        let (hop_cost, count, mut held) = self.hold_zones(now, request, &mut pool, count);
         for at in 0..count {
             let other = at + self.rng.next_u32() as usize % (pool.len() - at);
             pool.swap(at, other);
@@ -738,7 +759,7 @@
                     same_zone: *local,
                 })
             });
-            let Some(id) = choose(now, request.body_bytes, candidates).map(|c| c.id) else {
+            let Some(id) = choose(now, hop_cost, candidates).map(|c| c.id) else {
                 break;
             };
             match self.admit(now, request, id) {
@@ -747,14 +768,75 @@
                         rejected = Some((reason, delay));
                     }
                     pool.retain(|(other, _)| *other != id);
+                    if pool.is_empty() {
+                        pool.append(&mut held);
+                    }
+                }
+                other => {
+                    self.record_hop(request, id);
+                    return other;
                 }
-                other => return other,
             }
         }
         let (reason, delay) = rejected.unwrap_or((RejectReason::Unowned, NO_OWNER_DELAY));
         RoutingDecision::Reject(reason, delay)
     }
 
+    /// Removes from `pool` the targets that get the request only if no other target admits it. Returns
+    /// the cost of a target of another zone, the number of targets to compare and those removed.
+    fn hold_zones(
+        &mut self,
+        now: Moment,
+        request: RoutingRequest<'_>,
+        pool: &mut Vec<(TargetId, bool)>,
+        sample: usize,
+    ) -> (Duration, usize, Vec<(TargetId, bool)>) {
+        let Some(spill) = &mut self.zone_spill else {
+            return (default_hop_cost(request.body_bytes), sample, Vec::new());
+        };
+        let models = |is_own: bool| -> Vec<&TargetModel> {
+            let zone = pool.iter().filter(|(_, local)| *local == is_own);
+            zone.filter_map(|(id, _)| self.models.get(id)).collect()
+        };
+        let (own, other) = (models(true), models(false));
+        // Entries report each answer, so while the status is recent a target without a report is idle.
+        let has_status = self
+            .status_at
+            .is_some_and(|at| now.since(at) < STATUS_MAX_AGE);
+        let targets = ZoneTargets {
+            own: &own,
+            other: &other,
+            is_known: has_status || other.iter().any(|model| model.has_report(now)),
+            sample,
+        };
+        let spilling = SpillRequest {
+            service: request.service,
+            body_bytes: request.body_bytes,
+            tries: request.tried.len(),
+        };
+        let Hop { first, cost } = spill.decide(now, spilling, targets);
+        let held: Vec<_> = match first {
+            FirstChoice::All => Vec::new(),
+            FirstChoice::Own => pool.extract_if(.., |(_, local)| !*local).collect(),
+            FirstChoice::Other => pool.extract_if(.., |(_, local)| *local).collect(),
+            FirstChoice::OwnOnly => {
+                pool.retain(|(_, local)| *local);
+                Vec::new()
+            }
+        };
+        let count = held.len();
+        let held = draw_some(&mut self.rng, held, count);
+        (cost, sample.min(pool.len()), held)
+    }
+
+    /// Records that a request of a pool service goes to a target, if that is in another zone.
+    fn record_hop(&mut self, request: RoutingRequest<'_>, id: TargetId) {
+        let is_own = self.is_own_zone(id);
+        if let Some(spill) = self.zone_spill.as_mut().filter(|_| !is_own) {
+            spill.record_hop(request.service);
+        }
+    }
+
     /// Admits a request to a target that can answer it in time, and takes a token of a cold one.
     fn admit(&mut self, now: Moment, request: RoutingRequest<'_>, id: TargetId) -> RoutingDecision {
         let Some(model) = self.model(id) else {
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -285,6 +285,11 @@
             .filter(|(_, at)| now.since(*at) < REPORT_MAX_AGE)
     }
 
+    /// Whether a recent report tells of the load of the target.
+    pub fn has_report(&self, now: Moment) -> bool {
+        self.recent_report(now).is_some()
+    }
+
     /// Whether no recent report tells of a queue at the target.
     pub fn has_no_queue(&self, now: Moment) -> bool {
         self.recent_report(now)
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -40,3 +40,4 @@
 mod test_status_pace;
 mod test_suspects;
 mod test_unit;
+mod test_zone_spill;
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -118,6 +118,7 @@
         retry_ratio: 0.2,
         retry_floor: 56.0,
         retry_window: Duration::from_secs(10),
+        hop_price: None,
     });
     assert!(router.install_snapshot(10, catalog));
     router.apply_status(at(0), leader_status());
@@ -281,6 +282,7 @@
         retry_ratio: 0.2,
         retry_floor: 56.0,
         retry_window: Duration::from_secs(10),
+        hop_price: None,
     };
     let mut router = Router::new(config);
 
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -28,7 +28,7 @@
         event::Event,
         seeded_settings::{Role, SeededSettings},
     },
-    request::balance::{Router, RouterConfig, Shutdown},
+    request::balance::{Router, RouterConfig, Shutdown, SpillChange},
     version::feed::Peer,
 };
 use cornelrail_platform::READY_PATH;
@@ -97,6 +97,7 @@
             retry_ratio: settings.retry.ratio,
             retry_floor: settings.retry.floor,
             retry_window: settings.retry.window.0,
+            hop_price: settings.zones.map(|zones| zones.cost_per_kib.0),
         };
         Entry {
             clock: Clock::start(),
@@ -260,8 +261,29 @@
     let mut pause = interval(SWEEP_PAUSE);
     loop {
         pause.tick().await;
-        let router = entry.router();
+        let now = entry.clock.now();
+        let mut router = entry.router();
         entry.pool.sweep(|id| router.has_target(id));
         entry.peers.sweep(|_| true);
+        let changes = router.take_spill_changes(now);
+        drop(router);
+        changes.iter().for_each(log_spill);
     }
 }
+
+fn log_spill(change: &SpillChange) {
+    let event = match change.begins {
+        true => Event::SpillBegun,
+        false => Event::SpillEnded,
+    };
+    event.log(format_args!(
+        "service={} reason={} share={:.2} saved_ms={} cost_ms={} sent={} ms={}",
+        change.service,
+        change.reason.name(),
+        change.share,
+        change.saved.as_millis(),
+        change.cost.as_millis(),
+        change.sent,
+        change.elapsed.as_millis()
+    ));
+}
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -25,7 +25,7 @@
     process::event::Event,
     request::{
         balance::{
-            LatencyBounds, RejectReason, ResolvedRoute, RouteError, RoutingDecision,
+            LatencyBounds, RejectReason, ResolvedRoute, RouteError, Router, RoutingDecision,
             RoutingRequest, SendOutcome,
         },
         header,
@@ -180,8 +180,7 @@
             RouteError::NoRoute => Refusal::denied(StatusCode::NOT_FOUND, "no-route"),
             RouteError::Stale => Refusal::not_run("stale", STALE_PAUSE),
         })?;
-    let length = parts.headers.get(CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let length = body_length(&parts.headers);
     if length.is_some_and(|length| length > limit) {
         return Err(Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "too-long"));
     }
@@ -517,10 +516,10 @@
         }
         let left = self.until.saturating_duration_since(Instant::now());
         let now = entry.clock.now();
-        let (may_serve, accepts) = {
+        let (may_serve, accepts, zone) = {
             let router = entry.router();
             let accepts = router.still_accepts(now, id, self.routed.keyed);
-            (router.may_serve(now), accepts)
+            (router.may_serve(now), accepts, self.zone_label(&router, id))
         };
         if !may_serve {
             flight.end(SendOutcome::Cancelled);
@@ -536,6 +535,10 @@
         }
         let request = self.target_request(&next.name, left, body);
         self.arrivals += 1;
+        if let Some(to) = zone {
+            metrics::counter!("cornelrail_zone_sends_total", "to" => to).increment(1);
+        }
+        count_zone_bytes(zone, self.length);
         flight.count_in_pause();
         let exchanging = self.exchange(entry, flight, connection, request);
         tokio::select! {
@@ -552,6 +555,16 @@
         }
     }
 
+    /// Whether a target of a pool runs in the `own` zone or an `other` one. The owner of a key is
+    /// fixed, so requests of keyed services are not counted.
+    fn zone_label(&self, router: &Router, id: TargetId) -> Option<&'static str> {
+        let label = match router.is_own_zone(id) {
+            true => "own",
+            false => "other",
+        };
+        (!self.routed.keyed).then_some(label)
+    }
+
     fn target_request(
         &self,
         name: &Target,
@@ -607,10 +620,16 @@
         if head.not_run {
             connection.record_refusal(&self.id);
         }
+        let (room, zone) = {
+            let router = entry.router();
+            let room = router.max_connections(&self.routed.service);
+            (room, self.zone_label(&router, flight.id))
+        };
+        count_zone_bytes(zone, body_length(&parts.headers).unwrap_or_default());
         let place = PoolPlace {
             pool: entry.pool.clone(),
             id: flight.id,
-            room: entry.router().max_connections(&self.routed.service),
+            room,
             keep: head.keep_alive,
         };
         let body = read_short(AnswerBody::new(body, connection, place), self.until).await;
@@ -687,6 +706,18 @@
     response
 }
 
+/// Counts the bytes of a body that a target in the zone gets or sends.
+fn count_zone_bytes(zone: Option<&'static str>, bytes: u64) {
+    if let Some(to) = zone {
+        metrics::counter!("cornelrail_zone_bytes_total", "to" => to).increment(bytes);
+    }
+}
+
+/// Length of a body according to its headers.
+fn body_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Records that no connection to a target was made.
 fn record_failure(entry: &Entry, id: TargetId) {
     let now = entry.clock.now();
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -479,10 +479,20 @@
         ("heartbeat: 1s", "heartbeat: 1", "unit"),
         ("grace: 6s\n", "grace: 6s\nin_force: 500ms\n", "in_force"),
         ("grace: 6s\n", "grace: 6s\nmore: 1\n", "more"),
+        (
+            "grace: 6s\n",
+            "grace: 6s\nzones: {cost_per_kib: 2s}\n",
+            "zones.cost_per_kib",
+        ),
+        ("grace: 6s\n", "grace: 6s\nzones: {}\n", "cost_per_kib"),
         ("window: 10s}\n", "", ""),
     ];
 
-    assert!(SeededSettings::parse(good, "f.yaml").is_ok());
+    let zones = |text: &str| SeededSettings::parse(text, "f.yaml").expect("good").zones;
+    assert_eq!(zones(good), None);
+    let price = zones(&format!("{good}zones: {{cost_per_kib: 1300us}}\n"));
+    let price = price.map(|zones| zones.cost_per_kib.0);
+    assert_eq!(price, Some(Duration::from_micros(1_300)));
     for (from, to, named) in bad {
         let fault = SeededSettings::parse(&good.replace(from, to), "f.yaml");
         let text = fault.expect_err(from).to_string();
