--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -25,6 +25,8 @@
 const DEFAULT_TOLERATED_LOSSES: u8 = 2;
 /// Shortest `in_force`: entries ask twice a second whether their replica is current.
 const MIN_IN_FORCE: Duration = Duration::from_secs(1);
+/// Highest `zones.cost_per_kib`: at it a body of 64 KiB waits for a minute.
+const MAX_COST_PER_KIB: Duration = Duration::from_secs(1);
 
 /// Error in the settings of a process of a seeded fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
@@ -111,6 +113,14 @@
     pub window: HumanDuration,
 }
 
+/// Price of traffic between zones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZonePrice {
+    /// Wait that is accepted to keep one KiB of a request in the zone.
+    pub cost_per_kib: HumanDuration,
+}
+
 /// Validated settings of one process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SeededSettings {
@@ -152,6 +162,8 @@
     pub retry: RetryLimit,
     /// Capacity of the link of the host in each direction, in megabits per second.
     pub link: Option<f64>,
+    /// Price of traffic between zones; without it an entry compares each request at all zones.
+    pub zones: Option<ZonePrice>,
     /// Destination, format and level of the log.
     pub log: Log,
 }
@@ -177,6 +189,7 @@
     tolerated_losses: Option<u8>,
     retry: RetryLimit,
     link: Option<f64>,
+    zones: Option<ZonePrice>,
     log: Option<LogLevel>,
 }
 
@@ -215,6 +228,7 @@
             tolerated_losses: content.tolerated_losses.unwrap_or(DEFAULT_TOLERATED_LOSSES),
             retry: content.retry,
             link: content.link,
+            zones: content.zones,
             log: Log {
                 level: content.log.unwrap_or(LogLevel::Info),
                 ..Log::default()
@@ -288,5 +302,11 @@
     {
         return Err(out_of_range("link", "a number above 0"));
     }
+    if content
+        .zones
+        .is_some_and(|zones| zones.cost_per_kib.0 > MAX_COST_PER_KIB)
+    {
+        return Err(out_of_range("zones.cost_per_kib", "at most 1s"));
+    }
     Ok(())
 }
--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -17,13 +17,6 @@
 use crate::{moment::Moment, version::catalog::TargetId};
 use std::time::Duration;
 
-/// Latency that a round trip to another zone adds.
-const CROSS_ZONE_LATENCY: Duration = Duration::from_millis(6);
-/// Wait in the own zone that is accepted to keep one KiB off the links between zones: a body of
-/// 60 KiB waits for a target of its own zone for about its service time.
-const CROSS_ZONE_COST_PER_KIB: Duration = Duration::from_micros(1_300);
-/// Maximum wait that is accepted to keep a body off the links between zones.
-const MAX_BODY_COST: Duration = Duration::from_millis(120);
 /// Length up to which a body leaves its zone for a free slot.
 const MAX_SHORT_BODY: u64 = 8 << 10;
 /// Share of the latency goal up to which expected answers are equally good.
@@ -51,6 +44,8 @@
 pub struct Demand {
     /// Length of its body, 0 if unknown.
     pub body_bytes: u64,
+    /// Time by which a target of another zone is taken to answer later.
+    pub hop_cost: Duration,
     /// Latency goal.
     pub goal: Duration,
     /// Work over that of the mean request of its service.
@@ -123,16 +118,8 @@
         let is_full = is_short && !candidate.model.has_free_slot(now);
         (candidate.model.is_avoided(now), is_full, end + distance)
     };
-    match cost(&own, Duration::ZERO) <= cost(&other, zone_cost(demand.body_bytes)) {
+    match cost(&own, Duration::ZERO) <= cost(&other, demand.hop_cost) {
         true => Some(own),
         false => Some(other),
     }
 }
-
-fn zone_cost(body_bytes: u64) -> Duration {
-    let body_cost = CROSS_ZONE_COST_PER_KIB
-        * u32::try_from(body_bytes >> 10)
-            .unwrap_or(u32::MAX)
-            .min(1 << 10);
-    CROSS_ZONE_LATENCY + body_cost.min(MAX_BODY_COST)
-}
--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -22,6 +22,7 @@
 mod split;
 mod target;
 mod work;
+mod zone_spill;
 
 pub use self::{
     abandoned::{ABANDONED_TIME, AbandonedAnswers},
@@ -44,4 +45,7 @@
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
     work::WorkFactors,
+    zone_spill::{
+        FirstChoice, Hop, Outlook, SpillChange, SpillReason, SpillRequest, ZoneSpill, ZoneTargets,
+    },
 };
--- a/lib/src/request/balance/pool_route.rs
+++ b/lib/src/request/balance/pool_route.rs
@@ -7,7 +7,12 @@
 use super::{
     choose::{Candidate, Demand, choose, sample_size},
     open::Openness,
-    router::{NO_OWNER_DELAY, RejectReason, Router, RoutingDecision, RoutingRequest},
+    router::{
+        NO_OWNER_DELAY, RejectReason, Router, RoutingDecision, RoutingRequest, STATUS_MAX_AGE,
+        draw_some,
+    },
+    target::TargetModel,
+    zone_spill::{FirstChoice, Hop, SpillRequest, ZoneTargets, default_hop_cost},
 };
 use crate::{moment::Moment, version::catalog::TargetId};
 use rand_chacha::rand_core::RngCore;
@@ -41,9 +46,11 @@
             self.model(*id);
         }
         let mut pool = open;
+        let (hop_cost, mut held) = self.hold_zones(now, request, &mut pool);
         let count = self.sample(&mut pool, request.connected);
         let demand = Demand {
             body_bytes: request.body_bytes,
+            hop_cost,
             goal: request.latency.goal,
             work: self.work.factor(request.service, request.route),
         };
@@ -70,8 +77,14 @@
                         rejected = Some((reason, delay));
                     }
                     pool.retain(|(other, _)| *other != id);
+                    if pool.is_empty() {
+                        pool.append(&mut held);
+                    }
+                }
+                other => {
+                    self.record_hop(request, id);
+                    return other;
                 }
-                other => return other,
             }
         }
         let (reason, delay) = rejected.unwrap_or((RejectReason::Unowned, NO_OWNER_DELAY));
@@ -108,4 +121,59 @@
         }
         count
     }
+
+    /// Removes from `pool` the targets that get the request only if no other target admits it. Returns
+    /// the cost of a target of another zone and those removed.
+    fn hold_zones(
+        &mut self,
+        now: Moment,
+        request: RoutingRequest<'_>,
+        pool: &mut Vec<(TargetId, bool)>,
+    ) -> (Duration, Vec<(TargetId, bool)>) {
+        let sample = sample_size(pool.len(), self.entry_count());
+        let Some(spill) = &mut self.zone_spill else {
+            return (default_hop_cost(request.body_bytes), Vec::new());
+        };
+        let models = |is_own: bool| -> Vec<&TargetModel> {
+            let zone = pool.iter().filter(|(_, local)| *local == is_own);
+            zone.filter_map(|(id, _)| self.models.get(id)).collect()
+        };
+        let (own, other) = (models(true), models(false));
+        // Entries report each answer, so while the status is recent a target without a report is idle.
+        let has_status = self
+            .status_at
+            .is_some_and(|at| now.since(at) < STATUS_MAX_AGE);
+        let targets = ZoneTargets {
+            own: &own,
+            other: &other,
+            is_known: has_status || other.iter().any(|model| model.has_report(now)),
+            sample,
+        };
+        let spilling = SpillRequest {
+            service: request.service,
+            body_bytes: request.body_bytes,
+            tries: request.tried.len(),
+        };
+        let Hop { first, cost } = spill.decide(now, spilling, targets);
+        let held: Vec<_> = match first {
+            FirstChoice::All => Vec::new(),
+            FirstChoice::Own => pool.extract_if(.., |(_, local)| !*local).collect(),
+            FirstChoice::Other => pool.extract_if(.., |(_, local)| *local).collect(),
+            FirstChoice::OwnOnly => {
+                pool.retain(|(_, local)| *local);
+                Vec::new()
+            }
+        };
+        let count = held.len();
+        let held = draw_some(&mut self.rng, held, count);
+        (cost, held)
+    }
+
+    /// Records that a request of a pool service goes to a target, if that is in another zone.
+    fn record_hop(&mut self, request: RoutingRequest<'_>, id: TargetId) {
+        let is_own = self.is_own_zone(id);
+        if let Some(spill) = self.zone_spill.as_mut().filter(|_| !is_own) {
+            spill.record_hop(request.service);
+        }
+    }
 }
--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -21,6 +21,7 @@
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
     work::WorkFactors,
+    zone_spill::{SpillChange, ZoneSpill},
 };
 use crate::{
     moment::Moment,
@@ -40,7 +41,7 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 /// Age up to which the times in a leader status are used: four status intervals.
-const STATUS_MAX_AGE: Duration = Duration::from_millis(1_000);
+pub(super) const STATUS_MAX_AGE: Duration = Duration::from_millis(1_000);
 /// Delay before a request is routed again whose target reported that it does not own the key.
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(60);
 /// Maximum share of the time left for which a request waits for an owner of its key.
@@ -67,6 +68,9 @@
     pub retry_floor: f64,
     /// Length of the window over which retries are counted.
     pub retry_window: Duration,
+    /// Wait that is accepted to keep one KiB in the zone; without it each request is compared at
+    /// all zones.
+    pub hop_price: Option<Duration>,
 }
 
 /// Route that matches a request, with the service selected for it.
@@ -196,7 +200,7 @@
     routing: Routing,
     index: Option<u64>,
     pub(super) status: LeaderStatus,
-    status_at: Option<Moment>,
+    pub(super) status_at: Option<Moment>,
     entry_count: EntryCount,
     freshness: Freshness,
     pub(super) models: HashMap<TargetId, TargetModel>,
@@ -214,6 +218,7 @@
     target_stats: HashMap<TargetId, TargetStats>,
     pub(super) work: WorkFactors,
     probes: Probes,
+    pub(super) zone_spill: Option<ZoneSpill>,
 }
 
 impl Router {
@@ -224,6 +229,7 @@
             evacuate: config.evacuate,
         };
         Router {
+            zone_spill: config.hop_price.map(ZoneSpill::new),
             rng: ChaCha8Rng::seed_from_u64(config.seed),
             freshness: Freshness::new(config.in_force),
             config,
@@ -479,6 +485,18 @@
         }
     }
 
+    /// Whether a target runs in the zone of this entry.
+    pub fn is_own_zone(&self, id: TargetId) -> bool {
+        let record = self.catalog.targets.get(&id);
+        record.is_some_and(|record| record.zone == self.config.zone)
+    }
+
+    /// Returns the services that began or ceased to leave the zone since the last call.
+    pub fn take_spill_changes(&mut self, now: Moment) -> Vec<SpillChange> {
+        let spill = self.zone_spill.as_mut();
+        spill.map_or_else(Vec::new, |spill| spill.take_changes(now))
+    }
+
     /// Whether a selected target still accepts requests, checked again once a connection is open.
     pub fn still_accepts(&self, now: Moment, id: TargetId, keyed: bool) -> bool {
         self.open.state(now, &self.catalog, id, keyed) == Openness::Open
@@ -834,7 +852,7 @@
 }
 
 /// Draws at most `count` of the items.
-fn draw_some<T>(rng: &mut ChaCha8Rng, mut items: Vec<T>, count: usize) -> Vec<T> {
+pub(super) fn draw_some<T>(rng: &mut ChaCha8Rng, mut items: Vec<T>, count: usize) -> Vec<T> {
     let count = count.min(items.len());
     for at in 0..count {
         let other = at + rng.next_u32() as usize % (items.len() - at);
--- a/lib/tests/pool_model.rs
+++ b/lib/tests/pool_model.rs
@@ -198,6 +198,7 @@
         retry_ratio: 0.2,
         retry_floor: 56.0,
         retry_window: Duration::from_secs(10),
+        hop_price: None,
     });
     assert!(router.install_snapshot(10, catalog.clone()));
     router
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -45,3 +45,4 @@
 mod test_suspects;
 mod test_unit;
 mod test_work;
+mod test_zone_spill;
