--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_hostile;
 mod test_intent;
 mod test_limits;
+mod test_link;
 mod test_logging;
 mod test_lost_words;
 mod test_message;
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -69,6 +69,15 @@
 
 /// Fleet whose target is served by the task that `serve` starts.
 pub(crate) async fn fleet_with(serve: impl Serve) -> Fleet {
+    start_fleet(None, serve).await
+}
+
+/// Fleet whose entry is on a link of so many megabits per second.
+pub(crate) async fn fleet_on_link(link: Option<f64>) -> Fleet {
+    start_fleet(link, |listener, seen| tokio::spawn(serve(listener, seen))).await
+}
+
+async fn start_fleet(link: Option<f64>, serve: impl Serve) -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let host = host();
     let port = ports::next_port();
@@ -78,7 +87,8 @@
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
     let core = core::start(core).await.expect("a core host");
     let listen = format!("callers: \"{callers}\", ready: \"{ready}\"");
-    let entry = settings("entry", &host, port, &listen, &folder.path().join("none"));
+    let mut entry = settings("entry", &host, port, &listen, &folder.path().join("none"));
+    entry.link = link;
     let entry = entry::start(entry).await.expect("an entry");
     let target = StandIn::with(&host, control, serve).await;
     Fleet {
