node: prefer and keep idle connections to targets, and lose no request to a closed one

Cause: entries opened 57,987 connections for 83,483 requests. Placement ignored open connections, 96 were kept, each for at most 4 s, and an idle one that was closed cost a retry or, without budget, a refusal.

Change: the pool names the targets that have a usable idle connection and the mean time to connect (5 ms until measured) to the router. Idempotent requests use a connection idle for up to 0.8 of the target's Keep-Alive time (30 s at most), others as before up to 4 s and 0.6 of it. idle_connections sets the number (96). A request that the library gives back goes to the same target by a new connection at once; after a reset on reuse the next sending of an idempotent request takes a new connection. A connect that takes four times the usual time, at least 100 ms, sends a first try with a short body to another target of the pool. The stream records whether a byte of the request was written: without one the answer is 503, not 502 or 504, also at the deadline, and nothing is written afterwards.

The share of new connections of real processes is not measured here.

--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -23,6 +23,10 @@
 const DEFAULT_IN_FORCE: Duration = Duration::from_secs(2);
 /// Core hosts that may lose their disks at the same time, unless `tolerated_losses` is set.
 const DEFAULT_TOLERATED_LOSSES: u8 = 2;
+/// Idle connections of an entry to all targets, unless `idle_connections` is set.
+pub const DEFAULT_IDLE_CONNECTIONS: usize = 96;
+/// Largest `idle_connections`; they would hold 160 MiB.
+const MAX_IDLE_CONNECTIONS: usize = 10_000;
 /// Shortest `in_force`: entries ask twice a second whether their replica is current.
 const MIN_IN_FORCE: Duration = Duration::from_secs(1);
 
@@ -150,6 +154,8 @@
     pub tolerated_losses: u8,
     /// Limit on retries.
     pub retry: RetryLimit,
+    /// Maximum number of idle connections of an entry to all targets together.
+    pub idle_connections: usize,
     /// Destination, format and level of the log.
     pub log: Log,
 }
@@ -174,6 +180,7 @@
     grace: HumanDuration,
     tolerated_losses: Option<u8>,
     retry: RetryLimit,
+    idle_connections: Option<usize>,
     log: Option<LogLevel>,
 }
 
@@ -211,6 +218,7 @@
             grace: content.grace.0,
             tolerated_losses: content.tolerated_losses.unwrap_or(DEFAULT_TOLERATED_LOSSES),
             retry: content.retry,
+            idle_connections: content.idle_connections.unwrap_or(DEFAULT_IDLE_CONNECTIONS),
             log: Log {
                 level: content.log.unwrap_or(LogLevel::Info),
                 ..Log::default()
@@ -278,5 +286,11 @@
             "a ratio from 0 to 10 and a floor of at least 0",
         ));
     }
+    if content
+        .idle_connections
+        .is_some_and(|count| count > MAX_IDLE_CONNECTIONS)
+    {
+        return Err(out_of_range("idle_connections", "at most 10000"));
+    }
     Ok(())
 }
--- a/node/src/connection/limited_stream.rs
+++ b/node/src/connection/limited_stream.rs
@@ -34,6 +34,8 @@
     left: AtomicUsize,
     /// Whether the writing side is to be closed.
     closes: AtomicBool,
+    /// Whether a byte was written since a head is expected.
+    has_written: AtomicBool,
 }
 
 /// Bytes that may still be read, and whether more will be written; shared by a stream and its user.
@@ -44,6 +46,7 @@
     /// Bounds what is read from now on, as the next thing is a head.
     pub fn expect_head(&self) {
         self.0.left.store(HEAD_BYTES, Ordering::Relaxed);
+        self.0.has_written.store(false, Ordering::Relaxed);
     }
 
     /// Lifts the bound, as the head is complete.
@@ -51,7 +54,12 @@
         self.0.left.store(usize::MAX, Ordering::Relaxed);
     }
 
-    /// Closes the writing side before the next read. To the target it looks as if the whole
+    /// Whether a byte was written since [`expect_head`](Self::expect_head).
+    pub fn has_written(&self) -> bool {
+        self.0.has_written.load(Ordering::Relaxed)
+    }
+
+    /// Closes the writing side before the next read or write. To the target it looks as if the whole
     /// connection was closed.
     pub fn close_writing(&self) {
         self.0.closes.store(true, Ordering::Relaxed);
@@ -73,6 +81,7 @@
         let limit = StreamControl(Arc::new(Shared {
             left: AtomicUsize::new(usize::MAX),
             closes: AtomicBool::new(false),
+            has_written: AtomicBool::new(false),
         }));
         let limited = LimitedStream {
             stream,
@@ -81,6 +90,20 @@
         };
         (limited, limit)
     }
+
+    /// Fails if the writing side is to be closed: what was not written by then never is.
+    fn check_open(&self) -> io::Result<()> {
+        match self.limit.0.closes.load(Ordering::Relaxed) {
+            true => Err(io::ErrorKind::BrokenPipe.into()),
+            false => Ok(()),
+        }
+    }
+
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        if matches!(polled, Poll::Ready(Ok(1..))) {
+            self.limit.0.has_written.store(true, Ordering::Relaxed);
+        }
+    }
 }
 
 impl AsyncRead for LimitedStream {
@@ -121,7 +144,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.check_open()?;
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -137,7 +163,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.check_open()?;
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -28,7 +28,7 @@
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
     time::Duration,
 };
@@ -46,18 +46,25 @@
 const RESET_TIME: Duration = Duration::from_millis(1);
 /// Part of the time left for a request that may go by before it is connected.
 const CONNECT_SHARE: f64 = 0.33;
-/// Idle time after which a connection is not used again, unless the target says less: targets may
-/// drop idle connections sooner than they say.
+/// Idle time after which a connection carries no request that must run at most once, unless the
+/// target says less: targets may drop idle connections sooner than they say, and a reset leaves open
+/// whether the request has run.
 const IDLE_TIME: Duration = Duration::from_secs(4);
-/// Idle connections to all targets together. Each holds 16 KiB of buffers, and with hundreds of
-/// targets most of them would be closed unused.
-const IDLE_MOST: usize = 96;
+/// Connection time assumed until one is measured.
+const INITIAL_CONNECT_TIME: Duration = Duration::from_millis(5);
+/// Weight of the latest connection time in the mean.
+const CONNECT_TIME_WEIGHT: f64 = 0.125;
 /// Refusals after which a connection is not used again, so that it holds few identities.
 const REFUSALS_MAX: usize = 16;
 /// Header fields of an answer that are parsed, as many as the library takes.
 const FIELDS_MAX: usize = 100;
-/// Part of the target's own idle time that is used.
+/// Part of the target's own idle time in which a connection carries requests that must run at most
+/// once.
 const KEEP_SHARE: f64 = 0.6;
+/// The same for idempotent requests, which may be sent again.
+const IDEMPOTENT_KEEP_SHARE: f64 = 0.8;
+/// Longest idle time of a connection, however long the target keeps it.
+const IDEMPOTENT_IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// Why a target gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -120,6 +127,11 @@
         })
     }
 
+    /// Tells whether a byte of the next request was written.
+    pub fn control(&self) -> StreamControl {
+        self.control.clone()
+    }
+
     /// Whether it has carried no request yet.
     pub fn is_new(&self) -> bool {
         self.requests == 0
@@ -149,6 +161,7 @@
         Exchange {
             connection: self,
             answer,
+            unsent: None,
         }
     }
 
@@ -203,6 +216,8 @@
 pub struct Exchange {
     connection: TargetConnection,
     answer: Pin<Box<dyn Future<Output = Answered> + Send>>,
+    /// Body of the request, if the connection was closed before anything of it was written.
+    unsent: Option<RequestBody>,
 }
 
 impl std::fmt::Debug for Exchange {
@@ -221,7 +236,11 @@
                 answer = &mut self.answer => {
                     connection.control.lift();
                     return answer.map_err(|mut error| match error.take_message() {
-                        Some(_unsent) => SendError::NotSent,
+                        Some(unsent) => {
+                            self.unsent = Some(unsent.into_body());
+                            SendError::NotSent
+                        }
+                        None if !connection.control.has_written() => SendError::NotSent,
                         None => SendError::Broken,
                     });
                 }
@@ -236,6 +255,11 @@
         self.connection.control.close_writing();
     }
 
+    /// Body of a request of which nothing was written.
+    pub fn take_unsent(&mut self) -> Option<RequestBody> {
+        self.unsent.take()
+    }
+
     /// The connection, once the answer has begun.
     pub fn into_connection(self) -> TargetConnection {
         self.connection
@@ -245,32 +269,103 @@
 #[derive(Debug)]
 struct Idle {
     connection: TargetConnection,
+    /// End of the time in which it carries requests that must run at most once.
     until: Instant,
+    /// The same for idempotent requests.
+    idempotent_until: Instant,
+}
+
+impl Idle {
+    fn may_carry(&self, now: Instant, wish: Wish<'_>) -> bool {
+        let until = match wish.is_idempotent {
+            true => self.idempotent_until,
+            false => self.until,
+        };
+        now < until && self.connection.may_carry(wish.request)
+    }
+}
+
+/// Request that needs a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Identity of the request.
+    pub request: &'a str,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// Time left for it.
+    pub left: Duration,
 }
 
 /// Idle connections by target.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<TargetId, Vec<Idle>>>>,
+    /// Mean time to connect.
+    connect_time: Arc<Mutex<Duration>>,
+    /// Idle connections to all targets together. Each holds 16 KiB of buffers.
+    idle_max: usize,
 }
 
 impl Pool {
-    /// An idle connection, or a new one, for the request with this identity that has so much time
-    /// left.
+    /// A pool that keeps at most so many idle connections.
+    pub fn new(idle_max: usize) -> Self {
+        Pool {
+            idle: Arc::default(),
+            connect_time: Arc::new(Mutex::new(INITIAL_CONNECT_TIME)),
+            idle_max,
+        }
+    }
+
+    /// An idle connection, or a new one, for a request.
     pub async fn take(
         &self,
         id: TargetId,
         address: SocketAddr,
-        request: &str,
-        left: Duration,
+        wish: Wish<'_>,
     ) -> Result<TargetConnection, SendError> {
-        while let Some(mut idle) = self.pop(id, request) {
-            if Instant::now() < idle.until && idle.connection.is_idle() {
+        while let Some(mut idle) = self.pop(id, wish) {
+            if idle.connection.is_idle() {
+                metrics::counter!("cornelrail_target_reuses_total").increment(1);
                 return Ok(idle.connection);
             }
         }
+        self.open(address, wish.left).await
+    }
+
+    /// A new connection for a request that has so much time left.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        left: Duration,
+    ) -> Result<TargetConnection, SendError> {
         metrics::counter!("cornelrail_target_connections_total").increment(1);
-        TargetConnection::open(address, left).await
+        let begun = Instant::now();
+        let connection = TargetConnection::open(address, left).await?;
+        self.record_connect(begun.elapsed());
+        Ok(connection)
+    }
+
+    /// Records how long a connection took to set up, or has taken so far.
+    pub fn record_connect(&self, time: Duration) {
+        let mut mean = self.lock_connect_time();
+        *mean = mean.mul_f64(1.0 - CONNECT_TIME_WEIGHT) + time.mul_f64(CONNECT_TIME_WEIGHT);
+    }
+
+    /// Usual time to connect.
+    pub fn connect_time(&self) -> Duration {
+        *self.lock_connect_time()
+    }
+
+    /// Targets to which an idle connection may carry the request.
+    pub fn connected(&self, wish: Wish<'_>) -> Vec<TargetId> {
+        let now = Instant::now();
+        self.with(|idle| {
+            let fitting = idle.iter().filter(|(_, list)| {
+                let mut connections = list.iter();
+                connections.any(|one| one.may_carry(now, wish))
+            });
+            fitting.map(|(id, _)| *id).collect()
+        })
     }
 
     /// Connections that are idle now.
@@ -283,7 +378,7 @@
         let now = Instant::now();
         self.with(|idle| {
             idle.retain(|id, list| {
-                list.retain(|one| now < one.until);
+                list.retain(|one| now < one.idempotent_until);
                 !list.is_empty() && is_known(*id)
             });
         });
@@ -299,25 +394,35 @@
         self.with(HashMap::clear);
     }
 
-    fn pop(&self, id: TargetId, request: &str) -> Option<Idle> {
+    fn pop(&self, id: TargetId, wish: Wish<'_>) -> Option<Idle> {
+        let now = Instant::now();
         self.with(|idle| {
             let list = idle.get_mut(&id)?;
-            let fitting = list
-                .iter()
-                .rposition(|one| one.connection.may_carry(request))?;
+            let fitting = list.iter().rposition(|one| one.may_carry(now, wish))?;
             Some(list.remove(fitting))
         })
     }
 
+    fn lock_connect_time(&self) -> MutexGuard<'_, Duration> {
+        let lock = self.connect_time.lock();
+        lock.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn give_back(&self, lease: &PoolPlace, connection: TargetConnection) {
-        let keep = lease.keep.map(|keep| keep.mul_f64(KEEP_SHARE));
-        let until = Instant::now() + keep.unwrap_or(IDLE_TIME).min(IDLE_TIME);
+        let now = Instant::now();
+        let share = |share| lease.keep.map_or(IDLE_TIME, |keep| keep.mul_f64(share));
+        let until = now + share(KEEP_SHARE).min(IDLE_TIME);
+        let idempotent_until = now + share(IDEMPOTENT_KEEP_SHARE).min(IDEMPOTENT_IDLE_TIME);
         self.with(|idle| {
             let list = idle.entry(lease.id).or_default();
             if list.len() < lease.room {
-                list.push(Idle { connection, until });
+                list.push(Idle {
+                    connection,
+                    until,
+                    idempotent_until,
+                });
             }
-            if count(idle) > IDLE_MOST {
+            if count(idle) > self.idle_max {
                 close_oldest(idle);
             }
         });
@@ -361,7 +466,7 @@
 fn close_oldest(idle: &mut HashMap<TargetId, Vec<Idle>>) {
     let oldest = idle
         .iter()
-        .filter_map(|(id, list)| Some((*id, list.first()?.until)))
+        .filter_map(|(id, list)| Some((*id, list.first()?.idempotent_until)))
         .min_by_key(|(_, until)| *until);
     if let Some((id, _)) = oldest
         && let Some(list) = idle.get_mut(&id)
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -26,7 +26,7 @@
     name::Zone,
     process::{
         event::Event,
-        seeded_settings::{Role, SeededSettings},
+        seeded_settings::{DEFAULT_IDLE_CONNECTIONS, Role, SeededSettings},
     },
     request::balance::{Router, RouterConfig, Shutdown},
     version::feed::Peer,
@@ -100,8 +100,8 @@
         };
         Entry {
             clock: Clock::start(),
-            pool: Pool::default(),
-            peers: Pool::default(),
+            pool: Pool::new(settings.idle_connections),
+            peers: Pool::new(DEFAULT_IDLE_CONNECTIONS),
             address,
             zone: settings.zone.clone(),
             router: Mutex::new(Router::new(config)),
--- a/node/src/process/entry/probe.rs
+++ b/node/src/process/entry/probe.rs
@@ -1,7 +1,10 @@
 //! Probes of new targets: how fast they are, before they get keys.
 
 use super::Entry;
-use crate::{connection::pool::SendError, request::proxy_body::RequestBody};
+use crate::{
+    connection::pool::{SendError, Wish},
+    request::proxy_body::RequestBody,
+};
 use cornelrail_lib::request::balance::{LoadReport, Probe};
 use cornelrail_platform::target::read_probe;
 use http::{
@@ -13,8 +16,12 @@
 
 /// Time for one probe, many times that of a round trip to any zone.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Identity under which connections are taken; no request has it.
-const NO_REQUEST: &str = "";
+/// Wish under which connections are taken; no request has its identity.
+const PROBE: Wish<'static> = Wish {
+    request: "",
+    is_idempotent: true,
+    left: PROBE_TIMEOUT,
+};
 
 /// Probes for as long as the process runs.
 pub(super) async fn run(entry: Arc<Entry>) {
@@ -37,9 +44,7 @@
 
 async fn ask(entry: &Entry, probe: &Probe) -> Result<Option<LoadReport>, SendError> {
     let pool = &entry.pool;
-    let connection = pool
-        .take(probe.id, probe.address, NO_REQUEST, PROBE_TIMEOUT)
-        .await?;
+    let connection = pool.take(probe.id, probe.address, PROBE).await?;
     let request = Request::get(probe.path.as_str())
         .header(HOST, probe.address.to_string())
         .header(CONNECTION, "close")
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -15,7 +15,7 @@
     proxy_body::{ReplyBody, RequestBody, read_short},
 };
 use crate::{
-    connection::pool::{AnswerBody, PoolPlace, SendError, TargetConnection},
+    connection::pool::{AnswerBody, PoolPlace, SendError, TargetConnection, Wish},
     process::{entry::Entry, logging::EventLog},
 };
 use bytes::Bytes;
@@ -44,7 +44,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Deadline of a request that names none.
 const USUAL_DEADLINE: Duration = Duration::from_secs(30);
@@ -52,6 +52,10 @@
 const WAY_BACK: Duration = Duration::from_millis(20);
 /// A try that has less time than this left is not begun.
 const LEAST_LEFT: Duration = Duration::from_millis(15);
+/// Multiple of the usual time after which a connection that is being set up counts as hanging.
+const HANGING_FACTOR: u32 = 4;
+/// Shortest such time; a busy target or a lost packet may take as long.
+const HANGING_TIME: Duration = Duration::from_millis(100);
 /// Pause named to a caller at an entry that ends; the others take the request at once.
 const ENDING_PAUSE: Duration = Duration::from_millis(50);
 /// Pause named to a caller at an entry that knows too little.
@@ -100,6 +104,8 @@
     strayed: Vec<TargetId>,
     arrivals: u32,
     unknown: bool,
+    /// Whether the next sending takes a new connection, as an idle one turned out closed.
+    needs_new: bool,
 }
 
 /// Target that gets the request next.
@@ -118,6 +124,8 @@
     Answer(Response<ReplyBody>),
     /// Nothing was sent.
     Unreachable,
+    /// Nothing was sent, as connecting takes much longer than usual.
+    Hanging,
     /// Nothing was sent, as the replica may no longer be used.
     Stale,
     /// Nothing was sent, as the target has named a limit meanwhile.
@@ -136,6 +144,14 @@
     Late,
 }
 
+/// How one use of a connection ended.
+#[derive(Debug)]
+enum Sending {
+    Ended(Tried),
+    /// A connection that had been idle was closed before anything of the request was written.
+    Unsent(RequestBody),
+}
+
 /// Serves one request.
 pub async fn serve(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ReplyBody> {
     let since = entry.clock.now();
@@ -208,6 +224,7 @@
         strayed: Vec::new(),
         arrivals: 0,
         unknown: false,
+        needs_new: false,
     })
 }
 
@@ -260,9 +277,10 @@
             self.tried.push(target);
             self.record_end(entry, target, &tried, again.as_ref());
             drop(trial);
+            let is_hanging = matches!(tried, Tried::Hanging);
             let refusal = match tried {
                 Tried::Answer(response) => return self.answer(entry, response),
-                Tried::Unreachable => Refusal::not_run("unreachable", STALE_PAUSE),
+                Tried::Unreachable | Tried::Hanging => Refusal::not_run("unreachable", STALE_PAUSE),
                 Tried::Stale => Refusal::not_run("stale", STALE_PAUSE),
                 Tried::Ending => Refusal::not_run("ending", ENDING_PAUSE),
                 Tried::Limited => Refusal::not_run(RejectReason::Limited.name(), SHED_PAUSE),
@@ -287,7 +305,8 @@
                 "unreachable" | "closed" | "misdirected" | "shed"
             ) || (refusal.reason == "broken" && self.routed.kind.is_idempotent());
             match again {
-                Some(next) if more && self.may_go_on(entry) => body = next,
+                // Another target is tried at once, as nothing has reached the first.
+                Some(next) if is_hanging || (more && self.may_go_on(entry)) => body = next,
                 _ => return self.refuse(entry, refusal),
             }
             Event::RequestResent.log(format_args!(
@@ -398,7 +417,12 @@
         loop {
             let changed = entry.changed();
             let now = entry.clock.now();
-            let placed = entry.router().route_request(now, self.wish());
+            let connected = match self.routed.keyed {
+                true => Vec::new(),
+                false => entry.pool.connected(self.wish()),
+            };
+            let request = self.routing_request(entry, &connected);
+            let placed = entry.router().route_request(now, request);
             match placed {
                 RoutingDecision::Send {
                     id,
@@ -436,6 +460,14 @@
         }
     }
 
+    fn wish(&self) -> Wish<'_> {
+        Wish {
+            request: &self.id,
+            is_idempotent: self.routed.kind.is_idempotent(),
+            left: self.until.saturating_duration_since(Instant::now()),
+        }
+    }
+
     /// Whether the limit of a target leaves room for the request.
     async fn is_permitted(&self, entry: &Entry, id: TargetId) -> bool {
         let request = PermitRequest {
@@ -446,7 +478,11 @@
         entry.request_permit(request, left).await
     }
 
-    fn wish(&self) -> RoutingRequest<'_> {
+    fn routing_request<'a>(
+        &'a self,
+        entry: &Entry,
+        connected: &'a [TargetId],
+    ) -> RoutingRequest<'a> {
         RoutingRequest {
             service: &self.routed.service,
             route: &self.routed.name,
@@ -457,8 +493,8 @@
                 lowest_priority: self.routed.lowest_priority,
             },
             body_bytes: self.length,
-            connected: &[],
-            connect_time: Duration::ZERO,
+            connected,
+            connect_time: entry.pool.connect_time(),
             tried: &self.tried,
             misdirected: &self.strayed,
         }
@@ -486,30 +522,78 @@
         time && tries && arrived && entry.router().try_retry(now, &self.routed.service)
     }
 
-    /// Sends the request to one target.
-    async fn attempt(&mut self, entry: &Arc<Entry>, next: &Next, body: RequestBody) -> Tried {
+    /// Sends the request to one target. An idle connection that turns out closed before anything was
+    /// written costs no retry: the request goes to the same target by a new one.
+    async fn attempt(&mut self, entry: &Arc<Entry>, next: &Next, mut body: RequestBody) -> Tried {
+        loop {
+            match self.send(entry, next, body).await {
+                Sending::Ended(tried) => return tried,
+                Sending::Unsent(unsent) => body = unsent,
+            }
+            metrics::counter!("cornelrail_closed_reuses_total").increment(1);
+            self.needs_new = true;
+        }
+    }
+
+    /// A connection to a target, or `None` if setting it up takes much longer than usual and the
+    /// request may go to another one.
+    async fn connect(
+        &mut self,
+        entry: &Entry,
+        next: &Next,
+        is_whole: bool,
+    ) -> Option<Result<TargetConnection, SendError>> {
+        let wish = self.wish();
+        let connecting = async {
+            match self.needs_new {
+                true => entry.pool.open(next.address, wish.left).await,
+                false => entry.pool.take(next.id, next.address, wish).await,
+            }
+        };
+        let hanging = HANGING_TIME.max(entry.pool.connect_time() * HANGING_FACTOR);
+        // The second target gets as long as any.
+        let may_change =
+            is_whole && !self.routed.keyed && self.tried.is_empty() && hanging < wish.left / 2;
+        let connected = match may_change {
+            true => timeout(hanging, connecting).await,
+            false => timeout_at(self.until, connecting).await,
+        };
+        if connected.is_err() && may_change {
+            entry.pool.record_connect(hanging);
+        }
+        self.needs_new = false;
+        connected.ok()
+    }
+
+    /// Sends the request over one connection.
+    async fn send(&mut self, entry: &Arc<Entry>, next: &Next, body: RequestBody) -> Sending {
         let id = next.id;
+        let is_whole = matches!(body, RequestBody::Whole(_));
         let mut flight = Flight::begin(entry, id, &self.routed.name);
-        let left = self.until.saturating_duration_since(Instant::now());
-        let taking = timeout_at(
-            self.until,
-            entry.pool.take(id, next.address, &self.id, left),
-        )
-        .await;
-        let connection = match taking {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(SendError::TurnedAway)) => {
+        let connection = match self.connect(entry, next, is_whole).await {
+            Some(Ok(connection)) => connection,
+            Some(Err(SendError::TurnedAway)) => {
                 entry.router().reach().record_contact(id);
                 flight.end(SendOutcome::Shed);
-                return Tried::Closed;
+                return Sending::Ended(Tried::Closed);
             }
-            Ok(Err(SendError::NotSent | SendError::Broken)) => {
+            Some(Err(SendError::NotSent | SendError::Broken)) => {
                 flight.end(SendOutcome::Unreachable);
                 record_failure(entry, id);
-                return Tried::Unreachable;
+                return Sending::Ended(Tried::Unreachable);
+            }
+            None => {
+                let tried = match Instant::now() < self.until {
+                    true => {
+                        flight.end(SendOutcome::Unreachable);
+                        Tried::Hanging
+                    }
+                    false => Tried::Unreachable,
+                };
+                return Sending::Ended(tried);
             }
-            Err(_) => return Tried::Unreachable,
         };
+        let control = connection.control();
         let is_new = connection.is_new();
         if is_new {
             entry.router().reach().record_contact(id);
@@ -518,7 +602,7 @@
         let is_limited = !next.is_permitted && entry.router().is_limited(id);
         if is_limited && !self.is_permitted(entry, id).await {
             flight.end(SendOutcome::Cancelled);
-            return Tried::Limited;
+            return Sending::Ended(Tried::Limited);
         }
         let left = self.until.saturating_duration_since(Instant::now());
         let now = entry.clock.now();
@@ -529,32 +613,42 @@
         };
         if !may_serve {
             flight.end(SendOutcome::Cancelled);
-            return Tried::Stale;
+            return Sending::Ended(Tried::Stale);
         }
         if left < LEAST_LEFT || !accepts {
             flight.end(SendOutcome::Cancelled);
-            return Tried::Unreachable;
+            return Sending::Ended(Tried::Unreachable);
         }
         if !self.ends_in_time(entry) {
             flight.end(SendOutcome::Cancelled);
-            return Tried::Ending;
+            return Sending::Ended(Tried::Ending);
         }
         let request = self.target_request(&next.name, left, body);
         self.arrivals += 1;
         flight.count_in_pause();
         let exchanging = self.exchange(entry, flight, connection, request);
-        tokio::select! {
-            tried = timeout_at(self.until, exchanging) => match tried {
-                Ok(tried) => tried,
-                Err(_) => {
-                    if !is_new {
-                        record_silence(entry, id);
-                    }
-                    Tried::Late
+        let sending = tokio::select! {
+            sending = timeout_at(self.until, exchanging) => sending.ok(),
+            () = entry.given_up() => None,
+        };
+        let sending = match sending {
+            Some(sending) => sending,
+            // What was not written by now never will be.
+            None if !control.has_written() => Sending::Ended(Tried::Unreachable),
+            None => {
+                if !is_new && Instant::now() >= self.until {
+                    record_silence(entry, id);
                 }
-            },
-            () = entry.given_up() => Tried::Late,
+                Sending::Ended(Tried::Late)
+            }
+        };
+        match &sending {
+            Sending::Unsent(_) | Sending::Ended(Tried::Closed) => self.arrivals -= 1,
+            // The other idle connections to the target may be broken, too.
+            Sending::Ended(Tried::Broken) => self.needs_new = !is_new,
+            Sending::Ended(_) => {}
         }
+        sending
     }
 
     fn target_request(
@@ -579,21 +673,25 @@
         flight: Flight,
         connection: TargetConnection,
         request: Request<RequestBody>,
-    ) -> Tried {
+    ) -> Sending {
+        let is_new = connection.is_new();
         let exchange = connection.send(request);
         let awaited = AwaitedAnswer::new(&self.id, self.until, flight, exchange);
-        let Some((mut flight, exchange, answered)) = awaited.head().await else {
-            return Tried::Broken;
+        let Some((mut flight, mut exchange, answered)) = awaited.head().await else {
+            return Sending::Ended(Tried::Broken);
         };
         let response = match answered {
             Ok(response) => response,
             Err(SendError::NotSent | SendError::TurnedAway) => {
+                if let Some(unsent) = exchange.take_unsent().filter(|_| !is_new) {
+                    return Sending::Unsent(unsent);
+                }
                 flight.end(SendOutcome::Shed);
-                return Tried::Closed;
+                return Sending::Ended(Tried::Closed);
             }
             Err(SendError::Broken) => {
                 flight.end(SendOutcome::Broken);
-                return Tried::Broken;
+                return Sending::Ended(Tried::Broken);
             }
         };
         let mut connection = exchange.into_connection();
@@ -602,11 +700,11 @@
         if !head.is_own(connection.is_reused()) {
             flight.end(SendOutcome::Broken);
             awaited::listen_behind(&self.id, flight, connection, body);
-            return Tried::Broken;
+            return Sending::Ended(Tried::Broken);
         }
         if parts.status.is_success() && !head.has_signature {
             flight.end(SendOutcome::Broken);
-            return Tried::Broken;
+            return Sending::Ended(Tried::Broken);
         }
         flight.record_head(&head);
         if head.not_run {
@@ -622,18 +720,18 @@
         if head.not_run {
             flight.end(SendOutcome::Shed);
             let misdirected = head.misdirected;
-            return Tried::NotRun { misdirected };
+            return Sending::Ended(Tried::NotRun { misdirected });
         }
         match body {
             Ok(body) => {
                 entry.router().reach().record_contact(flight.id);
                 flight.end(SendOutcome::Answered);
                 strip(&mut parts.headers);
-                Tried::Answer(Response::from_parts(parts, body))
+                Sending::Ended(Tried::Answer(Response::from_parts(parts, body)))
             }
             Err(_) => {
                 flight.end(SendOutcome::Broken);
-                Tried::Broken
+                Sending::Ended(Tried::Broken)
             }
         }
     }
--- a/node/src/request/proxy/detour.rs
+++ b/node/src/request/proxy/detour.rs
@@ -80,8 +80,7 @@
             tried.push(address);
             let passage = Passage::begin(entry, address);
             let number = TargetId(entry.router().peers().number(address));
-            let left = self.until.saturating_duration_since(Instant::now());
-            let Ok(connection) = entry.peers.take(number, address, &self.id, left).await else {
+            let Ok(connection) = entry.peers.take(number, address, self.wish()).await else {
                 entry.router().peers().record_unreached(now, address);
                 continue;
             };
@@ -134,7 +133,7 @@
     ) -> Sent {
         let left = self.until.saturating_duration_since(Instant::now());
         if left < LEAST_LEFT {
-            return Sent::Late;
+            return Sent::Unread;
         }
         let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
