--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -23,6 +23,10 @@
 const DEFAULT_IN_FORCE: Duration = Duration::from_secs(2);
 /// Core hosts that may lose their disks at the same time, unless `tolerated_losses` is set.
 const DEFAULT_TOLERATED_LOSSES: u8 = 2;
+/// Idle connections of an entry to all targets, unless `idle_connections` is set.
+pub const DEFAULT_IDLE_CONNECTIONS: usize = 96;
+/// Largest `idle_connections`; they would hold 160 MiB.
+const MAX_IDLE_CONNECTIONS: usize = 10_000;
 /// Shortest `in_force`: entries ask twice a second whether their replica is current.
 const MIN_IN_FORCE: Duration = Duration::from_secs(1);
 /// Highest `zones.cost_per_kib`: at it a body of 64 KiB waits for a minute.
@@ -164,6 +168,8 @@
     pub link: Option<f64>,
     /// Price of traffic between zones; without it an entry compares each request at all zones.
     pub zones: Option<ZonePrice>,
+    /// Maximum number of idle connections of an entry to all targets together.
+    pub idle_connections: usize,
     /// Destination, format and level of the log.
     pub log: Log,
 }
@@ -190,6 +196,7 @@
     retry: RetryLimit,
     link: Option<f64>,
     zones: Option<ZonePrice>,
+    idle_connections: Option<usize>,
     log: Option<LogLevel>,
 }
 
@@ -229,6 +236,7 @@
             retry: content.retry,
             link: content.link,
             zones: content.zones,
+            idle_connections: content.idle_connections.unwrap_or(DEFAULT_IDLE_CONNECTIONS),
             log: Log {
                 level: content.log.unwrap_or(LogLevel::Info),
                 ..Log::default()
@@ -308,5 +316,11 @@
     {
         return Err(out_of_range("zones.cost_per_kib", "at most 1s"));
     }
+    if content
+        .idle_connections
+        .is_some_and(|count| count > MAX_IDLE_CONNECTIONS)
+    {
+        return Err(out_of_range("idle_connections", "at most 10000"));
+    }
     Ok(())
 }
