cli: check finds what is wrong with a change before it is sent

Cause: an operator of a seeded fleet learnt of an invalid item from the leader's refusal, one at a time, and of a valid item without effect from nobody.

Change: `cornelrail check FILE [--against FILE] [--json]`. The leader's check now collects all errors of a change and `admit` refuses with the first; the review in lib/src/version/desired/review.rs takes the same errors, and adds items without effect, limits that contradict each other and differences from the items in force. Wrong usage of `check` ends with 64, since 2 means warnings there.

The help of the bare command keeps its two lines of 48 columns, so the commands stand in both. The test of the page counts eight exit codes instead of six, as two are new.

By a property over drawn changes, a review has an error exactly where the leader refuses. The command is new, so its tests had nothing to fail on before.

--- a/cli/src/args/mod.rs
+++ b/cli/src/args/mod.rs
@@ -30,6 +30,13 @@
 /// A subcommand with its arguments.
 #[derive(Debug)]
 pub(crate) enum Command {
+    /// What is wrong with this change?
+    Check {
+        /// The change, or a set of all items.
+        file: PathBuf,
+        /// All items in force.
+        against: Option<PathBuf>,
+    },
     /// What would this note do?
     NoteCheck {
         /// The note.
@@ -120,6 +127,7 @@
     reader.set_topic(topic);
     let command = match topic {
         Topic::Command => None,
+        Topic::Check => parse_check(&mut reader).map_err(CommandError::of_check)?,
         Topic::Note => parse_note(&mut reader)?,
         Topic::Status => parse_status(&mut reader)?,
         Topic::Explain => parse_explain(&mut reader)?,
@@ -133,6 +141,7 @@
 
 fn topic(name: &str) -> Result<Topic, CommandError> {
     match name {
+        "check" => Ok(Topic::Check),
         "note" => Ok(Topic::Note),
         "status" => Ok(Topic::Status),
         "explain" => Ok(Topic::Explain),
@@ -147,10 +156,28 @@
 fn unknown_command(problem: impl Into<String>) -> CommandError {
     CommandError::arguments(
         problem,
-        "name one: note, status, explain, settings, keys, demo or stand-in",
+        "name one: check, note, status, explain, settings, keys, demo or stand-in",
     )
 }
 
+/// Reads the rest of a `check` command; `None` asks for help.
+fn parse_check(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
+    let mut against = None;
+    let mut values = Vec::new();
+    while let Some(option) = reader.option(&mut values)? {
+        match option.as_str() {
+            "help" => return Ok(None),
+            "against" => against = Some(reader.value()?.into()),
+            _ => return Err(reader.unknown(&option)),
+        }
+    }
+    let [file] = reader.exact(values, "check FILE")?;
+    Ok(Some(Command::Check {
+        file: file.into(),
+        against,
+    }))
+}
+
 /// Reads the rest of a `note` command; `None` asks for help.
 fn parse_note(reader: &mut Reader) -> Result<Option<Command>, CommandError> {
     let mut entry = EntryOptions::default();
--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands, one file each.
 
+mod check;
 mod demo;
 mod explain;
 mod keys;
@@ -14,6 +15,7 @@
 /// Carries out a subcommand.
 pub(crate) fn run(command: &Command) -> Result<Output, CommandError> {
     match command {
+        Command::Check { file, against } => check::run(file, against.as_deref()),
         Command::NoteCheck { file, entry } => note::check(file, entry),
         Command::NoteApply { file, entry, wait } => note::apply(file, entry, *wait),
         Command::NoteStatus { file, entry } => note::status(file, entry),
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -19,6 +19,15 @@
         /// What to do.
         remedy: String,
     },
+    /// The arguments of `check` are wrong.
+    #[error("{problem}")]
+    #[diagnostic(code(cornelrail::arguments), help("{remedy}"))]
+    CheckArguments {
+        /// What is wrong.
+        problem: String,
+        /// What to do.
+        remedy: String,
+    },
     /// A settings file is wrong.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -108,10 +117,21 @@
         }
     }
 
+    /// The same error, with the exit code of `check` if its arguments are wrong.
+    pub(crate) fn of_check(self) -> Self {
+        match self {
+            CommandError::Arguments { problem, remedy } => {
+                CommandError::CheckArguments { problem, remedy }
+            }
+            other => other,
+        }
+    }
+
     /// Exit code of the error.
     pub(crate) fn code(&self) -> ExitCode {
         ExitCode::from(match self {
             CommandError::Arguments { .. } => exit::USAGE,
+            CommandError::CheckArguments { .. } => exit::CHECK_USAGE,
             CommandError::Unreachable { .. } => exit::NO_ANSWER,
             CommandError::NotAllowed(_) => exit::NOT_ALLOWED,
             CommandError::Settings(_)
--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -1,4 +1,4 @@
-//! Exit codes, the same for every subcommand.
+//! Exit codes, the same for every subcommand but `check`, which has two of its own.
 
 /// The command did what it was asked to do.
 pub(crate) const DONE: u8 = 0;
@@ -12,3 +12,7 @@
 pub(crate) const NO_ANSWER: u8 = 4;
 /// The token is missing, wrong, or may not do this.
 pub(crate) const NOT_ALLOWED: u8 = 5;
+/// `check` found warnings and no error.
+pub(crate) const CHECK_WARNINGS: u8 = 2;
+/// The arguments of `check` are wrong; its code for warnings must not mean that too.
+pub(crate) const CHECK_USAGE: u8 = 64;
--- a/cli/src/help.rs
+++ b/cli/src/help.rs
@@ -5,6 +5,8 @@
 pub(crate) enum Topic {
     /// The command as a whole.
     Command,
+    /// `check`.
+    Check,
     /// `note`.
     Note,
     /// `status`.
@@ -22,8 +24,17 @@
 }
 
 const COMMAND: &str = "\
-cornelrail COMMAND [--json] [--help]
-note status explain settings keys demo stand-in";
+cornelrail check|note|status|explain|settings|
+           keys|demo|stand-in [--json] [--help]";
+
+const CHECK: &str = "\
+cornelrail check FILE [--against FILE]
+  what is wrong with a change of a seeded fleet,
+  or with a set of all its items; sends nothing
+
+--against FILE     all items in force; shows
+                   what would differ
+--json             one JSON object";
 
 const NOTE: &str = "\
 cornelrail note check FILE [--to ADDR]
@@ -111,6 +122,7 @@
 pub(crate) fn text(topic: Topic) -> &'static str {
     match topic {
         Topic::Command => COMMAND,
+        Topic::Check => CHECK,
         Topic::Note => NOTE,
         Topic::Status => STATUS,
         Topic::Explain => EXPLAIN,
@@ -126,6 +138,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Topic::Command => "cornelrail",
+            Topic::Check => "check",
             Topic::Note => "note",
             Topic::Status => "status",
             Topic::Explain => "explain",
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -8,8 +8,8 @@
 
 /// Widest line that a phone shows without turning it.
 const COLUMNS: usize = 48;
-const TOPICS: [&str; 7] = [
-    "note", "status", "explain", "settings", "keys", "demo", "stand-in",
+const TOPICS: [&str; 8] = [
+    "check", "note", "status", "explain", "settings", "keys", "demo", "stand-in",
 ];
 
 /// A folder with the first sample, one text replaced, as `entry.yaml`.
@@ -185,7 +185,7 @@
         .lines()
         .filter_map(|line| line.strip_suffix(';')?.split("u8 = ").nth(1))
         .collect();
-    assert_eq!(codes.len(), 6);
+    assert_eq!(codes.len(), 8);
     for code in codes {
         assert!(page.contains(&format!("| {code} | ")), "{code}");
     }
--- a/lib/src/version/desired/check.rs
+++ b/lib/src/version/desired/check.rs
@@ -107,20 +107,35 @@
 impl DesiredState {
     /// Returns the items of the change that take effect, provided that the state to which they lead
     /// is valid. Nothing is left of a change that newer ones have overtaken.
-    pub fn admit(&self, mut change: Change) -> Result<Change, ChangeError> {
+    pub fn admit(&self, change: Change) -> Result<Change, ChangeError> {
+        let (admitted, errors) = self.judge(change);
+        match errors.into_iter().next() {
+            Some(error) => Err(error),
+            None => Ok(admitted),
+        }
+    }
+
+    /// Returns the items of the change that are newer than those in force, and all errors for which
+    /// the change is refused.
+    pub(super) fn judge(&self, mut change: Change) -> (Change, Vec<ChangeError>) {
+        let mut errors = Vec::new();
         for (name, item) in &change.routes {
             if let Some(route) = &item.value {
-                check_route_fields(name, route)?;
-                self.check_services_known(&change, name, route)?;
+                errors.extend(route_errors(name, route));
+                errors.extend(self.check_services_known(&change, name, route).err());
             }
         }
-        self.check_versions(&change)?;
+        errors.extend(self.conflicts(&change));
         retain_newer(&mut change.routes, &self.routes);
         retain_newer(&mut change.services, &self.services);
         let held = self.limits.as_ref().map(|item| item.version);
         change.limits = change.limits.filter(|item| held < Some(item.version));
-        self.check_services_in_force(&change)?;
-        Ok(change)
+        for error in self.services_not_in_force(&change) {
+            if !errors.contains(&error) {
+                errors.push(error);
+            }
+        }
+        (change, errors)
     }
 
     /// Checks that each service of a route is part of the change or was in force at some time. An
@@ -143,20 +158,21 @@
         }
     }
 
-    /// Checks that no route names a removed or unknown service once the change, which has only newer
-    /// items, is in force.
-    fn check_services_in_force(&self, change: &Change) -> Result<(), ChangeError> {
+    /// Routes that name a removed or unknown service once the change, which has only newer items, is
+    /// in force.
+    fn services_not_in_force(&self, change: &Change) -> Vec<ChangeError> {
+        let mut errors = Vec::new();
         for (name, item) in &change.routes {
             let missing = item.value.as_ref().and_then(|route| {
                 let mut services = route.backends.iter().map(|backend| &backend.service);
                 services.find(|service| self.service_after(change, service).is_none())
             });
             if let Some(service) = missing {
-                return Err(unknown_service(name, service));
+                errors.push(unknown_service(name, service));
             }
         }
         if !change.removes_service() {
-            return Ok(());
+            return errors;
         }
         let kept = self.routes.iter();
         let kept = kept.filter(|(name, _)| !change.routes.contains_key(*name));
@@ -168,13 +184,13 @@
                 sent.is_some_and(|item| item.value.is_none())
             });
             if let Some(service) = removed {
-                return Err(ChangeError::ServiceInUse {
+                errors.push(ChangeError::ServiceInUse {
                     service: service.clone(),
                     route: name.clone(),
                 });
             }
         }
-        Ok(())
+        errors
     }
 
     fn service_after<'a>(&'a self, change: &'a Change, name: &Service) -> Option<&'a ServiceSpec> {
@@ -194,16 +210,25 @@
 
     /// Checks that no item has the version in force and other content.
     fn check_versions(&self, change: &Change) -> Result<(), ChangeError> {
-        check_conflicts("route", &self.routes, &change.routes)?;
-        check_conflicts("service", &self.services, &change.services)?;
-        match (&self.limits, &change.limits) {
-            (Some(old), Some(new)) => check_conflict("limits", "limits", old, new),
-            _ => Ok(()),
+        self.conflicts(change)
+            .into_iter()
+            .next()
+            .map_or(Ok(()), Err)
+    }
+
+    fn conflicts(&self, change: &Change) -> Vec<ChangeError> {
+        let mut errors = conflicts("route", &self.routes, &change.routes);
+        errors.extend(conflicts("service", &self.services, &change.services));
+        if let (Some(old), Some(new)) = (&self.limits, &change.limits) {
+            errors.extend(check_conflict("limits", "limits", old, new).err());
         }
+        errors
     }
 
     fn check_route(&self, change: &Change, name: &str, route: &Route) -> Result<(), ChangeError> {
-        check_route_fields(name, route)?;
+        if let Some(error) = route_errors(name, route).into_iter().next() {
+            return Err(error);
+        }
         let unknown = route.backends.iter().find(|backend| {
             let sent = change.services.get(&backend.service);
             let known = sent.is_some_and(|item| item.value.is_some());
@@ -216,22 +241,23 @@
     }
 }
 
-/// Checks what a route says by itself.
-fn check_route_fields(name: &str, route: &Route) -> Result<(), ChangeError> {
+/// Errors in what a route says by itself.
+fn route_errors(name: &str, route: &Route) -> Vec<ChangeError> {
+    let mut errors = Vec::new();
     if !route.prefix.starts_with('/') {
-        return Err(ChangeError::BarePrefix(name.to_owned()));
+        errors.push(ChangeError::BarePrefix(name.to_owned()));
     }
     if route.timeout.is_zero() {
-        return Err(ChangeError::NoTimeout(name.to_owned()));
+        errors.push(ChangeError::NoTimeout(name.to_owned()));
     }
     if route.timeout > MAX_TIMEOUT {
-        return Err(ChangeError::LongTimeout(name.to_owned()));
+        errors.push(ChangeError::LongTimeout(name.to_owned()));
     }
     let total: u64 = route.backends.iter().map(|b| u64::from(b.weight)).sum();
     if total == 0 {
-        return Err(ChangeError::NoWeight(name.to_owned()));
+        errors.push(ChangeError::NoWeight(name.to_owned()));
     }
-    Ok(())
+    errors
 }
 
 fn unknown_service(route: &str, service: &Service) -> ChangeError {
@@ -246,17 +272,16 @@
 }
 
 /// Checks all items of one kind with [`check_conflict`].
-fn check_conflicts<K: Ord + fmt::Display, T: PartialEq>(
+fn conflicts<K: Ord + fmt::Display, T: PartialEq>(
     kind: &'static str,
     held: &BTreeMap<K, Item<T>>,
     sent: &BTreeMap<K, Item<T>>,
-) -> Result<(), ChangeError> {
-    for (name, new) in sent {
-        if let Some(old) = held.get(name) {
-            check_conflict(kind, &name.to_string(), old, new)?;
-        }
-    }
-    Ok(())
+) -> Vec<ChangeError> {
+    let both = sent.iter().filter_map(|(name, new)| {
+        let old = held.get(name)?;
+        check_conflict(kind, &name.to_string(), old, new).err()
+    });
+    both.collect()
 }
 
 /// Refuses an item that has the version in force but different content.
--- a/lib/src/version/desired/mod.rs
+++ b/lib/src/version/desired/mod.rs
@@ -9,11 +9,13 @@
 
 mod check;
 mod item;
+mod review;
 mod routing;
 
 pub use self::{
     check::{ChangeError, ChangesInFlight},
     item::{Backend, Item, ItemVersion, RequestLimits, Route, RouteKind, ServiceSpec, WEIGHT_UNIT},
+    review::{Difference, DifferenceKind, FieldChange, Finding, Review, Severity},
     routing::{RouteMatch, Routing},
 };
 
--- a/lib/tests/test_desired.rs
+++ b/lib/tests/test_desired.rs
@@ -5,8 +5,8 @@
     version::{
         catalog::{Catalog, Update},
         desired::{
-            Backend, Change, ChangeError, ChangesInFlight, DesiredState, Item, ItemVersion, Route,
-            RouteKind, Routing, ServiceSpec, WEIGHT_UNIT,
+            Backend, Change, ChangeError, ChangesInFlight, DesiredState, Item, ItemVersion, Review,
+            Route, RouteKind, Routing, ServiceSpec, Severity, WEIGHT_UNIT,
         },
         feed::FromCore,
     },
@@ -380,6 +380,34 @@
         let expected = expected.into_iter().map(|(name, (version, _))| (name, version)).collect();
         TestResult::from_bool(held == expected)
     }
+
+    fn a_review_disagrees_with_the_leader(changes: DrawnChanges) -> TestResult {
+        let mut desired = DesiredState::default();
+
+        for change in changes.0 {
+            let admitted = desired.admit(change.clone());
+            let review = Review::of(&change, Some(&desired), false);
+            if (review.worst() == Some(Severity::Error)) != admitted.is_err() {
+                return TestResult::error(format!("{change:?}: {admitted:?}, {review:?}"));
+            }
+            let Ok(admitted) = admitted else {
+                continue;
+            };
+            let mut after = desired.clone();
+            after.apply(&admitted).expect("an admitted change");
+            let in_force = |state: &DesiredState| -> Vec<String> {
+                let routes = state.routes.iter().filter(|(_, item)| item.value.is_some());
+                let services = state.services.iter().filter(|(_, item)| item.value.is_some());
+                let routes = routes.map(|(name, item)| format!("{name} {}", item.version));
+                routes.chain(services.map(|(name, item)| format!("{name} {}", item.version))).collect()
+            };
+            if review.differences.is_empty() != (in_force(&after) == in_force(&desired)) {
+                return TestResult::error(format!("{change:?}: {review:?}"));
+            }
+            desired = after;
+        }
+        TestResult::passed()
+    }
 }
 
 #[test]
