--- a/lib/tests/test_zone_spill.rs
+++ b/lib/tests/test_zone_spill.rs
@@ -406,7 +406,7 @@
                         break Some(target);
                     }
                     let (outcome, load) = (SendOutcome::Shed, Some(report(&targets[target])));
-                    router.record_outcome(now, id, outcome, Duration::ZERO, load);
+                    router.record_outcome(now, id, "r", outcome, Duration::ZERO, load);
                     tried.push(id);
                     if tried.len() > MAX_RETRIES {
                         break None;
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -153,7 +153,9 @@
         }
     });
 
-    let taken = Pool::new(96, None).take(TargetId(1), address, wish(true)).await;
+    let taken = Pool::new(96, None)
+        .take(TargetId(1), address, wish(true))
+        .await;
 
     assert_eq!(taken.err(), Some(SendError::TurnedAway));
 }
