--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -39,6 +39,15 @@
         .min(targets)
 }
 
+/// Number of targets out of `targets` over which an entry judges how full a zone is. More than it
+/// compares for one request: with two, chance alone made its zone look full, and shares swung.
+pub fn outlook_size(targets: usize, entries: u32) -> usize {
+    let entries = usize::try_from(entries).unwrap_or(usize::MAX);
+    (targets * MAX_ENTRIES_FULL_SAMPLE / entries.max(MAX_ENTRIES_FULL_SAMPLE))
+        .max(MIN_SAMPLE_SIZE)
+        .min(targets)
+}
+
 /// Request that needs a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand {
--- a/lib/src/request/balance/pool_route.rs
+++ b/lib/src/request/balance/pool_route.rs
@@ -5,7 +5,7 @@
 //! sample of targets, and at some to which this entry has an open connection.
 
 use super::{
-    choose::{Candidate, Demand, choose, sample_size},
+    choose::{Candidate, Demand, choose, outlook_size, sample_size},
     open::Openness,
     router::{
         NO_OWNER_DELAY, RejectReason, Router, RoutingDecision, RoutingRequest, STATUS_MAX_AGE,
@@ -130,7 +130,7 @@
         request: RoutingRequest<'_>,
         pool: &mut Vec<(TargetId, bool)>,
     ) -> (Duration, Vec<(TargetId, bool)>) {
-        let sample = sample_size(pool.len(), self.entry_count());
+        let sample = outlook_size(pool.len(), self.entry_count());
         let Some(spill) = &mut self.zone_spill else {
             return (default_hop_cost(request.body_bytes), Vec::new());
         };
