link: forecast of many bodies by their bytes

Cause: a bound of 128 bodies refused uploads as link-full where slow callers leave a fast link unused.

Change: with more than 64 bodies on their way, all their bytes count as ahead of a new one. The settings test reads `link` as a decimal and as a whole number.

--- a/lib/src/connection/link_budget.rs
+++ b/lib/src/connection/link_budget.rs
@@ -10,7 +10,7 @@
 //! reached, and reserves the next one only after it has gone. So flows take turns, a short message
 //! waits for one piece at most, and bulk uses all that short messages leave.
 
-use super::link_forecast::{self, BODIES_MAX, Passage, Rates};
+use super::link_forecast::{self, Passage, Rates};
 use crate::moment::Moment;
 use std::{collections::BTreeMap, mem, time::Duration};
 
@@ -312,7 +312,7 @@
         let bodies = self.bodies.values().filter(|body| !body.has_passed());
         let bodies: Vec<_> = bodies.map(|body| body.passage(busy_until)).collect();
         let new = body.passage(busy_until);
-        if bodies.len() >= BODIES_MAX || !link_forecast::fits(&bodies, new, rates) {
+        if !link_forecast::fits(&bodies, new, rates) {
             self.refused += 1;
             self.last_refusal = Some(now);
             let pause = link_forecast::pause(&bodies, new, rates);
--- a/lib/src/connection/link_forecast.rs
+++ b/lib/src/connection/link_forecast.rs
@@ -4,8 +4,10 @@
 //! makes none of the earlier ones late. A bound on the bytes alone admits bodies that end late under a
 //! steady excess of uploads: with turns, a body takes up to twice the time of the bytes before it.
 
-/// Bodies that are forecast at most; a forecast takes time with their square.
-pub(super) const BODIES_MAX: usize = 128;
+/// Bodies up to which they are forecast one by one, which takes time with the square of their number.
+/// With more, all bytes count as ahead of a new body; that many are on a link only if it is fast or
+/// their callers are slow.
+const BODIES_MAX: usize = 64;
 /// Steps in which a pause is sought; each halves the time in question.
 const PAUSE_STEPS: usize = 6;
 /// Excess of a pause over its forecast. In replays at four times the usual rate, one body in a hundred
@@ -110,8 +112,17 @@
     }
 }
 
+/// Seconds after which all bodies are over, if none goes out before all have come in.
+fn time_to_empty(bodies: &[Passage], rates: Rates) -> f64 {
+    let total = |bytes: fn(&Passage) -> f64| bodies.iter().map(bytes).sum::<f64>();
+    total(|body| body.inward) / rates.inward + total(|body| body.outward) / rates.outward
+}
+
 /// Whether a new body ends in time, and no other one becomes late by it.
 pub(super) fn fits(bodies: &[Passage], new: Passage, rates: Rates) -> bool {
+    if bodies.len() > BODIES_MAX {
+        return time_to_empty(bodies, rates) + time_to_empty(&[new], rates) <= new.deadline;
+    }
     let mut without = bodies.to_vec();
     pass(&mut without, rates, f64::INFINITY);
     let mut with = bodies.to_vec();
@@ -126,10 +137,8 @@
 
 /// Seconds after which a body fits that does not fit now, if no other one is admitted meanwhile.
 pub(super) fn pause(bodies: &[Passage], new: Passage, rates: Rates) -> f64 {
-    let total = |bytes: fn(&Passage) -> f64| bodies.iter().map(bytes).sum::<f64>();
-    let inward = total(|body| body.inward) / rates.inward;
-    let empty = inward + total(|body| body.outward) / rates.outward;
-    if bodies.len() >= BODIES_MAX {
+    let empty = time_to_empty(bodies, rates);
+    if bodies.len() > BODIES_MAX {
         return empty;
     }
     let (mut early, mut late) = (0.0, empty);
--- a/lib/tests/test_link_budget.rs
+++ b/lib/tests/test_link_budget.rs
@@ -378,6 +378,21 @@
     assert_eq!(budget.take_change(now + millis(2_200)), None);
 }
 
+/// Guards against refusals for the number of bodies, where slow callers leave the link unused.
+#[test]
+fn many_bodies_are_admitted_up_to_what_the_link_carries() {
+    let mut budget = LinkBudget::new(50.0).expect("a budget");
+    let now = Moment::from_millis(1_000);
+    let time = Duration::from_secs(5);
+    let admitted = (0..1_000).take_while(|_| budget.admit(now, upload(60_000), time).is_ok());
+
+    let bytes = admitted.count() as f64 * 60_000.0;
+
+    // In and out again, in nine tenths of the time.
+    let most = 50.0 * GIVEN * 1e6 / 8.0 * 5.0 * 0.9 / 2.0;
+    assert!((0.98..=1.0).contains(&(bytes / most)), "{bytes} of {most}");
+}
+
 /// Guards against a budget on links that need none, and against a second message on a connection
 /// that counts as part of the first.
 #[test]
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -386,7 +386,7 @@
         Fingerprint::of(&[method, host, uri.as_bytes(), key, &length, &digest])
     }
 
-    /// Waits for nothing: a body that the link cannot carry in time is refused before it is read.
+    /// Admits the body to the link. One that cannot pass in time is refused before it is read.
     fn admit_body(&mut self, entry: &Entry, body: &Incoming) -> Result<(), Refusal> {
         let Some(link) = &entry.link else {
             return Ok(());
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -495,7 +495,14 @@
         ("window: 10s}\n", "", ""),
     ];
 
-    assert!(SeededSettings::parse(good, "f.yaml").is_ok());
+    for (line, link) in [
+        ("", None),
+        ("link: 3.7\n", Some(3.7)),
+        ("link: 5\n", Some(5.0)),
+    ] {
+        let settings = SeededSettings::parse(&format!("{good}{line}"), "f.yaml");
+        assert_eq!(settings.expect("good settings").link, link);
+    }
     for (from, to, named) in bad {
         let fault = SeededSettings::parse(&good.replace(from, to), "f.yaml");
         let text = fault.expect_err(from).to_string();
