entry: frame pipelined answers of HTTP/1.0 targets by chunks

Cause: the HTTP library ends a body without a length, in an answer of a target that speaks HTTP/1.0, by the end of the connection. With requests started behind it, these got no answer, and a body that broke off looked complete. An idle connection also kept the memory of its last answer.

Change: an exchange of a pipeline answers in the version of its request, HTTP/1.1. The output buffer is released once it is written.

Measured: without the change an_answer_without_a_length_ends_no_connection reads one answer and then the end of the connection; with it, both.

--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -13,7 +13,7 @@
 };
 use futures_util::{FutureExt, Stream, future::BoxFuture, stream::FuturesUnordered};
 use http::{
-    HeaderName, HeaderValue, Method, Uri,
+    HeaderName, HeaderValue, Method, Uri, Version,
     header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING, UPGRADE},
 };
 use hyper::{server::conn::http1, service::service_fn};
@@ -299,6 +299,9 @@
             let served = served.clone();
             async move {
                 let mut response = proxy::serve(&entry, request, since).await;
+                // The library would end a body without a length, in an answer of a target that
+                // speaks HTTP/1.0, by the end of the connection.
+                *response.version_mut() = Version::HTTP_11;
                 if lock(&pipeline).closes(number, entry.is_stopping()) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
@@ -374,6 +377,10 @@
                 }
             }
         }
+        if self.output.is_empty() {
+            // An idle connection holds no memory for what it may write.
+            self.output = BytesMut::new();
+        }
         if let Poll::Ready(flushed) = Pin::new(&mut self.stream).poll_flush(cx) {
             flushed?;
         }
--- a/node/tests/test_pipelining.rs
+++ b/node/tests/test_pipelining.rs
@@ -7,7 +7,7 @@
 use tokio::{
     io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{
-        TcpStream,
+        TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     time::{Instant, sleep, timeout},
@@ -365,6 +365,46 @@
     }
 }
 
+/// Answers one request without naming the length of the answer.
+async fn answer_openly(stream: TcpStream) -> Option<()> {
+    let mut stream = BufReader::new(stream);
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        stream.read_line(&mut head).await.ok().filter(|n| *n > 0)?;
+    }
+    let id = head.split("request-id: ").nth(1)?.split("\r\n").next()?;
+    let body = "x".repeat(if id == "up" { 0 } else { LONG });
+    let fields = format!("request-id: {id}\r\nresponse-signature: good");
+    let reply = format!("HTTP/1.0 200 OK\r\n{fields}\r\n\r\n{body}");
+    stream.write_all(reply.as_bytes()).await.ok()
+}
+
+/// An answer that is framed by the end of the connection would cut off those behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_ends_no_connection() {
+    let serve = |listener: TcpListener, _| {
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer_openly(stream));
+            }
+        })
+    };
+    let fleet = fleet_with(serve).await;
+    set_up(&fleet).await;
+    let mut caller = Caller::connect(fleet.callers).await;
+
+    caller
+        .send(&(get("/r/0", "open-0") + &get("/r/0", "open-1")))
+        .await;
+
+    let mut text = String::new();
+    while text.matches("\r\n0\r\n\r\n").count() < 2 {
+        let read = timeout(PATIENCE, caller.0.read_line(&mut text)).await;
+        assert!(matches!(read, Ok(Ok(1..))), "{} bytes", text.len());
+    }
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 2);
+}
+
 /// Bytes of one request must not be lost or taken for another, wherever reads end.
 #[tokio::test(flavor = "multi_thread")]
 async fn any_mix_of_requests_in_any_parts_gets_each_request_its_answer() {
