balance: an entry waits for a report before it sends on to the same target

Cause: the advantage of an open connection could draw all concurrent requests of an entry to one target, whose last report does not tell what other entries have sent since.

Change: a target that this entry has sent half its slots to since its last report comes after others of its zone. The settings test covers idle_connections.

--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: targets of different speed that noisy neighbours slow down for short times, and
 //! requests of which some take many times as long as others. A free slot goes before a queue, as the
-//! rest of what runs in the slots is unknown. Then the earliest expected answer counts, but all that are
+//! rest of what runs in the slots is unknown, and a target that this entry has sent to since its last
+//! report comes after others. Then the earliest expected answer counts, but all that are
 //! expected well within the latency goal are equal: the fastest targets would otherwise get most
 //! requests of all entries. Among equals an open connection counts, then the share of taken slots.
 //!
@@ -91,6 +92,7 @@
         (
             self.model.is_avoided(now),
             !self.model.has_free_slot(now),
+            self.model.awaits_report(),
             end.max(demand.goal.mul_f64(EQUAL_SHARE)),
             self.connect_time,
             (taken * 1_000.0) as u64,
--- a/lib/src/request/balance/target.rs
+++ b/lib/src/request/balance/target.rs
@@ -282,6 +282,12 @@
         self.backlog(now) + 1.0 <= f64::from(self.slots)
     }
 
+    /// Whether this entry has sent so much since the target's last report that others go first. The
+    /// rest of the slots may be taken by requests of other entries.
+    pub fn awaits_report(&self) -> bool {
+        self.sent_since.min(self.in_flight) >= (self.slots / 2).max(1)
+    }
+
     /// Expected time in the queue of a request that is sent now.
     pub fn wait(&self, now: Moment) -> Duration {
         let ahead = self.backlog(now) + 1.0 - f64::from(self.slots);
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -442,6 +442,35 @@
     assert_eq!(sent_to(&decision), Some(TargetId(4)));
 }
 
+/// Guards against an entry that sends all requests to the target of its open connection, while the
+/// reports are too old to tell how many others have sent there.
+#[test]
+fn an_open_connection_draws_requests_until_a_report_is_due() {
+    let mut catalog = catalog();
+    catalog.apply(&Update::Join(target_record(5, "pool", "a")));
+    let mut router = router_with(1, catalog);
+    let service = Service::from("pool");
+    let request = RoutingRequest {
+        service: &service,
+        route: "r",
+        key: None,
+        latency: latency_bounds(),
+        body_bytes: 0,
+        connected: &[TargetId(3)],
+        connect_time: Duration::from_millis(5),
+        tried: &[],
+        misdirected: &[],
+    };
+
+    let sent = [0; 3].map(|_| {
+        let sent = sent_to(&router.route_request(at(1), request));
+        router.record_sent(sent.expect("a target"));
+        sent
+    });
+
+    assert_eq!(sent, [3, 3, 5].map(|id| Some(TargetId(id))));
+}
+
 #[test]
 fn an_upload_waits_a_little_for_its_own_zone() {
     let mut router = router();
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -479,10 +479,21 @@
         ("heartbeat: 1s", "heartbeat: 1", "unit"),
         ("grace: 6s\n", "grace: 6s\nin_force: 500ms\n", "in_force"),
         ("grace: 6s\n", "grace: 6s\nmore: 1\n", "more"),
+        (
+            "grace: 6s\n",
+            "grace: 6s\nidle_connections: 20000\n",
+            "idle_connections",
+        ),
         ("window: 10s}\n", "", ""),
     ];
 
-    assert!(SeededSettings::parse(good, "f.yaml").is_ok());
+    let set = good.replace("grace: 6s\n", "grace: 6s\nidle_connections: 400\n");
+    let connections = [good, &set].map(|text| {
+        let settings = SeededSettings::parse(text, "f.yaml");
+        settings.expect("good settings").idle_connections
+    });
+
+    assert_eq!(connections, [96, 400]);
     for (from, to, named) in bad {
         let fault = SeededSettings::parse(&good.replace(from, to), "f.yaml");
         let text = fault.expect_err(from).to_string();
