--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -498,6 +498,11 @@
             "zones.cost_per_kib",
         ),
         ("grace: 6s\n", "grace: 6s\nzones: {}\n", "cost_per_kib"),
+        (
+            "grace: 6s\n",
+            "grace: 6s\nidle_connections: 20000\n",
+            "idle_connections",
+        ),
         ("window: 10s}\n", "", ""),
     ];
 
@@ -514,6 +519,12 @@
         let settings = SeededSettings::parse(&format!("{good}{line}"), "f.yaml");
         assert_eq!(settings.expect("good settings").link, link);
     }
+    let set = good.replace("grace: 6s\n", "grace: 6s\nidle_connections: 400\n");
+    let connections = [good, &set].map(|text| {
+        let settings = SeededSettings::parse(text, "f.yaml");
+        settings.expect("good settings").idle_connections
+    });
+    assert_eq!(connections, [96, 400]);
     for (from, to, named) in bad {
         let fault = SeededSettings::parse(&good.replace(from, to), "f.yaml");
         let text = fault.expect_err(from).to_string();
