--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -27,7 +27,7 @@
     name::Zone,
     process::{
         event::Event,
-        seeded_settings::{Role, SeededSettings},
+        seeded_settings::{DEFAULT_IDLE_CONNECTIONS, Role, SeededSettings},
     },
     request::balance::{Router, RouterConfig, Shutdown, SpillChange},
     version::feed::Peer,
@@ -106,8 +106,8 @@
         let link = Link::new(settings.link, clock);
         Entry {
             clock,
-            pool: Pool::paced(link.clone()),
-            peers: Pool::paced(link.clone()),
+            pool: Pool::new(settings.idle_connections, link.clone()),
+            peers: Pool::new(DEFAULT_IDLE_CONNECTIONS, link.clone()),
             link,
             address,
             zone: settings.zone.clone(),
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -69,6 +69,15 @@
 
 /// Fleet whose target is served by the task that `serve` starts.
 pub(crate) async fn fleet_with(serve: impl Serve) -> Fleet {
+    start_fleet(None, serve).await
+}
+
+/// Fleet whose entry is on a link of so many megabits per second.
+pub(crate) async fn fleet_on_link(link: Option<f64>) -> Fleet {
+    start_fleet(link, |listener, seen| tokio::spawn(serve(listener, seen))).await
+}
+
+async fn start_fleet(link: Option<f64>, serve: impl Serve) -> Fleet {
     let folder = TempDir::new().expect("a folder");
     let host = host();
     let port = ports::next_port();
@@ -78,7 +87,8 @@
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
     let core = core::start(core).await.expect("a core host");
     let listen = format!("callers: \"{callers}\", ready: \"{ready}\"");
-    let entry = settings("entry", &host, port, &listen, &folder.path().join("none"));
+    let mut entry = settings("entry", &host, port, &listen, &folder.path().join("none"));
+    entry.link = link;
     let entry = entry::start(entry).await.expect("an entry");
     let target = StandIn::with(&host, control, serve).await;
     Fleet {
@@ -488,6 +498,11 @@
             "zones.cost_per_kib",
         ),
         ("grace: 6s\n", "grace: 6s\nzones: {}\n", "cost_per_kib"),
+        (
+            "grace: 6s\n",
+            "grace: 6s\nidle_connections: 20000\n",
+            "idle_connections",
+        ),
         ("window: 10s}\n", "", ""),
     ];
 
@@ -496,6 +511,20 @@
     let price = zones(&format!("{good}zones: {{cost_per_kib: 1300us}}\n"));
     let price = price.map(|zones| zones.cost_per_kib.0);
     assert_eq!(price, Some(Duration::from_micros(1_300)));
+    for (line, link) in [
+        ("", None),
+        ("link: 3.7\n", Some(3.7)),
+        ("link: 5\n", Some(5.0)),
+    ] {
+        let settings = SeededSettings::parse(&format!("{good}{line}"), "f.yaml");
+        assert_eq!(settings.expect("good settings").link, link);
+    }
+    let set = good.replace("grace: 6s\n", "grace: 6s\nidle_connections: 400\n");
+    let connections = [good, &set].map(|text| {
+        let settings = SeededSettings::parse(text, "f.yaml");
+        settings.expect("good settings").idle_connections
+    });
+    assert_eq!(connections, [96, 400]);
     for (from, to, named) in bad {
         let fault = SeededSettings::parse(&good.replace(from, to), "f.yaml");
         let text = fault.expect_err(from).to_string();
