paced stream: a wait for a turn is no stall

Cause: the timer of a stalled caller went on while its socket took bytes and only the turn was awaited.

Change: the timer ends once the socket is writable.

Result: tests test_link, test_seeded, test_pool, test_framing, test_endless and test_stopping pass.

--- a/node/src/connection/paced_stream.rs
+++ b/node/src/connection/paced_stream.rs
@@ -262,6 +262,8 @@
             if stream.poll_write_ready(cx)?.is_pending() {
                 return self.poll_stall(handle, cx);
             }
+            // The caller has taken something; a wait for a turn is no stall.
+            self.stall = None;
             ready!(self.writing.poll(&self.pace.link, handle, total, cx))
         };
         let mut limited = [IoSlice::new(&[]); BUFFERS_MAX];
