--- a/lib/src/request/balance/router.rs
+++ b/lib/src/request/balance/router.rs
@@ -46,6 +46,8 @@
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(60);
 /// Maximum share of the time left for which a request waits for an owner of its key.
 const MAX_WAIT_SHARE: f64 = 0.6;
+/// Divisor of the connections that a target accepts for those that entries keep idle.
+const IDLE_PART: u32 = 4;
 /// Retry delay of a request whose key nobody serves.
 pub(super) const NO_OWNER_DELAY: Duration = Duration::from_millis(500);
 
@@ -418,11 +420,12 @@
         self.catalog.desired.limits()
     }
 
-    /// Maximum number of connections that this entry may open to a target of the service.
-    pub fn max_connections(&self, service: &Service) -> usize {
+    /// Maximum number of idle connections that this entry keeps to a target of the service. Those of
+    /// all entries take a quarter of what the target accepts, as it resets new ones beyond that.
+    pub fn max_idle_connections(&self, service: &Service) -> usize {
         let spec = self.catalog.desired.service(service.as_str());
         let all = spec.map_or(100, |spec| spec.connections);
-        (all / self.entry_count()).max(2) as usize
+        (all / IDLE_PART / self.entry_count()).max(2) as usize
     }
 
     /// Finds the route of a request and selects the service that gets it.
--- a/lib/tests/test_link_budget.rs
+++ b/lib/tests/test_link_budget.rs
@@ -408,3 +408,27 @@
     assert_eq!(sizes.short_left(Direction::In), SHORT_BYTES);
     assert_eq!(sizes.short_left(Direction::Out), SHORT_BYTES - 100);
 }
+
+/// Guards against callers that stay at an entry whose link is full of uploads, while others of its zone
+/// have room, and against entries that leave and return with each upload.
+#[test]
+fn a_link_with_many_bodies_on_their_way_in_is_overloaded_until_few_are_left() {
+    let mut budget = LinkBudget::new(MBPS).expect("a narrow link");
+    let mut admit = |budget: &mut LinkBudget| {
+        let admitted = budget.admit(Moment::ZERO, upload(60_000), Duration::from_secs(30));
+        admitted.expect("room")
+    };
+    // One of 60 KB takes 144 ms of nine tenths of the rate.
+    let bodies: Vec<BodyId> = (0..6).map(|_| admit(&mut budget)).collect();
+    assert!(!budget.is_overloaded(), "six bodies");
+
+    let last = admit(&mut budget);
+
+    assert!(budget.is_overloaded(), "seven bodies");
+    budget.release(last, Direction::In, u64::MAX);
+    assert!(budget.is_overloaded(), "six bodies again");
+    for body in &bodies[..4] {
+        budget.release(*body, Direction::In, u64::MAX);
+    }
+    assert!(!budget.is_overloaded(), "two bodies");
+}
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -784,7 +784,7 @@
         }
         let (room, zone) = {
             let router = entry.router();
-            let room = router.max_connections(&self.routed.service);
+            let room = router.max_idle_connections(&self.routed.service);
             (room, self.zone_label(&router, flight.id))
         };
         count_zone_bytes(zone, body_length(&parts.headers).unwrap_or_default());
