entry: late connections are kept, and copies confirmed sooner

Cause: on a link full of uploads a connection to a target took 0.3 to 1 s. After a loss of all power entries asked once for a confirmation that the new leader, without its lease yet, left unanswered, and waited 500 ms; callers came back before that and were refused twice. Change: with a link budget a connection that comes too late for its request is kept as an idle one, and a time-out while connections take 100 ms on average does not count against the target. A copy that may not be used is asked for every 100 ms. An entry that never had a copy names a pause of 1.2 s.

--- a/lib/tests/test_link_budget.rs
+++ b/lib/tests/test_link_budget.rs
@@ -414,7 +414,7 @@
 #[test]
 fn a_link_with_many_bodies_on_their_way_in_is_overloaded_until_few_are_left() {
     let mut budget = LinkBudget::new(MBPS).expect("a narrow link");
-    let mut admit = |budget: &mut LinkBudget| {
+    let admit = |budget: &mut LinkBudget| {
         let admitted = budget.admit(Moment::ZERO, upload(60_000), Duration::from_secs(30));
         admitted.expect("room")
     };
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -39,6 +39,9 @@
 
 /// Pause between two reports.
 const REPORT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two questions whether the copy is current while it may not be used. A leader without
+/// its lease, as one that was just elected, leaves them unanswered.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(100);
 /// A leader that sends nothing for so long is left: four pulses.
 const SILENCE: Duration = Duration::from_millis(1_000);
 /// Pause after all known core hosts were asked in vain.
@@ -229,6 +232,8 @@
     async fn run(&mut self, mut stream: MessageStream) -> Result<Infallible, MessageError> {
         let mut report = interval(REPORT_PAUSE);
         report.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut confirm = interval(CONFIRM_PAUSE);
+        confirm.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (_, mut asked) = mpsc::channel::<Question>(1);
         loop {
             tokio::select! {
@@ -259,10 +264,19 @@
                     stream.send(self.news()?).await?;
                 }
                 _ = report.tick(), if self.following => stream.send(self.report()?).await?,
+                _ = confirm.tick(), if self.following && self.needs_confirmation() => {
+                    stream.send([encode(&ToCore::Confirm(self.entry.clock.now()))?]).await?;
+                }
             }
         }
     }
 
+    /// Whether the copy is there and may not be used yet.
+    fn needs_confirmation(&self) -> bool {
+        let router = self.entry.router();
+        router.has_desired_state() && !router.may_serve(self.entry.clock.now())
+    }
+
     /// What this entry tells and asks the leader.
     fn report(&self) -> Result<Vec<Bytes>, MessageError> {
         let now = self.entry.clock.now();
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -63,6 +63,9 @@
 const HANGING_TIME: Duration = Duration::from_millis(100);
 /// Pause named to a caller at an entry that ends; the others take the request at once.
 const ENDING_PAUSE: Duration = Duration::from_millis(50);
+/// Pause named to a caller at an entry that has no copy yet. After a loss of all power a leader is
+/// elected and confirms copies within about that time; callers that came back sooner were refused twice.
+const STARTING_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pause named to a caller at an entry that knows too little.
 const STALE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -201,6 +204,9 @@
             .resolve_route(now, host, parts.uri.path())
             .map_err(|denial| match denial {
                 RouteError::NoRoute => Refusal::denied(StatusCode::NOT_FOUND, "no-route"),
+                RouteError::Stale if router.confirmation_age(now).is_none() => {
+                    Refusal::not_run("stale", STARTING_PAUSE)
+                }
                 RouteError::Stale => Refusal::not_run("stale", STALE_PAUSE),
             })?;
     let length = body_length(&parts.headers);
@@ -603,7 +609,7 @@
         let wish = self.wish();
         let connecting = async {
             match self.needs_new {
-                true => entry.pool.open(next.address, wish.left).await,
+                true => entry.pool.open(next.id, next.address, wish.left).await,
                 false => entry.pool.take(next.id, next.address, wish).await,
             }
         };
@@ -635,7 +641,11 @@
                 return Sending::Ended(Tried::Closed);
             }
             Some(Err(SendError::NotSent | SendError::Broken)) => {
-                flight.end(SendOutcome::Unreachable);
+                // On a full link it says nothing of the target.
+                flight.end(match entry.pool.is_slow() {
+                    true => SendOutcome::Cancelled,
+                    false => SendOutcome::Unreachable,
+                });
                 record_failure(entry, id);
                 return Sending::Ended(Tried::Unreachable);
             }
