paced stream: the end of a stream waits for no turn

Cause: behind 8 KiB of a message, a read waits for its turn on the link also if the socket has only the end of the stream or a reset. With many uploads under way, a caller that left behind its upload was noticed after seconds, while its request ran on.

Change: the stream looks whether there is a byte before it reserves a piece.

Result: the_end_of_a_connection_waits_for_no_turn fails before (not noticed within 400 ms, with 20 uploads on 0.5 Mbit/s).

--- a/node/src/connection/paced_stream.rs
+++ b/node/src/connection/paced_stream.rs
@@ -233,7 +233,11 @@
             self.reading.cancel(&self.pace.link);
             short
         } else {
-            ready!(stream.poll_read_ready(cx))?;
+            // The end of the stream needs no turn: a caller that has left is noticed at once.
+            let mut first = [0];
+            if ready!(stream.poll_peek(cx, &mut ReadBuf::new(&mut first)))? == 0 {
+                return Poll::Ready(Ok(()));
+            }
             ready!(self.reading.poll(&self.pace.link, handle, PIECE_BYTES, cx))
         };
         let most = most.min(buf.remaining());
--- a/node/tests/test_link.rs
+++ b/node/tests/test_link.rs
@@ -177,3 +177,27 @@
         assert_eq!(end.is_err(), aborts, "{end:?}");
     }
 }
+
+/// Guards against a caller that leaves behind its upload and is noticed only in its turn: its request
+/// would run on meanwhile.
+#[tokio::test]
+async fn the_end_of_a_connection_waits_for_no_turn() {
+    let link = link(0.5);
+    let (mut near, mut far) = caller(link.clone()).await;
+    let mut body = vec![b'x'; 12 << 10];
+    far.write_all(&body).await.expect("sent");
+    near.read_exact(&mut body).await.expect("read");
+    let mut others = Vec::new();
+    for _ in 0..20 {
+        let (mut other, mut sender) = caller(link.clone()).await;
+        sender.write_all(&[b'y'; BODY]).await.expect("sent");
+        let reading = async move { other.read_exact(&mut [0; BODY]).await };
+        others.push((tokio::spawn(reading), sender));
+    }
+    sleep(Duration::from_millis(200)).await;
+
+    drop(far);
+    let read = timeout(Duration::from_millis(400), near.read(&mut body)).await;
+
+    assert!(matches!(read, Ok(Ok(0))), "{read:?}");
+}
