read-ahead: a later read does not delay the time of a whole head

Cause: a read behind an incomplete head replaces the times of the bytes before it. The head counted as incomplete until it was parsed again. While responses wait for the caller nothing is parsed, so a further read moved the time of a head that was whole already, and its deadline with it.

Change: only bytes that were all parsed count as an incomplete head.

Result: a_head_counts_from_the_read_that_ended_it fails before.

--- a/node/src/connection/caller_stream.rs
+++ b/node/src/connection/caller_stream.rs
@@ -64,7 +64,8 @@
         ready!(Pin::new(stream).poll_read(cx, &mut read))?;
         let read = read.filled();
         if !read.is_empty() {
-            self.times.record(clock.now(), read.len(), self.scanned > 0);
+            let in_head = self.scanned > 0 && self.scanned == self.bytes.len();
+            self.times.record(clock.now(), read.len(), in_head);
             self.bytes.extend_from_slice(read);
         }
         Poll::Ready(Ok(!read.is_empty()))
--- a/node/tests/test_pipelining.rs
+++ b/node/tests/test_pipelining.rs
@@ -1,9 +1,10 @@
 //! Requests that a caller sends on one connection without waiting for answers.
 
 use crate::test_seeded::{Fleet, PATIENCE, call, fleet_with, order, set_up};
+use cornelrail_node::{connection::caller_stream::ReadAhead, process::clock::Clock};
 use cornelrail_testutils::scripted::{self, Ask, Ending, Record, Reply};
 use rand_chacha::rand_core::RngCore;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{
@@ -481,3 +482,27 @@
         assert!((500..900).contains(&took.as_millis()), "{path}: {took:?}");
     }
 }
+
+/// Guards against a deadline that is counted from a read behind the end of the head.
+#[tokio::test]
+async fn a_head_counts_from_the_read_that_ended_it() {
+    let clock = Clock::start();
+    let mut ahead = ReadAhead::default();
+    let whole = get("/r/x", "a");
+    let (first, rest) = whole.split_at(20);
+    let mut ended = None;
+
+    for part in [first, rest, "GET /r/y"] {
+        let mut part = part.as_bytes();
+        let read = poll_fn(|cx| ahead.poll_read(cx, &mut part, clock)).await;
+        assert!(read.expect("read"));
+        if ahead.bytes.len() == first.len() {
+            assert!(ahead.parse_head(|_| ()).is_none());
+        } else {
+            ended.get_or_insert(clock.now());
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(ahead.times.time_of(whole.len()) <= ended);
+}
