pipeline: read again once a started request makes room

Cause: no read is pending while 64 KiB are held. If a request then starts, the task ended its turn without a read, so that only another event made it read on or notice that its caller left.

Change: the task takes one more turn if starting requests made room.

Result: found by review. A test on the whole entry passes also before, as the exchange that starts wakes the task; no test is added.

--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -198,9 +198,12 @@
             if self.has_read_end && unanswered > 0 {
                 return Poll::Ready(Ended::Left);
             }
+            let was_full = !self.ahead.has_room();
             if !self.has_read_end && self.start_requests() == Step::HandOver {
                 return Poll::Ready(Ended::HandOver);
             }
+            // Nothing wakes the task for a read that had no room.
+            let may_read = was_full && self.ahead.has_room();
             let has_ended = self.poll_exchanges(cx);
             let Ok(has_written) = self.poll_write(cx) else {
                 return Poll::Ready(Ended::Left);
@@ -212,7 +215,7 @@
             } else {
                 self.is_idle = false;
             }
-            if !(has_read || has_ended || has_written) {
+            if !(has_read || may_read || has_ended || has_written) {
                 return Poll::Pending;
             }
         }
