entry: callers stay, and late connections are dropped, as before

Change: both go; the quarter for idle connections, the confirmations every 100 ms, the pause of an entry that never had a copy, and time-outs on a full link stay.

--- a/lib/src/connection/link_budget.rs
+++ b/lib/src/connection/link_budget.rs
@@ -40,11 +40,6 @@
 const NEW_PART: f64 = 0.9;
 /// Shortest pause that is named to a caller.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
-/// Time that admitted bodies need to come in from which the link is overloaded: short messages then wait
-/// behind several bodies at a time, which the entry cannot pace before they are on the link.
-const OVERLOAD_TIME: Duration = Duration::from_millis(1_000);
-/// The same below which it is overloaded no more.
-const RELIEF_TIME: Duration = Duration::from_millis(300);
 /// Time without a refusal after which uploads count as admitted again.
 const CALM_TIME: Duration = Duration::from_secs(2);
 
@@ -243,7 +238,6 @@
     last_refusal: Option<Moment>,
     /// Whether the refusals were told by `take_change`.
     is_refusing: bool,
-    is_overloaded: bool,
 }
 
 impl LinkBudget {
@@ -258,7 +252,6 @@
             refused: 0,
             last_refusal: None,
             is_refusing: false,
-            is_overloaded: false,
         })
     }
 
@@ -353,16 +346,6 @@
         bodies.map(|mut body| *body.left_mut(direction)).sum()
     }
 
-    /// Whether callers are better served by other entries, as several bodies come in at a time.
-    pub fn is_overloaded(&mut self) -> bool {
-        let inward = self.inward.time(self.admitted(Direction::In));
-        self.is_overloaded = match self.is_overloaded {
-            true => inward > RELIEF_TIME,
-            false => inward >= OVERLOAD_TIME,
-        };
-        self.is_overloaded
-    }
-
     /// Whether refusals have begun or ceased since the last call.
     pub fn take_change(&mut self, now: Moment) -> Option<LinkChange> {
         let last = self.last_refusal?;
--- a/lib/src/connection/pipeline.rs
+++ b/lib/src/connection/pipeline.rs
@@ -67,16 +67,16 @@
 
 impl Pipeline {
     /// Decides what to do with the next request. `waiting` is the number of bytes of answers that
-    /// are not written yet; `is_leaving` tells that callers are to go to other entries.
-    pub fn next_step(&self, next: NextRequest, waiting: usize, is_leaving: bool) -> Step {
+    /// are not written yet; `is_stopping` tells that the process is to end.
+    pub fn next_step(&self, next: NextRequest, waiting: usize, is_stopping: bool) -> Step {
         if self.last.is_some() {
             return Step::Wait;
         }
         let is_first = self.unanswered() == 0;
         let may_start = match next {
             NextRequest::Incomplete => false,
-            NextRequest::Idempotent => self.has_room(waiting, is_leaving),
-            NextRequest::Unrouted => is_first && self.has_room(waiting, is_leaving),
+            NextRequest::Idempotent => self.has_room(waiting, is_stopping),
+            NextRequest::Unrouted => is_first && self.has_room(waiting, is_stopping),
             NextRequest::Other if is_first && waiting == 0 => return Step::HandOver,
             NextRequest::Other => false,
         };
@@ -88,12 +88,12 @@
 
     /// Whether any request could start. The one that starts last before the process ends is the
     /// only one without an answer at that time.
-    pub fn has_room(&self, waiting: usize, is_leaving: bool) -> bool {
+    pub fn has_room(&self, waiting: usize, is_stopping: bool) -> bool {
         let unanswered = self.unanswered();
         self.last.is_none()
             && unanswered < REQUESTS_MAX
             && waiting <= WAITING_BYTES_MAX
-            && (unanswered == 0 || !is_leaving)
+            && (unanswered == 0 || !is_stopping)
     }
 
     /// Starts a request; returns its number.
@@ -114,8 +114,8 @@
 
     /// Whether the answer to a request says that it closes the connection, asked once its head is
     /// ready. Nothing starts behind one that does.
-    pub fn closes(&mut self, number: u64, is_leaving: bool) -> bool {
-        let closes = is_leaving && self.last.is_none() && number + 1 == self.started;
+    pub fn closes(&mut self, number: u64, is_stopping: bool) -> bool {
+        let closes = is_stopping && self.last.is_none() && number + 1 == self.started;
         if closes {
             self.last = Some(number);
         }
--- a/node/src/connection/link.rs
+++ b/node/src/connection/link.rs
@@ -145,11 +145,6 @@
         self.budget().admitted(direction)
     }
 
-    /// Whether callers are better served by other entries.
-    pub fn is_overloaded(&self) -> bool {
-        self.budget().is_overloaded()
-    }
-
     /// Logs when refusals have ceased.
     pub fn sweep(&self) {
         let now = self.clock.now();
--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -238,12 +238,12 @@
     fn start_requests(&mut self) -> Step {
         loop {
             let waiting = self.waiting.load(Ordering::Relaxed);
-            let is_leaving = self.entry.sheds_callers();
-            if !lock(&self.pipeline).has_room(waiting, is_leaving) {
+            let is_stopping = self.entry.is_stopping();
+            if !lock(&self.pipeline).has_room(waiting, is_stopping) {
                 return Step::Wait;
             }
             let (next, length) = self.next_request();
-            let step = lock(&self.pipeline).next_step(next, waiting, is_leaving);
+            let step = lock(&self.pipeline).next_step(next, waiting, is_stopping);
             if step != Step::Start {
                 return step;
             }
@@ -305,7 +305,7 @@
                 // The library would end a body without a length, in an answer of a target that
                 // speaks HTTP/1.0, by the end of the connection.
                 *response.version_mut() = Version::HTTP_11;
-                if lock(&pipeline).closes(number, entry.sheds_callers()) {
+                if lock(&pipeline).closes(number, entry.is_stopping()) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -40,7 +40,6 @@
 use tokio::{
     io::AsyncReadExt,
     net::TcpStream,
-    sync::oneshot,
     time::{Instant, timeout},
 };
 
@@ -59,8 +58,6 @@
 const INITIAL_CONNECT_TIME: Duration = Duration::from_millis(5);
 /// Mean time to connect from which the link counts as full; 3 to 10 ms are usual.
 const SLOW_CONNECT_TIME: Duration = Duration::from_millis(100);
-/// Idle connections to one target up to which one that came too late is kept.
-const LATE_ROOM: usize = 2;
 /// Weight of the latest connection time in the mean.
 const CONNECT_TIME_WEIGHT: f64 = 0.125;
 /// Refusals after which a connection is not used again, so that it holds few identities.
@@ -358,71 +355,23 @@
                 return Ok(idle.connection);
             }
         }
-        self.open(id, address, wish.left).await
+        self.open(address, wish.left).await
     }
 
     /// A new connection for a request that has so much time left.
     pub async fn open(
         &self,
-        id: TargetId,
         address: SocketAddr,
         left: Duration,
     ) -> Result<TargetConnection, SendError> {
         metrics::counter!("cornelrail_target_connections_total").increment(1);
         let limit = CONNECT_TIMEOUT.min(left.mul_f64(CONNECT_SHARE));
-        match self.link {
-            Some(_) => self.open_or_keep(id, address, limit).await,
-            None => self.connect(address, limit).await,
-        }
-    }
-
-    /// Opens a connection that becomes an idle one if it is there too late for its request. On a link
-    /// full of uploads most would be given up shortly before, and the next request would start anew.
-    async fn open_or_keep(
-        &self,
-        id: TargetId,
-        address: SocketAddr,
-        limit: Duration,
-    ) -> Result<TargetConnection, SendError> {
-        let (opened, opening) = oneshot::channel();
-        let pool = self.clone();
-        tokio::spawn(async move {
-            let connection = pool.connect(address, CONNECT_TIMEOUT).await;
-            if let Err(Ok(connection)) = opened.send(connection) {
-                pool.keep_late(id, connection);
-            }
-        });
-        let opened = timeout(limit, opening).await;
-        opened.map_or(Err(SendError::NotSent), |opened| {
-            opened.unwrap_or(Err(SendError::NotSent))
-        })
-    }
-
-    async fn connect(
-        &self,
-        address: SocketAddr,
-        limit: Duration,
-    ) -> Result<TargetConnection, SendError> {
         let begun = Instant::now();
         let connection = TargetConnection::open(address, limit, self.link.clone()).await?;
         self.record_connect(begun.elapsed());
         Ok(connection)
     }
 
-    fn keep_late(&self, id: TargetId, connection: TargetConnection) {
-        let until = Instant::now() + IDLE_TIME;
-        self.with(|idle| {
-            let list = idle.entry(id).or_default();
-            if list.len() < LATE_ROOM {
-                list.push(Idle {
-                    connection,
-                    until,
-                    idempotent_until: until,
-                });
-            }
-        });
-    }
-
     /// Whether connections take so long that the link is full rather than a target out of reach.
     pub fn is_slow(&self) -> bool {
         self.link.is_some() && self.connect_time() >= SLOW_CONNECT_TIME
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -109,7 +109,7 @@
         let since = served.read_at();
         async move {
             let mut response = proxy::serve(&entry, request, since).await;
-            if entry.sheds_callers() {
+            if entry.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -158,22 +158,6 @@
         self.shutdown.get().is_some()
     }
 
-    /// Whether callers are better served by other entries, so that their connections are closed behind
-    /// an answer: the process is to end, its link is overloaded, or its copy is behind. A new process
-    /// without a copy keeps them, as all entries may have started with it.
-    pub fn sheds_callers(&self) -> bool {
-        if self.is_stopping() || self.is_overloaded() {
-            return true;
-        }
-        let now = self.clock.now();
-        let router = self.router();
-        router.confirmation_age(now).is_some() && !router.may_serve(now)
-    }
-
-    fn is_overloaded(&self) -> bool {
-        self.link.as_ref().is_some_and(|link| link.is_overloaded())
-    }
-
     /// When the process was told to end, and when it ends.
     pub fn shutdown(&self) -> Option<&Shutdown> {
         self.shutdown.get()
@@ -190,7 +174,7 @@
         let router = self.router();
         let young = router.status_age(now).is_some_and(|age| age < READY_AGE);
         let serves = router.has_desired_state() && router.may_serve(now);
-        serves && young && !self.is_stopping() && !self.is_overloaded()
+        serves && young && !self.is_stopping()
     }
 }
 
--- a/node/src/request/proxy.rs
+++ b/node/src/request/proxy.rs
@@ -609,7 +609,7 @@
         let wish = self.wish();
         let connecting = async {
             match self.needs_new {
-                true => entry.pool.open(next.id, next.address, wish.left).await,
+                true => entry.pool.open(next.address, wish.left).await,
                 false => entry.pool.take(next.id, next.address, wish).await,
             }
         };
