check: the library names fields by terms of its own

Change: the library has an enum `Term`, and `Review::of` takes the translation to the words of the file. `cornelrail_platform::word_of` is that translation. The field of an item's version, which a comparison leaves out, is a term too.

--- a/cli/src/command/check.rs
+++ b/cli/src/command/check.rs
@@ -8,7 +8,7 @@
 use cornelrail_lib::version::desired::{
     DesiredState, Difference, DifferenceKind, Finding, Review, Severity,
 };
-use cornelrail_platform::{ItemFault, ParsedFile, WireError, parse_file};
+use cornelrail_platform::{ItemFault, ParsedFile, WireError, parse_file, word_of};
 use serde_json::Value;
 use std::{fs, path::Path};
 
@@ -31,7 +31,7 @@
         services: old.change.services,
         limits: old.change.limits,
     });
-    let mut review = Review::of(&new.change, old.as_ref(), new.is_set);
+    let mut review = Review::of(&new.change, old.as_ref(), new.is_set, word_of);
     if new.change.is_empty() && unreadable.is_empty() {
         unreadable.push(Finding {
             severity: Severity::Warning,
--- a/lib/src/version/desired/mod.rs
+++ b/lib/src/version/desired/mod.rs
@@ -15,7 +15,7 @@
 pub use self::{
     check::{ChangeError, ChangesInFlight},
     item::{Backend, Item, ItemVersion, RequestLimits, Route, RouteKind, ServiceSpec, WEIGHT_UNIT},
-    review::{Difference, DifferenceKind, FieldChange, Finding, Review, Severity},
+    review::{Difference, DifferenceKind, FieldChange, Finding, Review, Severity, Term, Translate},
     routing::{RouteMatch, Routing},
 };
 
--- a/lib/src/version/desired/review.rs
+++ b/lib/src/version/desired/review.rs
@@ -2,7 +2,8 @@
 //! without effect, limits that contradict each other, and differences from the items in force.
 //!
 //! The errors are those of the leader's own check, [`DesiredState::judge`], so that the review and the
-//! leader cannot disagree.
+//! leader cannot disagree. The words of the operator's file are those of its format, so the review knows
+//! them as [`Term`]s only, and its caller translates these.
 
 use super::{Change, ChangeError, DesiredState, Item, Route, ServiceSpec, merge};
 use crate::{name::Service, process::unit::HumanDuration};
@@ -13,6 +14,34 @@
     time::Duration,
 };
 
+/// Word of the operator's file that a review needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Term {
+    /// Field with the version of any item.
+    Version,
+    /// Field of [`Route::latency_goal`].
+    LatencyGoal,
+    /// Field of [`Route::timeout`].
+    Timeout,
+    /// Field of [`Route::attempts`].
+    Attempts,
+    /// Field of [`Route::kind`].
+    Kind,
+    /// Value of [`Route::kind`] for requests that may run twice.
+    Idempotent,
+    /// Field of [`ServiceSpec::cold_rate`].
+    ColdRate,
+    /// Field of [`ServiceSpec::cold_period`].
+    ColdPeriod,
+    /// Field of [`RequestLimits::head_time`](super::RequestLimits::head_time).
+    HeadTime,
+    /// Field of [`RequestLimits::idle_time`](super::RequestLimits::idle_time).
+    IdleTime,
+}
+
+/// Translates a term to the word of the operator's file.
+pub type Translate = fn(Term) -> &'static str;
+
 /// How bad a finding is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -84,7 +113,12 @@
 impl Review {
     /// Reviews a change against the items in force. A change that is a whole set of items, or is
     /// reviewed against those in force, names all services that its routes may name.
-    pub fn of(change: &Change, in_force: Option<&DesiredState>, is_set: bool) -> Self {
+    pub fn of(
+        change: &Change,
+        in_force: Option<&DesiredState>,
+        is_set: bool,
+        word: Translate,
+    ) -> Self {
         let empty = DesiredState::default();
         let held = in_force.unwrap_or(&empty);
         let is_complete = is_set || in_force.is_some();
@@ -101,7 +135,7 @@
             after.limits.clone_from(&applied.limits);
         }
         findings.extend(without_effect(&after, is_complete));
-        findings.extend(contradictions(&after));
+        findings.extend(contradictions(&after, word));
         let mut review = Review {
             findings,
             differences: Vec::new(),
@@ -113,10 +147,10 @@
                     .map(|item| (String::new(), item))
                     .collect()
             };
-            review.compare("route", &held.routes, &change.routes, is_set);
-            review.compare("service", &held.services, &change.services, is_set);
+            review.compare("route", &held.routes, &change.routes, is_set, word);
+            review.compare("service", &held.services, &change.services, is_set, word);
             let (old, new) = (limits(&held.limits), limits(&change.limits));
-            review.compare("limits", &old, &new, is_set);
+            review.compare("limits", &old, &new, is_set, word);
         }
         review.findings.sort_by_key(|finding| finding.severity);
         review
@@ -134,6 +168,7 @@
         held: &BTreeMap<K, Item<T>>,
         sent: &BTreeMap<K, Item<T>>,
         is_set: bool,
+        word: Translate,
     ) {
         for (name, new) in sent {
             let place = place(kind, &name.to_string());
@@ -162,7 +197,9 @@
                 (Some(_), Some(_)) => DifferenceKind::Changed,
             };
             let fields = match (kind, before) {
-                (DifferenceKind::Changed, Some(old)) => changed_fields(&old.source, &new.source),
+                (DifferenceKind::Changed, Some(old)) => {
+                    changed_fields(&old.source, &new.source, word)
+                }
                 _ => Vec::new(),
             };
             self.differences.push(Difference {
@@ -193,14 +230,14 @@
     place: String,
     problem: String,
     value: impl Into<Option<String>>,
-    remedy: &str,
+    remedy: impl Into<String>,
 ) -> Finding {
     Finding {
         severity: Severity::Warning,
         place,
         problem,
         value: value.into(),
-        remedy: remedy.to_owned(),
+        remedy: remedy.into(),
     }
 }
 
@@ -307,7 +344,7 @@
 }
 
 /// Limits of one item that contradict each other.
-fn contradictions(after: &DesiredState) -> Vec<Finding> {
+fn contradictions(after: &DesiredState, word: Translate) -> Vec<Finding> {
     let span = |span: Duration| HumanDuration(span).to_string();
     let mut findings = Vec::new();
     for (name, route) in values(&after.routes) {
@@ -319,7 +356,11 @@
                     span(route.timeout)
                 ),
                 span(route.latency_goal),
-                "lower `targetLatency`, or raise `timeout`",
+                format!(
+                    "lower `{}`, or raise `{}`",
+                    word(Term::LatencyGoal),
+                    word(Term::Timeout)
+                ),
             ));
         }
         if route.attempts > 1 && !route.kind.is_idempotent() {
@@ -327,7 +368,12 @@
                 place("route", name),
                 "more than one attempt, though its requests are not idempotent".to_owned(),
                 route.attempts.to_string(),
-                "set `maxAttempts` to 1, or `kind` to `safe` if they may run twice",
+                format!(
+                    "set `{}` to 1, or `{}` to `{}` if they may run twice",
+                    word(Term::Attempts),
+                    word(Term::Kind),
+                    word(Term::Idempotent)
+                ),
             ));
         }
     }
@@ -342,7 +388,11 @@
                 place("service", name.as_str()),
                 format!("a cold target gets no request for {}", span(*cold_period)),
                 "0".to_owned(),
-                "raise `coldPerS` above 0, or leave out `coldStart`",
+                format!(
+                    "raise `{}` above 0, or leave out `{}`",
+                    word(Term::ColdRate),
+                    word(Term::ColdPeriod)
+                ),
             ));
         }
     }
@@ -355,18 +405,24 @@
                 span(limits.idle_time)
             ),
             span(limits.head_time),
-            "lower `headerTimeout`, or raise `idleTimeout`",
+            format!(
+                "lower `{}`, or raise `{}`",
+                word(Term::HeadTime),
+                word(Term::IdleTime)
+            ),
         ));
     }
     findings
 }
 
 /// Fields in which two items differ, as the operator wrote them; the version is none of them.
-fn changed_fields(old: &str, new: &str) -> Vec<FieldChange> {
+fn changed_fields(old: &str, new: &str, word: Translate) -> Vec<FieldChange> {
     let parse = |text| serde_json::from_str::<BTreeMap<String, Value>>(text).unwrap_or_default();
     let (old, new) = (parse(old), parse(new));
     let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
-    let names = names.into_iter().filter(|name| *name != "version");
+    let names = names
+        .into_iter()
+        .filter(|name| name.as_str() != word(Term::Version));
     let changed = names.filter(|name| old.get(*name) != new.get(*name));
     changed
         .map(|name| FieldChange {
--- a/lib/tests/test_desired.rs
+++ b/lib/tests/test_desired.rs
@@ -386,7 +386,7 @@
 
         for change in changes.0 {
             let admitted = desired.admit(change.clone());
-            let review = Review::of(&change, Some(&desired), false);
+            let review = Review::of(&change, Some(&desired), false, |_| "word");
             if (review.worst() == Some(Severity::Error)) != admitted.is_err() {
                 return TestResult::error(format!("{change:?}: {admitted:?}, {review:?}"));
             }
