--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -198,9 +198,12 @@
             if self.has_read_end && unanswered > 0 {
                 return Poll::Ready(Ended::Left);
             }
+            let was_full = !self.ahead.has_room();
             if !self.has_read_end && self.start_requests() == Step::HandOver {
                 return Poll::Ready(Ended::HandOver);
             }
+            // Nothing wakes the task for a read that had no room.
+            let may_read = was_full && self.ahead.has_room();
             let has_ended = self.poll_exchanges(cx);
             let Ok(has_written) = self.poll_write(cx) else {
                 return Poll::Ready(Ended::Left);
@@ -212,7 +215,7 @@
             } else {
                 self.is_idle = false;
             }
-            if !(has_read || has_ended || has_written) {
+            if !(has_read || may_read || has_ended || has_written) {
                 return Poll::Pending;
             }
         }
@@ -235,12 +238,12 @@
     fn start_requests(&mut self) -> Step {
         loop {
             let waiting = self.waiting.load(Ordering::Relaxed);
-            let is_leaving = self.entry.sheds_callers();
-            if !lock(&self.pipeline).has_room(waiting, is_leaving) {
+            let is_stopping = self.entry.is_stopping();
+            if !lock(&self.pipeline).has_room(waiting, is_stopping) {
                 return Step::Wait;
             }
             let (next, length) = self.next_request();
-            let step = lock(&self.pipeline).next_step(next, waiting, is_leaving);
+            let step = lock(&self.pipeline).next_step(next, waiting, is_stopping);
             if step != Step::Start {
                 return step;
             }
@@ -302,7 +305,7 @@
                 // The library would end a body without a length, in an answer of a target that
                 // speaks HTTP/1.0, by the end of the connection.
                 *response.version_mut() = Version::HTTP_11;
-                if lock(&pipeline).closes(number, entry.sheds_callers()) {
+                if lock(&pipeline).closes(number, entry.is_stopping()) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
