--- a/lib/src/process/seeded_settings.rs
+++ b/lib/src/process/seeded_settings.rs
@@ -122,7 +122,8 @@
 #[serde(deny_unknown_fields)]
 pub struct ZonePrice {
     /// Wait that is accepted to keep one KiB of a request in the zone.
-    pub cost_per_kib: HumanDuration,
+    #[serde(rename = "cost_per_kib")]
+    pub kib_cost: HumanDuration,
 }
 
 /// Validated settings of one process.
@@ -312,7 +313,7 @@
     }
     if content
         .zones
-        .is_some_and(|zones| zones.cost_per_kib.0 > MAX_COST_PER_KIB)
+        .is_some_and(|zones| zones.kib_cost.0 > MAX_COST_PER_KIB)
     {
         return Err(out_of_range("zones.cost_per_kib", "at most 1s"));
     }
--- a/lib/src/request/balance/zone_spill.rs
+++ b/lib/src/request/balance/zone_spill.rs
@@ -227,7 +227,7 @@
     costs: [Duration; 2],
     window_at: Moment,
     /// Whether requests wait longer in the other zones than in the own one.
-    are_others_fuller: bool,
+    others_fuller: bool,
     /// Whether the latest request was to stay.
     is_held: bool,
     /// Requests since the latest comparison that left since no target of the own zone admitted them.
@@ -247,7 +247,7 @@
             saved: Duration::ZERO,
             costs: [cost; 2],
             window_at: now,
-            are_others_fuller: false,
+            others_fuller: false,
             is_held: false,
             rescued: 0,
             begun_at: None,
@@ -279,7 +279,7 @@
                 return None;
             }
             self.share = 1.0;
-            self.are_others_fuller = false;
+            self.others_fuller = false;
             self.compared_at = now;
             return Some(SpillReason::NoTargets);
         }
@@ -313,7 +313,7 @@
             return Trend::Rise(SpillReason::Refusals);
         };
         self.saved = own.saved_at(other);
-        self.are_others_fuller = other.wait > own.wait + HOP_LATENCY * 2;
+        self.others_fuller = other.wait > own.wait + HOP_LATENCY * 2;
         if self.saved >= self.cheapest().mul_f64(START_FACTOR) {
             Trend::Rise(SpillReason::Wait)
         } else if rescued > 0 {
@@ -346,7 +346,7 @@
         if !targets.is_known {
             return FirstChoice::OwnOnly;
         }
-        if self.are_others_fuller {
+        if self.others_fuller {
             return FirstChoice::Own;
         }
         // A request that its zone turned away has lost time already.
@@ -407,17 +407,17 @@
 /// Requests of one entry that may leave its zone, by service.
 #[derive(Debug)]
 pub struct ZoneSpill {
-    cost_per_kib: Duration,
+    kib_cost: Duration,
     services: HashMap<Service, ServiceSpill>,
     changes: Vec<SpillChange>,
 }
 
 impl ZoneSpill {
-    /// Creates the state of an entry from which nothing leaves yet. `cost_per_kib` is the wait that
+    /// Creates the state of an entry from which nothing leaves yet. `kib_cost` is the wait that
     /// is accepted to keep one KiB in the zone.
-    pub fn new(cost_per_kib: Duration) -> Self {
+    pub fn new(kib_cost: Duration) -> Self {
         ZoneSpill {
-            cost_per_kib,
+            kib_cost,
             services: HashMap::new(),
             changes: Vec::new(),
         }
@@ -430,7 +430,7 @@
         request: SpillRequest<'_>,
         targets: ZoneTargets<'_>,
     ) -> Hop {
-        let cost = HOP_LATENCY + self.cost_per_kib * kib(request.body_bytes);
+        let cost = HOP_LATENCY + self.kib_cost * kib(request.body_bytes);
         let service = self.services.entry(request.service.clone());
         let state = service.or_insert_with(|| ServiceSpill::new(now, cost));
         if request.tries == 0 {
--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -148,7 +148,7 @@
     ahead: ReadAhead,
     /// Whether the next request is one for the HTTP library.
     is_other: bool,
-    has_read_end: bool,
+    at_end: bool,
     pipeline: Arc<Mutex<Pipeline>>,
     exchanges: FuturesUnordered<Exchange>,
     /// Answers that are not passed on as a whole, with the numbers of their requests.
@@ -172,7 +172,7 @@
             limits,
             ahead: ReadAhead::default(),
             is_other: false,
-            has_read_end: false,
+            at_end: false,
             pipeline: Arc::default(),
             exchanges: FuturesUnordered::new(),
             answers: VecDeque::new(),
@@ -195,11 +195,11 @@
                 return Poll::Ready(Ended::Left);
             };
             let unanswered = lock(&self.pipeline).unanswered();
-            if self.has_read_end && unanswered > 0 {
+            if self.at_end && unanswered > 0 {
                 return Poll::Ready(Ended::Left);
             }
             let was_full = !self.ahead.has_room();
-            if !self.has_read_end && self.start_requests() == Step::HandOver {
+            if !self.at_end && self.start_requests() == Step::HandOver {
                 return Poll::Ready(Ended::HandOver);
             }
             // Nothing wakes the task for a read that had no room.
@@ -209,7 +209,7 @@
                 return Poll::Ready(Ended::Left);
             };
             if self.output.is_empty() && self.answers.is_empty() {
-                if self.has_last || self.has_read_end || self.poll_idle(cx).is_ready() {
+                if self.has_last || self.at_end || self.poll_idle(cx).is_ready() {
                     return Poll::Ready(Ended::Closed);
                 }
             } else {
@@ -223,14 +223,14 @@
 
     /// Reads once; returns whether that brought anything.
     fn poll_read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
-        if self.has_read_end || !self.ahead.has_room() {
+        if self.at_end || !self.ahead.has_room() {
             return Ok(false);
         }
         let clock = self.entry.clock;
         let Poll::Ready(read) = self.ahead.poll_read(cx, &mut self.stream, clock) else {
             return Ok(false);
         };
-        self.has_read_end = !read?;
+        self.at_end = !read?;
         Ok(true)
     }
 
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -100,7 +100,7 @@
             retry_ratio: settings.retry.ratio,
             retry_floor: settings.retry.floor,
             retry_window: settings.retry.window.0,
-            hop_price: settings.zones.map(|zones| zones.cost_per_kib.0),
+            hop_price: settings.zones.map(|zones| zones.kib_cost.0),
         };
         let clock = Clock::start();
         let link = Link::new(settings.link, clock);
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -509,7 +509,7 @@
     let zones = |text: &str| SeededSettings::parse(text, "f.yaml").expect("good").zones;
     assert_eq!(zones(good), None);
     let price = zones(&format!("{good}zones: {{cost_per_kib: 1300us}}\n"));
-    let price = price.map(|zones| zones.cost_per_kib.0);
+    let price = price.map(|zones| zones.kib_cost.0);
     assert_eq!(price, Some(Duration::from_micros(1_300)));
     for (line, link) in [
         ("", None),
