--- a/lib/src/request/balance/mod.rs
+++ b/lib/src/request/balance/mod.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod choose;
 mod cold;
+mod decision;
 mod entry_count;
 mod freshness;
 mod limits;
@@ -31,16 +32,16 @@
     budget::RetryBudget,
     choose::{Candidate, Demand, choose},
     cold::ColdRateLimiter,
+    decision::{
+        RejectReason, ResolvedRoute, RouteError, RouterConfig, RoutingDecision, RoutingRequest,
+    },
     entry_count::EntryCount,
     freshness::Freshness,
     limits::{LimitChange, LimitCheck, LimitNotice, Reserve, TargetLimits},
     open::{ClosingTimes, OpenTargets, Openness, TargetNotice},
     probe::{Probe, Probes},
     reach::{LinkCheck, NoPeer, Peers, Reach},
-    router::{
-        RejectReason, ResolvedRoute, RouteError, Router, RouterConfig, RoutingDecision,
-        RoutingRequest,
-    },
+    router::Router,
     shutdown::Shutdown,
     split::Splitter,
     target::{LoadReport, SendOutcome, TargetModel},
--- a/lib/src/request/balance/pool_route.rs
+++ b/lib/src/request/balance/pool_route.rs
@@ -6,11 +6,9 @@
 
 use super::{
     choose::{Candidate, Demand, choose, outlook_size, sample_size},
+    decision::{RejectReason, RoutingDecision, RoutingRequest},
     open::Openness,
-    router::{
-        NO_OWNER_DELAY, RejectReason, Router, RoutingDecision, RoutingRequest, STATUS_MAX_AGE,
-        draw_some,
-    },
+    router::{NO_OWNER_DELAY, Router, STATUS_MAX_AGE, draw_some},
     target::TargetModel,
     zone_spill::{FirstChoice, Hop, SpillRequest, ZoneTargets, default_hop_cost},
 };
