--- a/lib/src/request/balance/decision.rs
+++ b/lib/src/request/balance/decision.rs
@@ -7,7 +7,7 @@
 };
 use std::{net::SocketAddr, time::Duration};
 
-/// Settings of a [`Router`].
+/// Settings of a [`Router`](super::Router).
 #[derive(Debug, Clone)]
 pub struct RouterConfig {
     /// Seed of the random number generator; must differ between entries.
