tests: the pool model has names of its own

Cause: the model and two comments carried a customer's names and sizes, and told how a value came about. Change: pools and routes get neutral names, the comment of sample_size keeps its reason, a comment and a test of the pool say what they mean; no value or assertion changes.

--- a/lib/src/request/balance/choose.rs
+++ b/lib/src/request/balance/choose.rs
@@ -29,9 +29,8 @@
 /// Minimum number of targets compared; two already remove most of the imbalance.
 const MIN_SAMPLE_SIZE: usize = 2;
 
-/// Number of targets out of `targets` that each of `entries` compares. It falls with the square of
-/// the entries: with 60 of them 14 out of 107 sent 70 % of the requests to full targets while a third
-/// of the slots was taken, two a quarter.
+/// Number of targets out of `targets` that each of `entries` compares. It falls with the square of the
+/// entries: all of them see the same reports, and with larger samples all choose the same few targets.
 pub fn sample_size(targets: usize, entries: u32) -> usize {
     let entries = usize::try_from(entries).unwrap_or(usize::MAX);
     let entries = entries.clamp(MAX_ENTRIES_FULL_SAMPLE, 1 << 16);
--- a/lib/tests/pool_model.rs
+++ b/lib/tests/pool_model.rs
@@ -34,13 +34,13 @@
     pub slots: usize,
 }
 
-/// The configurator's pool, and one of the submission boards'.
-pub const FABRICA: Shape = Shape {
+/// A pool of few slots with short and long requests, and one with requests of one kind.
+pub const MIXED_POOL: Shape = Shape {
     entries: 60,
     targets: 107,
     slots: 2,
 };
-pub const POSTINGS: Shape = Shape {
+pub const UNIFORM_POOL: Shape = Shape {
     entries: 63,
     targets: 74,
     slots: 4,
@@ -64,9 +64,9 @@
     pub is_idempotent: bool,
 }
 
-/// The two routes of the configurator's pool.
+/// The two routes of the mixed pool.
 pub const ORDERS: Load = Load {
-    route: "factory-order",
+    route: "order",
     per_second: 101.0,
     work: 130.0,
     goal: 600,
@@ -80,16 +80,16 @@
     ..ORDERS
 };
 pub const SYNCS: Load = Load {
-    route: "catalog-sync",
+    route: "sync",
     per_second: 80.0,
     work: 750.0,
     goal: 2_500,
     timeout: 4_000,
     is_idempotent: true,
 };
-/// The requests of the boards' pool.
+/// The requests of the uniform pool.
 pub const PAID: Load = Load {
-    route: "paid-actions",
+    route: "payment",
     per_second: 394.0,
     work: 300.0,
     goal: 1_000,
@@ -171,14 +171,14 @@
         keyed: false,
         warmup: Duration::ZERO,
     };
-    change.services.insert(Service::from("fabrica"), item(spec));
+    change.services.insert(Service::from("pool"), item(spec));
     let mut catalog = Catalog::default();
     catalog.apply(&Update::Desired(change));
     for number in 1..=shape.targets as u16 {
         catalog.apply(&Update::Join(TargetRecord {
             name: Target(format!("w{number}")),
             incarnation: Incarnation(1),
-            service: Service::from("fabrica"),
+            service: Service::from("pool"),
             address: ([10, 0, 0, 1], 8_000 + number).into(),
             zone: Zone::from("a"),
             slots: shape.slots as u32,
@@ -268,7 +268,7 @@
 
     fn arrive(&mut self, now: u64, load: Load, counts: bool) {
         let entry = self.rng.next_u32() as usize % self.shape.entries;
-        let service = Service::from("fabrica");
+        let service = Service::from("pool");
         let kept = if load.is_idempotent {
             IDLE_TIMES.1
         } else {
--- a/lib/tests/test_work.rs
+++ b/lib/tests/test_work.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 fn factors(answers: impl Iterator<Item = (&'static str, u64)>) -> impl Fn(&str) -> f64 {
-    let service = Service::from("fabrica");
+    let service = Service::from("pool");
     let mut factors = WorkFactors::default();
     for (route, millis) in answers {
         factors.record(&service, route, Duration::from_millis(millis));
--- a/node/src/connection/pool.rs
+++ b/node/src/connection/pool.rs
@@ -54,7 +54,7 @@
 /// target says less: targets may drop idle connections sooner than they say, and a reset leaves open
 /// whether the request has run.
 const IDLE_TIME: Duration = Duration::from_secs(4);
-/// Connection time assumed until one is measured.
+/// Connection time assumed before the first connection is set up.
 const INITIAL_CONNECT_TIME: Duration = Duration::from_millis(5);
 /// Mean time to connect from which the link counts as full; 3 to 10 ms are usual.
 const SLOW_CONNECT_TIME: Duration = Duration::from_millis(100);
--- a/node/tests/test_pool.rs
+++ b/node/tests/test_pool.rs
@@ -208,7 +208,7 @@
 }
 
 #[tokio::test]
-async fn the_usual_time_to_connect_is_measured() {
+async fn the_usual_time_to_connect_follows_the_latest_connections() {
     let (pool, address) = (Pool::new(96, None), target().await);
     let assumed = pool.connect_time();
 
