review: a worker that is cold after a crash, as a spare case

Cause: a later life of a worker is not in the catalog while the former one may be alive, so that entries do not know that it is cold. Change: a script; workers no longer tell a load that they do not measure.

--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -30,6 +30,8 @@
     pub work: Duration,
     /// Path of requests that crash it.
     pub deadly: Option<&'static str>,
+    /// Time for which it is cold after its start.
+    pub cold: Duration,
 }
 
 /// One run of a request.
@@ -43,6 +45,7 @@
 #[derive(Debug)]
 struct Shared {
     kind: Kind,
+    begun: Instant,
     record: Record,
     hosts: Vec<SocketAddr>,
     is_up: AtomicBool,
@@ -73,6 +76,7 @@
         ));
         let shared = Arc::new(Shared {
             kind,
+            begun: Instant::now(),
             record: record.clone(),
             hosts,
             is_up: AtomicBool::new(true),
@@ -167,10 +171,12 @@
             born,
             ..
         } = &self.kind;
+        let cold = self.kind.cold.saturating_sub(self.begun.elapsed());
+        let cold = cold.as_millis();
         let serial = self.serial.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"z-a\",\
-             \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemaining\":\"0ms\",\
+             \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemaining\":\"{cold}ms\",\
              \"seq\":{serial},\"born\":{born}}}"
         );
         let name = format!("instances.heartbeat&of={id}");
@@ -216,7 +222,7 @@
             true => "Server-Leaving: 1\r\n",
             false => "",
         };
-        let fields = format!("Request-Id: {id}\r\nServer-Load: 0,0,4,100\r\n{leaves}");
+        let fields = format!("Request-Id: {id}\r\n{leaves}");
         let expected = request.field("expect-instance");
         if request.line.contains(" /health ") {
             let fields = format!("Instance-Id: {}\r\n{fields}", self.kind.id);
