--- a/review/standins-2/src/bin/deadly-after-kills.rs
+++ b/review/standins-2/src/bin/deadly-after-kills.rs
@@ -63,7 +63,6 @@
                 born: unix_ms(),
                 work: Duration::from_millis(20),
                 deadly: Some(DEADLY),
-                cold: Duration::ZERO,
             };
             let Ok(worker) = Worker::start(kind, hosts.clone(), &record) else {
                 thread::sleep(PAUSE);
--- a/review/standins-2/src/bin/left-after-crash.rs
+++ b/review/standins-2/src/bin/left-after-crash.rs
@@ -83,7 +83,6 @@
         born: unix_ms(),
         work: Duration::from_millis(20),
         deadly: None,
-        cold: Duration::ZERO,
     };
     let mut worker = Worker::start(kind.clone(), hosts.clone(), &record)?;
     worker.report()?;
--- a/review/standins-2/src/bin/raised-limit.rs
+++ b/review/standins-2/src/bin/raised-limit.rs
@@ -71,7 +71,6 @@
         born: unix_ms(),
         work: Duration::from_millis(10),
         deadly: None,
-        cold: Duration::ZERO,
     };
     let worker = Worker::start(kind, hosts.clone(), &record)?;
     worker.report()?;
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -30,8 +30,6 @@
     pub work: Duration,
     /// Path of requests that crash it.
     pub deadly: Option<&'static str>,
-    /// Time for which it is cold after its start.
-    pub cold: Duration,
 }
 
 /// One run of a request.
@@ -45,7 +43,6 @@
 #[derive(Debug)]
 struct Shared {
     kind: Kind,
-    begun: Instant,
     record: Record,
     hosts: Vec<SocketAddr>,
     is_up: AtomicBool,
@@ -76,7 +73,6 @@
         ));
         let shared = Arc::new(Shared {
             kind,
-            begun: Instant::now(),
             record: record.clone(),
             hosts,
             is_up: AtomicBool::new(true),
@@ -171,12 +167,10 @@
             born,
             ..
         } = &self.kind;
-        let cold = self.kind.cold.saturating_sub(self.begun.elapsed());
-        let cold = cold.as_millis();
         let serial = self.serial.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"z-a\",\
-             \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemaining\":\"{cold}ms\",\
+             \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemaining\":\"0ms\",\
              \"seq\":{serial},\"born\":{born}}}"
         );
         let name = format!("instances.heartbeat&of={id}");
