--- a/review/standins-2/src/bin/left-after-crash.rs
+++ b/review/standins-2/src/bin/left-after-crash.rs
@@ -25,8 +25,13 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(870);
 const ENTRIES: u8 = 10;
-/// Each entry gets a request once in this time, the entries in turn.
+/// Workers of the service; the crash of one is a share of 0.125.
+const WORKERS: u8 = 8;
+/// Each entry gets a burst of requests once in this time, the entries in turn.
 const TURN: Duration = Duration::from_millis(3_000);
+/// Requests of a burst, as many as the workers have slots.
+const BURST: usize = 32;
+const WORK: Duration = Duration::from_millis(100);
 /// Time for which the worker is down.
 const DOWN: Duration = Duration::from_millis(800);
 /// Time from its report to its leave message.
@@ -37,30 +42,40 @@
 /// Time for which it serves on.
 const SERVING: Duration = Duration::from_secs(6);
 
-/// Sends requests to one entry until the end.
+/// Sends bursts of requests to one entry until the end.
 fn send(front: SocketAddr, number: u8, record: Record, ends: Arc<AtomicBool>) -> JoinHandle<()> {
     thread::spawn(move || {
         thread::sleep(TURN / u32::from(ENTRIES) * u32::from(number));
         let mut count = 0;
         while !ends.load(Ordering::Relaxed) {
             let begun = Instant::now();
-            let id = format!("r-{number}-{count}");
-            count += 1;
-            let head = format!(
-                "GET /pool/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
-                 Deadline-Ms: 1000\r\n\r\n"
-            );
-            record.write(format_args!("sent {id} to entry {number}"));
-            let line = match http::ask(front, Duration::from_secs(1), &head, b"") {
-                Ok(answer) => answer.line,
-                Err(error) => error.to_string(),
+            let ask = |place: usize| {
+                let (id, record) = (format!("r-{number}-{count}-{place}"), record.clone());
+                thread::spawn(move || ask(front, number, &id, &record))
             };
-            record.write(format_args!("answer of {id}: {line}"));
+            let asked: Vec<_> = (0..BURST).map(ask).collect();
+            for one in asked {
+                // One that panics has left no answer in the record.
+                let _ = one.join();
+            }
+            count += 1;
             thread::sleep(TURN.saturating_sub(begun.elapsed()));
         }
     })
 }
 
+fn ask(front: SocketAddr, number: u8, id: &str, record: &Record) {
+    let head = format!(
+        "GET /pool/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 1000\r\n\r\n"
+    );
+    record.write(format_args!("sent {id} to entry {number}"));
+    let line = match http::ask(front, Duration::from_secs(1), &head, b"") {
+        Ok(answer) => answer.line,
+        Err(error) => error.to_string(),
+    };
+    record.write(format_args!("answer of {id}: {line}"));
+}
+
 fn run(root: &Path, folder: &Path) -> Result<bool, String> {
     let record = Record::begin(folder)?;
     let size = Size {
@@ -76,15 +91,22 @@
     );
     let upsert = format!("{{\"routes\":{{\"r\":{route}}},\"services\":{{\"pool\":{service}}}}}");
     operator::change(&hosts, &upsert)?;
-    let kind = Kind {
-        id: "i-7f3a91c2".to_owned(),
+    let kind = |number: u8| Kind {
+        id: format!("i-7f3a91c{number}"),
         service: "pool".to_owned(),
-        address: fleet.worker(0),
+        address: fleet.worker(number),
         born: unix_ms(),
-        work: Duration::from_millis(20),
+        work: WORK,
         deadly: None,
     };
-    let mut worker = Worker::start(kind.clone(), hosts.clone(), &record)?;
+    let mut others = Vec::new();
+    for number in 1..WORKERS {
+        let other = Worker::start(kind(number), hosts.clone(), &record)?;
+        other.report()?;
+        other.keep_reporting(HEARTBEAT);
+        others.push(other);
+    }
+    let mut worker = Worker::start(kind(0), hosts.clone(), &record)?;
     worker.report()?;
     fleet.wait_ready()?;
     worker.keep_reporting(HEARTBEAT);
@@ -97,11 +119,7 @@
     if has_trouble() {
         worker.crash();
         thread::sleep(DOWN);
-        let kind = Kind {
-            born: unix_ms(),
-            ..kind
-        };
-        worker = Worker::start(kind, hosts, &record)?;
+        worker = Worker::start(kind(0), hosts, &record)?;
         worker.report()?;
     } else {
         thread::sleep(DOWN);
