raft: silent voters are removed by the losses that the group still bears

A silent voter of an odd group was removed after twenty election timeouts (9 s), one of an even group after three. The rule looked at parity, not at the losses to be borne. Ruled out: successors that had not caught up (voters 7 s before), and hosts that are never removed (successors 2 s later held).

Change: `raft::VoterCount` counts silent voters as lost and removes one at once where the group bears fewer further losses than it is meant to. The silent voter of longest standing goes first. The floor of 2n + 1 voters stays.

Messages, commands and records are unchanged.

--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -10,13 +10,16 @@
 //! `n` disks only while it has `2n + 1` voters. A fleet therefore never shrinks below
 //! [`RaftConfig::min_voters`](super::RaftConfig::min_voters), however long voters are away: hosts
 //! that are down or cut off keep their disks, and the next losses may be disks. Fewer voters would
-//! only help to go on through further losses than the fleet is meant to bear.
+//! only help to go on through further losses than the fleet is meant to bear. Above that number, a
+//! silent voter is removed before it can add to the next losses; see
+//! [`VoterCount`](super::VoterCount).
 
 use super::{
     Raft, Role,
     config::JoinPolicy,
     membership::{Identity, Member, Membership, MembershipChange, MembershipError},
     message::{MessageBody, Payload},
+    removal::{Removal, VoterCount},
     replication::Progress,
 };
 use crate::{moment::Moment, name::Node};
@@ -24,11 +27,11 @@
 
 /// Maximum age of a hello, in shortest election timeouts.
 const HELLO_MAX_AGE_FACTOR: u32 = 3;
-/// Shortest election timeouts without an answer after which one voter of an even number is removed.
-const EVEN_REMOVAL_FACTOR: u32 = 3;
-/// The same for an odd number of voters, of which two have to be unresponsive. It is long enough
-/// for a voter to restart without being removed.
-const ODD_REMOVAL_FACTOR: u32 = 20;
+/// Shortest election timeouts without an answer after which a voter counts as silent.
+const SILENCE_FACTOR: u32 = 3;
+/// The same after which a voter is removed that the group need not replace. It is long enough for a
+/// voter to restart.
+const LATE_REMOVAL_FACTOR: u32 = 20;
 
 /// Content of the last hello from a node.
 #[derive(Debug, Clone, Copy)]
@@ -242,39 +245,40 @@
         replaceable.or(unresponsive)
     }
 
-    /// Unresponsive voter whose removal makes the quorum more robust. With an even number of voters
-    /// the removal costs no fault tolerance; with an odd number it pays off only once a second
-    /// voter is unresponsive. Only a seeded fleet removes voters by itself: a voter that returns
-    /// joins again.
+    /// Silent voter to remove, the one that has been silent for longest. Only a seeded fleet removes
+    /// voters by itself: a voter that returns joins again.
     fn removable_voter(&self, now: Moment) -> Option<Member> {
         let JoinPolicy::Seeded { .. } = self.config.join_policy else {
             return None;
         };
-        let voters = &self.membership().voters;
-        if voters.len() <= self.config.min_voters {
+        let removal = |factor| {
+            self.voter_count(now, factor)
+                .removal(self.config.min_voters)
+        };
+        let is_due = removal(SILENCE_FACTOR) == Removal::Soon
+            || removal(LATE_REMOVAL_FACTOR) == Removal::Late;
+        if !is_due {
             return None;
         }
-        let is_even = voters.len().is_multiple_of(2);
-        let factor = if is_even {
-            EVEN_REMOVAL_FACTOR
-        } else {
-            ODD_REMOVAL_FACTOR
-        };
-        let timeout = self.config.election_timeout * factor;
-        let mut unresponsive = voters
-            .iter()
-            .filter(|m| self.unresponsive_for(now, **m) >= timeout);
-        let candidate = unresponsive.next().copied();
-        candidate.filter(|_| is_even || unresponsive.next().is_some())
+        let voters = self.membership().voters.iter().copied();
+        voters.max_by_key(|m| self.unresponsive_for(now, *m))
     }
 
     /// Number of voters that have not answered this leader for a few election timeouts; 0 if this
     /// voter does not lead.
     pub fn silent_voters(&self, now: Moment) -> usize {
-        let timeout = self.config.election_timeout * EVEN_REMOVAL_FACTOR;
-        let voters = self.membership().voters.iter();
-        let silent = voters.filter(|m| self.unresponsive_for(now, **m) >= timeout);
-        silent.count()
+        self.voter_count(now, SILENCE_FACTOR).silent
+    }
+
+    /// Voters, and those that have been unresponsive for so many shortest election timeouts.
+    fn voter_count(&self, now: Moment, factor: u32) -> VoterCount {
+        let timeout = self.config.election_timeout * factor;
+        let voters = &self.membership().voters;
+        let is_silent = |m: &&Member| self.unresponsive_for(now, **m) >= timeout;
+        VoterCount {
+            voters: voters.len(),
+            silent: voters.iter().filter(is_silent).count(),
+        }
     }
 
     /// Time since the leader sent the last message that a member answered, or since its election.
--- a/lib/src/process/raft/mod.rs
+++ b/lib/src/process/raft/mod.rs
@@ -20,6 +20,7 @@
 mod log;
 mod membership;
 mod message;
+mod removal;
 mod replication;
 
 pub use self::{
@@ -29,6 +30,7 @@
     message::{
         AppendOutcome, HardState, LogEntry, Message, MessageBody, Payload, Snapshot, VoteKind,
     },
+    removal::{Removal, VoterCount},
 };
 
 use self::{
--- a/lib/tests/raft_cluster/mod.rs
+++ b/lib/tests/raft_cluster/mod.rs
@@ -37,6 +37,8 @@
     pub frozen: bool,
     /// Whether its disk was emptied and it did not vote since.
     pub emptied: bool,
+    /// Machine that replaces this one, which is gone for good.
+    pub successor: Option<u64>,
     /// Whether its process ran before; if so, it may not bootstrap a seeded fleet.
     pub started: bool,
     pub applied: u64,
@@ -67,6 +69,8 @@
     pub configured_voters: u64,
     /// Whether the configured voters are seeds, through which any other machine joins.
     pub seeded: bool,
+    /// Seeds of the machines that start from now on, if other than the configured voters.
+    pub seeds: Option<Vec<u64>>,
     in_transit: Vec<InTransitMessage>,
     rng: ChaCha8Rng,
 }
@@ -85,6 +89,7 @@
             invariants: Invariants::default(),
             configured_voters,
             seeded: false,
+            seeds: None,
             in_transit: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
@@ -97,6 +102,7 @@
                 identity,
                 frozen: false,
                 emptied: false,
+                successor: None,
                 started: false,
                 applied: 0,
                 clock: (node * 777_777, 1000 - spread / 2 + (node * 37) % spread),
@@ -136,9 +142,10 @@
         let config = RaftConfig {
             node: Node(node),
             identity: self.machine(node).identity,
-            configured_voters: match self.seeded {
-                true => (1..=self.configured_voters).map(Node).collect(),
-                false => (1..=self.configured_voters.max(node)).map(Node).collect(),
+            configured_voters: match (&self.seeds, self.seeded) {
+                (Some(seeds), _) => seeds.iter().copied().map(Node).collect(),
+                (None, true) => (1..=self.configured_voters).map(Node).collect(),
+                (None, false) => (1..=self.configured_voters.max(node)).map(Node).collect(),
             },
             join_policy: match self.seeded {
                 true => JoinPolicy::Seeded {
@@ -190,6 +197,16 @@
         machine.emptied = true;
     }
 
+    /// Loses a machine for good and starts an empty one in its place, which was not started before.
+    pub fn replace(&mut self, node: u64, successor: u64, seeds: Vec<u64>) {
+        self.wipe(node);
+        self.machine(node).successor = Some(successor);
+        self.seeds = Some(seeds);
+        // Only the first hosts of a fleet may bootstrap it.
+        self.machine(successor).started = true;
+        self.start(successor);
+    }
+
     /// Whether a quorum keeps its disks if this one is emptied, under every membership known to a
     /// process, a disk or a message in transit.
     pub fn can_wipe(&self, node: u64) -> bool {
@@ -206,15 +223,28 @@
         founded && latest.iter().all(|m| self.keeps_quorum(m, node))
     }
 
-    /// Number of other machines whose disk was emptied and that did not vote since.
+    /// Number of other machines whose disk was emptied and that did not vote since. A machine that is
+    /// gone for good counts until its successor votes and it is no voter itself.
     pub fn lost_disks(&mut self, node: u64) -> usize {
-        let committed = self.invariants.membership.as_ref();
-        for (place, machine) in self.machines.iter_mut().enumerate() {
-            let member = Member {
+        let committed = self.invariants.membership.clone().unwrap_or_default();
+        let votes = |place: usize, machine: &Machine| {
+            committed.is_voter(Member {
                 node: Node(place as u64 + 1),
                 identity: machine.identity,
+            })
+        };
+        let voting: Vec<bool> = self
+            .machines
+            .iter()
+            .enumerate()
+            .map(|(n, m)| votes(n, m))
+            .collect();
+        let has_voter = |node: u64| committed.voters.iter().any(|m| m.node == Node(node));
+        for (place, machine) in self.machines.iter_mut().enumerate() {
+            machine.emptied &= match machine.successor {
+                None => !voting[place],
+                Some(next) => !voting[next as usize - 1] || has_voter(place as u64 + 1),
             };
-            machine.emptied &= committed.is_none_or(|membership| !membership.is_voter(member));
         }
         let others = self.machines.iter().enumerate();
         let lost = others.filter(|(place, m)| m.emptied && *place as u64 + 1 != node);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_raft_schedules;
 mod test_reach;
 mod test_releases;
+mod test_replacements;
 mod test_rivals;
 mod test_router;
 mod test_settings;
--- a/lib/tests/test_raft_schedules.rs
+++ b/lib/tests/test_raft_schedules.rs
@@ -24,6 +24,7 @@
     Crash(u64),
     Start(u64),
     Wipe(u64),
+    Replace(u64),
     Snapshot(u64),
     Change(u64, u64),
     Loss(u64),
@@ -33,12 +34,12 @@
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
-        let node = u64::arbitrary(g) % 6;
-        let other = u64::arbitrary(g) % 6;
+        let node = u64::arbitrary(g) % 8;
+        let other = u64::arbitrary(g) % 8;
         let number = u64::arbitrary(g);
-        match number % 22 {
-            0..=4 => Step::Run(number / 22 % 600),
-            5..=7 => Step::Propose(node, number / 22 % 40),
+        match number % 23 {
+            0..=4 => Step::Run(number / 23 % 600),
+            5..=7 => Step::Propose(node, number / 23 % 40),
             8 => Step::CutOff(node),
             9 => Step::CutOneWay(node, other),
             10 => Step::Heal,
@@ -48,11 +49,12 @@
             14 => Step::Start(node),
             15 => Step::Wipe(node),
             16 => Step::Snapshot(node),
-            17 => Step::Loss(number / 22 % 40),
-            18 => Step::Delay(1 + number / 22 % 120),
+            17 => Step::Loss(number / 23 % 40),
+            18 => Step::Delay(1 + number / 23 % 120),
             19 => Step::CutPair(node, other),
-            20 => Step::Change(node, number / 22 % 3),
-            _ => Step::SlowSync(1 + number / 22 % 100),
+            20 => Step::Replace(node),
+            21 => Step::Change(node, number / 23 % 3),
+            _ => Step::SlowSync(1 + number / 23 % 100),
         }
     }
 }
@@ -87,6 +89,13 @@
     }
 }
 
+/// Starts a machine, unless it is gone for good or does not belong to the fleet yet.
+fn start(cluster: &mut Cluster, node: u64) {
+    if present(cluster).contains(&node) {
+        cluster.start(node);
+    }
+}
+
 fn apply(cluster: &mut Cluster, step: &Step) {
     let count = cluster.machines.len() as u64;
     let leader = cluster.leader().unwrap_or(1);
@@ -113,12 +122,14 @@
         Step::Freeze(node) => cluster.machine(pick(node)).frozen = true,
         Step::Thaw(node) => cluster.thaw(pick(node)),
         Step::Crash(node) => cluster.crash(pick(node)),
-        Step::Start(node) => cluster.start(pick(node)),
+        Step::Start(node) => start(cluster, pick(node)),
         Step::Wipe(node) => {
             if cluster.can_wipe(pick(node)) {
                 cluster.wipe(pick(node));
             }
         }
+        // Configured fleets have a fixed set of hosts.
+        Step::Replace(_) => {}
         Step::Snapshot(node) => cluster.snapshot(pick(node)),
         Step::Change(node, kind) => {
             let node = pick(node);
@@ -142,10 +153,32 @@
     cluster.run(1);
 }
 
+/// Machines that were started and are not gone for good.
+fn present(cluster: &Cluster) -> Vec<u64> {
+    let machines = cluster.nodes().zip(&cluster.machines);
+    let present = machines.filter(|(_, m)| m.started && m.successor.is_none());
+    present.map(|(node, _)| node).collect()
+}
+
+/// Replaces a host by one that was not started yet, if one is left and the fleet may lose a disk.
+fn replace_host(cluster: &mut Cluster, choice: u64) {
+    let present = present(cluster);
+    let node = present[choice as usize % present.len()];
+    let spare = cluster
+        .nodes()
+        .find(|n| !cluster.machines[*n as usize - 1].started);
+    let mut seeds = present;
+    seeds.retain(|seed| *seed != node);
+    seeds.truncate(3);
+    if let (Some(spare), true) = (spare, cluster.lost_disks(node) < TOLERATED_LOSSES) {
+        cluster.replace(node, spare, seeds);
+    }
+}
+
 fn heal(cluster: &mut Cluster) {
     cluster.cut_links.clear();
     (cluster.loss_percent, cluster.delay_ms, cluster.sync_ms) = (0, 3, 2);
-    for node in cluster.nodes() {
+    for node in present(cluster) {
         cluster.thaw(node);
         cluster.start(node);
     }
@@ -166,7 +199,7 @@
 /// The same in a fleet whose group of voters follows its hosts, which may lose as many disks at a time
 /// as it tolerates, whatever else happens meanwhile.
 fn check_tolerated_losses(schedule: Schedule) -> TestResult {
-    let mut cluster = Cluster::seeded(5, 3, schedule.seed);
+    let mut cluster = Cluster::seeded(9, 3, schedule.seed);
     for node in 1..=5 {
         cluster.start(node);
     }
@@ -175,8 +208,10 @@
         match *step {
             // Long enough for hosts that are away to be given up.
             Step::Run(millis) => cluster.run(10 * millis),
+            Step::Replace(node) => replace_host(&mut cluster, node),
             Step::Wipe(node) => {
-                let node = 1 + node % 5;
+                let present = present(&cluster);
+                let node = present[node as usize % present.len()];
                 if cluster.lost_disks(node) < TOLERATED_LOSSES {
                     cluster.wipe(node);
                     cluster.start(node);
@@ -202,7 +237,7 @@
     cluster.propose(leader, b"last".to_vec());
     cluster.run(500);
     let commit = cluster.invariants.committed.len() as u64;
-    for node in cluster.nodes() {
+    for node in present(&cluster) {
         let applied = cluster.machine(node).applied;
         if applied != commit {
             return TestResult::error(format!("node {node} applied {applied} of {commit} entries"));
--- a/node/src/process/voter_handle.rs
+++ b/node/src/process/voter_handle.rs
@@ -6,6 +6,7 @@
     name::Node,
     process::raft::{
         JoinPolicy, LeaderInfo, Member, Membership, MembershipChange, MembershipError, Message,
+        VoterCount,
     },
 };
 use std::{path::PathBuf, time::Duration};
@@ -119,8 +120,11 @@
 impl VoterStatus {
     /// Number of further voters that the group can lose and still commit.
     pub fn bearable_losses(&self) -> usize {
-        let answering = self.membership.voters.len().saturating_sub(self.silent);
-        answering.saturating_sub(self.membership.quorum())
+        let count = VoterCount {
+            voters: self.membership.voters.len(),
+            silent: self.silent,
+        };
+        count.bearable_losses()
     }
 
     /// Number of voters that a whole group of this size can lose.
