leader: a leave message of an incarnation that is not known yet is noted

What was seen: a target crashes, starts again under its name and leaves 0.3 s later.

Cause: an incarnation that the catalog does not have was taken for one that is over. That holds for an earlier one. A later one waits until the former has been silent for two heartbeats, or has not reported at all; its reports and leave messages were answered 200 meanwhile and nothing was committed.

Change: `TargetLeases::on_leave` marks the record of the name unless the message is of an earlier incarnation, and the answer waits for the commit. The leader remembers departures for a minute, so that a report that was under way admits the incarnation as one that leaves. The same for a report `draining` that waits, and for a leave message that overtakes a join.

Messages, commands and records are unchanged.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! State that lasts as long as the connection to one target or peer: leases, their messages and
 //! the observed health of targets.
 
+mod departures;
 pub mod health;
 pub mod heartbeat;
 pub mod lease;
--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -14,6 +14,7 @@
 //! target holds a lease that started with its own term.
 
 use super::{
+    departures::Departures,
     heartbeat::{GrantedSpan, Heartbeat, Lease},
     rivals::Rivals,
 };
@@ -40,6 +41,8 @@
 /// Largest step between the serial numbers of two heartbeats, beside one for each 10 ms between them.
 /// A larger one counts once the next heartbeat goes on from it.
 const MAX_SERIAL_STEP: u64 = 1_000;
+/// Time for which a departure is remembered, in which a delayed heartbeat may still arrive.
+pub const DEPARTURE_AGE: Duration = Duration::from_secs(60);
 /// Weight of the latest interval in the mean interval between heartbeats, in eighths.
 const LATEST_INTERVAL_EIGHTHS: u32 = 2;
 
@@ -103,6 +106,8 @@
     Waiting {
         /// Whether this is its first heartbeat.
         is_first: bool,
+        /// Update to commit before the answer, if it says that it leaves.
+        update: Option<Update>,
     },
     /// The heartbeat does not fit to the earlier ones of the same incarnation. It renews nothing.
     Odd(OddHeartbeat),
@@ -176,6 +181,7 @@
     /// Targets that the catalog has given no number yet.
     joining: BTreeMap<(Target, Incarnation), Joining>,
     rivals: Rivals,
+    departures: Departures,
 }
 
 impl TargetLeases {
@@ -187,6 +193,7 @@
             tracked: BTreeMap::new(),
             joining: BTreeMap::new(),
             rivals: Rivals::new(config),
+            departures: Departures::default(),
         }
     }
 
@@ -244,7 +251,11 @@
         let mut heard = present.iter().map(|(id, _)| self.last_heard(*id));
         let is_vacant = heard.all(|heard| self.rivals.is_silent(now, heard));
         if !is_vacant && !self.rivals.is_steady(heartbeat) {
-            return HeartbeatOutcome::Waiting { is_first };
+            let update = match heartbeat.leaving {
+                true => self.on_leave(now, catalog, &heartbeat.name, Some(heartbeat.incarnation)),
+                false => None,
+            };
+            return HeartbeatOutcome::Waiting { is_first, update };
         }
         let key = (heartbeat.name.clone(), heartbeat.incarnation);
         let joining = Joining {
@@ -255,6 +266,44 @@
         HeartbeatOutcome::New
     }
 
+    /// Records that an incarnation of a target leaves, or the present one if none is named. Returns
+    /// the update to commit before that is acknowledged.
+    ///
+    /// The record of an earlier incarnation is marked: a later one that leaves is reached at its
+    /// address as long as the catalog has the former one.
+    pub fn on_leave(
+        &mut self,
+        now: Moment,
+        catalog: &Catalog,
+        name: &Target,
+        incarnation: Option<Incarnation>,
+    ) -> Option<Update> {
+        let present = catalog.find(name);
+        if let Some(incarnation) = incarnation {
+            self.departures.record(now, name, incarnation);
+        }
+        present
+            .filter(|(_, t)| incarnation.is_none_or(|leaving| t.incarnation <= leaving))
+            .filter(|(_, t)| !t.leaving)
+            .map(|(id, _)| Update::Leave(id))
+    }
+
+    /// Record of an incarnation that joins by this heartbeat. One that has left joins as such.
+    pub fn joining_record(&self, heartbeat: &Heartbeat) -> TargetRecord {
+        let record = heartbeat.record();
+        let has_left = self.departures.has_left(&record.name, record.incarnation);
+        TargetRecord {
+            leaving: record.leaving || has_left,
+            ..record
+        }
+    }
+
+    /// Update that is due for a target that left while it joined.
+    pub fn overdue_leave(&self, id: TargetId, record: &TargetRecord) -> Option<Update> {
+        let has_left = self.departures.has_left(&record.name, record.incarnation);
+        (has_left && !record.leaving).then_some(Update::Leave(id))
+    }
+
     /// Whether another incarnation under the name or at the address of a target is the one alive.
     pub fn is_outlived(&self, now: Moment, id: TargetId, record: &TargetRecord) -> bool {
         let silence = self.time_since_heartbeat(now, id);
@@ -362,6 +411,7 @@
         self.joining
             .retain(|_, joining| now.since(joining.cold_until) < max_age);
         self.rivals.drop_silent(now);
+        self.departures.drop_old(now, DEPARTURE_AGE);
     }
 
     /// Grants for moves in progress whose current owner holds no lease any more, by service.
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -19,10 +19,10 @@
 use crate::{
     connection::{
         heartbeat::{Heartbeat, Lease},
-        pull_lease::{HeartbeatOutcome, LeaseConfig, TargetLeases},
+        pull_lease::{DEPARTURE_AGE, HeartbeatOutcome, LeaseConfig, TargetLeases},
     },
     moment::Moment,
-    name::Service,
+    name::{Incarnation, Service, Target},
     request::balance::LoadReport,
 };
 use std::{
@@ -41,7 +41,7 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time without a heartbeat after which a target that asked to leave is removed. Until then a delayed
 /// heartbeat is known to be of a target that has left.
-const LEAVING_REMOVAL_TIMEOUT: Duration = Duration::from_secs(60);
+const LEAVING_REMOVAL_TIMEOUT: Duration = DEPARTURE_AGE;
 /// Shortest interval between two status messages that carry the loads of targets.
 const LOADS_INTERVAL: Duration = Duration::from_millis(450);
 /// Interval between two plans.
@@ -136,6 +136,28 @@
         self.leases.on_heartbeat(now, catalog, heartbeat)
     }
 
+    /// Records that a target leaves; returns the update to commit before that is acknowledged.
+    pub fn leave(
+        &mut self,
+        now: Moment,
+        catalog: &Catalog,
+        name: &Target,
+        incarnation: Option<Incarnation>,
+    ) -> Option<Update> {
+        self.leases.on_leave(now, catalog, name, incarnation)
+    }
+
+    /// Record of an incarnation that joins by this heartbeat.
+    pub fn joining_record(&self, heartbeat: &Heartbeat) -> TargetRecord {
+        self.leases.joining_record(heartbeat)
+    }
+
+    /// Update that is due for a target that left while it joined.
+    pub fn overdue_leave(&self, catalog: &Catalog, id: TargetId) -> Option<Update> {
+        let record = catalog.targets.get(&id)?;
+        self.leases.overdue_leave(id, record)
+    }
+
     /// Renews the lease of a target from now on. `None` renews nothing: the service of the target
     /// is not keyed, or some keys of the target are being assigned to others.
     pub fn renew_lease(&mut self, now: Moment, catalog: &Catalog, id: TargetId) -> Option<Lease> {
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -364,3 +364,94 @@
     assert!(!expired.pending.is_empty());
     assert!(next.is_some_and(|status| status.pending.is_empty()));
 }
+
+/// Heartbeat of the next incarnation of the target.
+fn reborn(serial: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation: Incarnation(2),
+        ..heartbeat(serial)
+    }
+}
+
+/// The leave message of an incarnation that the catalog does not have is acknowledged and dropped.
+#[test]
+fn a_later_incarnation_that_leaves_marks_the_record_of_the_former_one() {
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+    let (id, record) = catalog.find(&Target::from("w")).unwrap();
+    let name = record.name.clone();
+
+    let former = leader.leave(now, &catalog, &name, Some(Incarnation(0)));
+    let later = leader.leave(now, &catalog, &name, Some(Incarnation(2)));
+
+    assert_eq!((former, later), (None, Some(Update::Leave(id))));
+}
+
+/// The same for a report of leaving that waits for the former incarnation to fall silent.
+#[test]
+fn a_later_incarnation_that_drains_marks_the_record_of_the_former_one() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    let draining = Heartbeat {
+        leaving: true,
+        ..reborn(1)
+    };
+
+    let outcome = leader.heartbeat(now, &catalog, &draining);
+
+    let update = Some(Update::Leave(id));
+    let is_first = true;
+    assert_eq!(outcome, HeartbeatOutcome::Waiting { is_first, update });
+}
+
+/// A report that arrives behind the leave message admits the target as if it served on.
+#[test]
+fn an_incarnation_that_has_left_joins_as_one_that_leaves() {
+    let (mut leader, catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    let next = Heartbeat {
+        incarnation: Incarnation(3),
+        ..reborn(1)
+    };
+
+    let update = leader.leave(now, &catalog, &reborn(1).name, Some(Incarnation(2)));
+    let outcome = leader.heartbeat(now, &catalog, &reborn(1));
+
+    assert_eq!((update, outcome), (None, HeartbeatOutcome::New));
+    assert!(leader.joining_record(&reborn(1)).leaving);
+    assert!(!leader.joining_record(&next).leaving);
+}
+
+/// The leave message overtakes the commit of the join that precedes it.
+#[test]
+fn a_target_that_leaves_while_it_joins_is_marked_once_it_has_joined() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    leader.heartbeat(now, &catalog, &reborn(1));
+    let joining = leader.joining_record(&reborn(1));
+    leader.leave(now, &catalog, &joining.name, Some(joining.incarnation));
+
+    catalog.apply(&Update::Join(joining));
+
+    let (id, _) = catalog.find(&reborn(1).name).unwrap();
+    let update = leader.overdue_leave(&catalog, id);
+    assert_eq!(update, Some(Update::Leave(id)));
+}
+
+/// The name of a target that has left is never admitted again.
+#[test]
+fn a_departure_is_forgotten_after_a_minute() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+    leader.leave(now, &catalog, &reborn(1).name, Some(Incarnation(2)));
+    let late = now + Duration::from_secs(61);
+
+    leader.heartbeat(late, &catalog, &heartbeat(2));
+    leader.plan(late, &catalog);
+
+    assert!(!leader.joining_record(&reborn(1)).leaving);
+}
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -230,7 +230,7 @@
         }
         match leading.leader.heartbeat(now, &self.catalog, beat) {
             HeartbeatOutcome::Stale => drop(reply.send(ControlReply::Lease(None))),
-            HeartbeatOutcome::Waiting { is_first } => {
+            HeartbeatOutcome::Waiting { is_first, update } => {
                 if is_first {
                     let (name, born) = (&beat.name, beat.incarnation);
                     Event::TargetRejected.log(format_args!(
@@ -238,7 +238,10 @@
                          its name or at its address; it joins once that one is silent"
                     ));
                 }
-                drop(reply.send(ControlReply::Lease(None)));
+                match update {
+                    Some(update) => self.propose(&update, Then::Reply(reply)),
+                    None => drop(reply.send(ControlReply::Lease(None))),
+                }
             }
             HeartbeatOutcome::Odd(odd) => {
                 let why = match odd {
@@ -253,7 +256,8 @@
             }
             HeartbeatOutcome::New => {
                 let then = Then::Lease(beat.name.clone(), reply);
-                self.propose(&Update::Join(beat.record()), then);
+                let record = leading.leader.joining_record(beat);
+                self.propose(&Update::Join(record), then);
             }
             HeartbeatOutcome::Known { id, mut updates } => match updates.pop() {
                 None => self.answer_heartbeat(id, reply),
@@ -288,11 +292,13 @@
         life: Option<Incarnation>,
         reply: oneshot::Sender<ControlReply>,
     ) {
-        let known = self.catalog.find(name);
-        let present = known.filter(|(_, t)| life.is_none_or(|life| life == t.incarnation));
-        match present.map(|(id, _)| id) {
-            Some(id) => self.propose(&Update::Leave(id), Then::Reply(reply)),
-            // A life that is over has left already.
+        let now = self.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        match leading.leader.leave(now, &self.catalog, name, life) {
+            Some(update) => self.propose(&update, Then::Reply(reply)),
+            // An incarnation that is over has left already.
             None => drop(reply.send(ControlReply::Done)),
         }
     }
@@ -315,7 +321,14 @@
                 let _ = reply.send(answer);
             }
             Then::Lease(name, reply) => match self.catalog.find(&name).map(|(id, _)| id) {
-                Some(id) => self.answer_heartbeat(id, reply),
+                Some(id) => {
+                    let leading = self.leading.as_ref();
+                    let overdue = leading.and_then(|l| l.leader.overdue_leave(&self.catalog, id));
+                    if let Some(update) = overdue {
+                        self.propose(&update, Then::Nothing);
+                    }
+                    self.answer_heartbeat(id, reply);
+                }
                 None => drop(reply.send(ControlReply::Lease(None))),
             },
         }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_probe;
 mod test_processes;
 mod test_program;
+mod test_reborn;
 mod test_releases;
 mod test_replica;
 mod test_seeded;
