leader: findings about requests that end targets are committed

What was seen: a request ends three targets and is refused everywhere.

Cause: the quarantine and the reports behind it were in the memory of the leader and of the entries only, who repeat them to each other. Once all of them have ended, nobody knows.

Change: the leader commits which requests are refused and under which two targets have ended (`version::suspect_records`, `Update::Suspects`), and takes them over as it begins.

Not run: two builds side by side with a request that ends targets.

--- a/lib/src/version/catalog/mod.rs
+++ b/lib/src/version/catalog/mod.rs
@@ -14,7 +14,10 @@
     update::{Applied, SpanGrant, Update},
 };
 
-use super::desired::{ChangeError, DesiredState};
+use super::{
+    desired::{ChangeError, DesiredState},
+    suspect_records::SuspectRecords,
+};
 use crate::name::{Fence, Incarnation, Service, Target, Zone};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -68,9 +71,29 @@
     pub shards: BTreeMap<Service, ShardTable>,
     next_target: u32,
     last_fence: Fence,
+    /// Findings about requests that end targets; known to core hosts only.
+    #[serde(skip)]
+    pub suspects: SuspectRecords,
 }
 
 impl Catalog {
+    /// Encodes the whole state for a snapshot. Releases below level
+    /// [`RECORDS`](super::wire_level::WireLevel::RECORDS) read no further than the catalog.
+    pub fn encode_state(&self) -> Result<Vec<u8>, postcard::Error> {
+        let mut state = postcard::to_stdvec(self)?;
+        state.extend(postcard::to_stdvec(&self.suspects)?);
+        Ok(state)
+    }
+
+    /// Decodes the state of a snapshot, which releases below that level wrote without findings.
+    pub fn decode_state(state: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut catalog, rest) = postcard::take_from_bytes::<Catalog>(state)?;
+        if !rest.is_empty() {
+            catalog.suspects = postcard::from_bytes(rest)?;
+        }
+        Ok(catalog)
+    }
+
     /// Applies a committed update and returns its result.
     pub fn apply(&mut self, update: &Update) -> Applied {
         match update {
@@ -85,6 +108,7 @@
             Update::Remove(id) => self.remove(*id),
             Update::Move { service, spans } => self.begin_moves(service, spans),
             Update::Assign { service, grants } => self.assign(service, grants),
+            Update::Suspects(update) => changed_if(self.suspects.apply(update)),
         }
     }
 
--- a/lib/src/version/catalog/update.rs
+++ b/lib/src/version/catalog/update.rs
@@ -3,7 +3,10 @@
 use super::{KeySpan, TargetId, TargetRecord};
 use crate::{
     name::{Service, Zone},
-    version::desired::{Change, ChangeError},
+    version::{
+        desired::{Change, ChangeError},
+        suspect_records::RecordsUpdate,
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +54,16 @@
         /// Spans with their new owners.
         grants: Vec<SpanGrant>,
     },
+    /// Findings about requests that end targets. Only core hosts take it in, from level
+    /// [`RECORDS`](crate::version::wire_level::WireLevel::RECORDS) on.
+    Suspects(RecordsUpdate),
+}
+
+impl Update {
+    /// Whether entries take it in.
+    pub fn is_for_entries(&self) -> bool {
+        !matches!(self, Update::Suspects(_))
+    }
 }
 
 /// Result of applying an update.
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -127,8 +127,9 @@
         FromCore::Snapshot(index, catalog)
     }
 
-    /// Updates for entries, without the item sources, which only core hosts need.
+    /// Updates for entries, without the findings and the item sources, which only core hosts need.
     pub fn updates(index: u64, mut updates: Vec<Update>) -> Self {
+        updates.retain(Update::is_for_entries);
         for update in &mut updates {
             if let Update::Desired(change) = update {
                 change.drop_sources();
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -14,6 +14,7 @@
     permits::{LimitReport, PermitReply, PermitRequest, Permits, RateLimit},
     sharding::{self, Candidate, Candidates, KeyLoad, MIN_RELIABLE_RATE, TargetLoads},
     status_pace::StatusPace,
+    suspect_records::WallTime,
     suspects::{Quarantined, SuspectReport, Suspects, TargetLife},
 };
 use crate::{
@@ -251,6 +252,17 @@
         &mut self.suspects
     }
 
+    /// Takes over what former leaders found of requests that end targets.
+    pub fn restore_suspects(&mut self, now: Moment, wall: WallTime, catalog: &Catalog) {
+        self.suspects.restore(now, wall, &catalog.suspects);
+    }
+
+    /// Update by which the catalog holds what this leader finds of requests that end targets.
+    pub fn unrecorded(&self, now: Moment, wall: WallTime, catalog: &Catalog) -> Option<Update> {
+        let update = self.suspects.unrecorded(now, wall, &catalog.suspects);
+        update.map(Update::Suspects)
+    }
+
     /// Requests that all entries refuse.
     pub fn quarantined(&self, now: Moment) -> Vec<Quarantined> {
         self.suspects.quarantine().list(now)
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -27,5 +27,6 @@
 pub mod report;
 pub mod sharding;
 pub mod status_pace;
+pub mod suspect_records;
 pub mod suspects;
 pub mod wire_level;
--- a/lib/src/version/suspects.rs
+++ b/lib/src/version/suspects.rs
@@ -13,13 +13,18 @@
 //! may have ended under such a trial and [`ENDED_MAX`] may have in all, there is no other trial
 //! until it shows which of them have.
 //!
-//! Nothing of this is replicated. Entries repeat their reports and the quarantine to a new leader,
-//! which tells entries that start.
+//! Entries repeat their reports and the quarantine to a new leader, which tells entries that start.
+//! What the leader finds is replicated as [`suspect_records`](super::suspect_records), for when all
+//! processes end at once.
 //!
 //! Load pattern: callers repeat such a request at any entry, while targets restart as new
 //! incarnations, leaders change, and other requests are under way at each end.
 
-use super::{catalog::TargetId, command::Fingerprint};
+use super::{
+    catalog::TargetId,
+    command::Fingerprint,
+    suspect_records::{Finding, RECORDED_ENDS, RecordsUpdate, SuspectRecords, WallTime},
+};
 use crate::moment::Moment;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -238,6 +243,50 @@
         }
     }
 
+    /// Takes over the findings of former leaders.
+    pub fn restore(&mut self, now: Moment, wall: WallTime, records: &SuspectRecords) {
+        for (request, record) in records.valid(wall) {
+            let left = record.left(wall);
+            let Finding::Ended(targets) = &record.finding else {
+                self.quarantine.add(now, request, left);
+                continue;
+            };
+            let broken = Broken {
+                at: now - (MEMORY - left),
+                runs: 1,
+                was_trial: false,
+            };
+            let ended = targets.iter().map(|target| (*target, broken));
+            self.histories
+                .entry(request)
+                .or_default()
+                .ended
+                .extend(ended);
+        }
+    }
+
+    /// Update by which the records hold all findings; `None` if they do.
+    pub fn unrecorded(
+        &self,
+        now: Moment,
+        wall: WallTime,
+        records: &SuspectRecords,
+    ) -> Option<RecordsUpdate> {
+        let ended = self.histories.iter();
+        let ended = ended.filter(|(_, history)| history.ended.len() >= RECORDED_ENDS);
+        let ended = ended.map(|(request, history)| {
+            let targets = history.ended.keys().copied().collect();
+            let latest = history.latest().unwrap_or(now);
+            let left = MEMORY.saturating_sub(now.since(latest));
+            (*request, (Finding::Ended(targets), left))
+        });
+        let refused = self.quarantine.list(now).into_iter().map(|refused| {
+            let left = Duration::from_millis(u64::from(refused.left));
+            (refused.request, (Finding::Refused, left))
+        });
+        records.update_to(wall, &ended.chain(refused).collect())
+    }
+
     /// Requests that all entries refuse.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
--- a/lib/src/version/wire_level.rs
+++ b/lib/src/version/wire_level.rs
@@ -27,8 +27,10 @@
     pub const TOLD: WireLevel = WireLevel(2);
     /// Trials of requests under suspicion.
     pub const TRIALS: WireLevel = WireLevel(3);
+    /// Core hosts commit findings about requests that end targets.
+    pub const RECORDS: WireLevel = WireLevel(4);
     /// Level of this release.
-    pub const OWN: WireLevel = WireLevel::TRIALS;
+    pub const OWN: WireLevel = WireLevel::RECORDS;
 }
 
 impl fmt::Display for WireLevel {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -43,6 +43,7 @@
 mod test_sharding;
 mod test_shutdown;
 mod test_status_pace;
+mod test_suspect_records;
 mod test_suspects;
 mod test_unit;
 mod test_work;
--- a/node/src/process/clock.rs
+++ b/node/src/process/clock.rs
@@ -3,9 +3,9 @@
 //! A lease that is read from it is over after a suspension that outlasted it. The runtime's timers
 //! stand still meanwhile, so whoever acts on a lease compares it with [`Clock::now`] first.
 
-use cornelrail_lib::moment::Moment;
+use cornelrail_lib::{moment::Moment, version::suspect_records::WallTime};
 use rustix::time::{ClockId, clock_gettime};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
 /// Clock whose origin is the time of its making.
@@ -35,6 +35,12 @@
     }
 }
 
+/// The time of day, which may jump.
+pub fn wall_time() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    WallTime::default().after(since.unwrap_or_default())
+}
+
 fn since_boot() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -1,7 +1,7 @@
 //! What a core host does while it leads: answers calls, and proposes what is due.
 
 use super::task::{Task, Then};
-use crate::process::{logging::EventLog, voter::VoterStatus};
+use crate::process::{clock::wall_time, logging::EventLog, voter::VoterStatus};
 use cornelrail_lib::{
     connection::{
         heartbeat::Heartbeat,
@@ -15,7 +15,7 @@
         seeded_settings::SeededSettings,
     },
     version::{
-        catalog::{Applied, TargetId, Update},
+        catalog::{Applied, Catalog, TargetId, Update},
         desired::{Change, ChangesInFlight},
         leader::LeaderState,
         suspects::{SuspectReport, SuspicionChange},
@@ -37,20 +37,26 @@
     pub(super) in_flight: ChangesInFlight,
     /// Changes to judge once those in flight are applied, in order.
     waiting: VecDeque<(Change, oneshot::Sender<ControlReply>)>,
+    /// Whether findings about requests that end targets are being committed.
+    pub(super) is_recording: bool,
 }
 
 impl Leading {
-    pub(super) fn new(settings: &SeededSettings, now: Moment) -> Self {
+    /// State of a host that begins to lead from this catalog.
+    pub(super) fn new(settings: &SeededSettings, now: Moment, catalog: &Catalog) -> Self {
         let config = LeaseConfig {
             length: settings.lease,
             heartbeat: settings.heartbeat,
         };
+        let mut leader = LeaderState::new(config, now);
+        leader.restore_suspects(now, wall_time(), catalog);
         Leading {
-            leader: LeaderState::new(config, now),
+            leader,
             lease_end: Moment::ZERO,
             bearable_losses: None,
             in_flight: ChangesInFlight::default(),
             waiting: VecDeque::new(),
+            is_recording: false,
         }
     }
 
@@ -103,6 +109,23 @@
             self.send_quarantine();
         }
         self.tell_suspicion(&change);
+        self.record_findings();
+    }
+
+    /// Commits what is new about requests that end targets.
+    fn record_findings(&mut self) {
+        let (now, takes_records) = (self.now(), self.takes_records());
+        let Some(leading) = self
+            .leading
+            .as_mut()
+            .filter(|l| takes_records && !l.is_recording)
+        else {
+            return;
+        };
+        if let Some(update) = leading.leader.unrecorded(now, wall_time(), &self.catalog) {
+            leading.is_recording = true;
+            self.propose(&update, Then::Recorded);
+        }
     }
 
     /// Takes in what an entry reports of requests that may have ended targets.
@@ -307,6 +330,11 @@
     pub(super) fn carry_on(&mut self, then: Then, applied: &Applied) {
         match then {
             Then::Nothing => {}
+            Then::Recorded => {
+                if let Some(leading) = &mut self.leading {
+                    leading.is_recording = false;
+                }
+            }
             Then::Replan(service) => {
                 if let Some(leading) = &mut self.leading {
                     leading.leader.finish_plan(&service);
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -46,7 +46,10 @@
         return;
     };
     let ended = match stream.receive_greeting().await {
-        Ok((Handshake::Core { node }, _)) => serve_core(stream, node, &voter, &core).await,
+        Ok((Handshake::Core { node }, level)) => {
+            core.report_level(node, level).await;
+            serve_core(stream, node, &voter, &core).await
+        }
         Ok((Handshake::Entry { name, .. }, level)) => serve_entry(stream, name, level, &core).await,
         Err(error) => Err(error),
     };
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -77,6 +77,8 @@
     Trial(String, u64, Fingerprint, u32),
     /// Trials have ended.
     TrialsEnded(Vec<Fingerprint>),
+    /// Another core host knows messages and updates up to this level.
+    Level(Node, WireLevel),
     /// An entry of this name wants to know that its copy is not behind.
     Confirm(String, Moment),
     /// A command was not taken into the log, or its outcome is not known.
@@ -143,6 +145,11 @@
         self.send(CoreEvent::TrialsEnded(requests)).await;
     }
 
+    /// Hands in the level of another core host.
+    pub async fn report_level(&self, node: Node, level: WireLevel) {
+        self.send(CoreEvent::Level(node, level)).await;
+    }
+
     /// Confirms to an entry, behind all that it was sent, what it has asked.
     pub async fn confirm(&self, entry: String, at: Moment) {
         self.send(CoreEvent::Confirm(entry, at)).await;
@@ -169,6 +176,8 @@
     Nothing,
     /// The planned updates of a service are in; it may be planned again.
     Replan(cornelrail_lib::name::Service),
+    /// The findings about requests that end targets are in; others may be recorded.
+    Recorded,
     /// An operator or a target that leaves gets its answer.
     Reply(oneshot::Sender<ControlReply>),
     /// A target gets the answer to its heartbeat, once the last of its updates is applied.
@@ -189,6 +198,8 @@
     pub(super) leader: Option<Node>,
     pub(super) members: Vec<Node>,
     links: HashMap<Node, CoreLink>,
+    /// Levels of other core hosts, as they told them last.
+    levels: HashMap<Node, WireLevel>,
     replies_tx: mpsc::Sender<FromCore>,
     events_tx: mpsc::Sender<CoreEvent>,
     relays: HashMap<u64, oneshot::Sender<ControlReply>>,
@@ -225,6 +236,7 @@
         leader: None,
         members: Vec::new(),
         links: HashMap::new(),
+        levels: HashMap::new(),
         replies_tx,
         events_tx: tx.clone(),
         relays: HashMap::new(),
@@ -319,6 +331,7 @@
                     leading.leader.suspects().end_trials(&requests);
                 }
             }
+            CoreEvent::Level(node, level) => drop(self.levels.insert(node, level)),
             CoreEvent::Confirm(entry, at) => self.confirm(&entry, at).await,
             CoreEvent::Failed(number, error) => self.fail(number, error),
             CoreEvent::Stop(_) => {}
@@ -433,7 +446,7 @@
     }
 
     async fn take_snapshot(&mut self) {
-        match postcard::to_stdvec(&self.catalog) {
+        match self.catalog.encode_state() {
             Ok(state) => {
                 Event::SnapshotTaken.log(format_args!(
                     "index={} bytes={}",
@@ -447,7 +460,7 @@
     }
 
     fn install(&mut self, index: u64, snapshot: &[u8]) {
-        match postcard::from_bytes(snapshot) {
+        match Catalog::decode_state(snapshot) {
             Ok(catalog) => {
                 self.catalog = catalog;
                 self.index = index;
@@ -466,7 +479,10 @@
         let name = leader.map_or("none".to_owned(), |node| address_of(node).to_string());
         Event::LeaderChanged.log(format_args!("leader={name} term={term} ours={ours}"));
         match (ours, self.leading.is_some()) {
-            (true, false) => self.leading = Some(Leading::new(&self.settings, self.now())),
+            (true, false) => {
+                let leading = Leading::new(&self.settings, self.now(), &self.catalog);
+                self.leading = Some(leading);
+            }
             (false, true) => self.step_down(),
             _ => {}
         }
@@ -496,6 +512,14 @@
         }
     }
 
+    /// Whether all core hosts that have told their level take findings in. Others pass them over.
+    pub(super) fn takes_records(&self) -> bool {
+        let levels = self.members.iter().filter_map(|node| self.levels.get(node));
+        levels
+            .min()
+            .is_none_or(|level| *level >= WireLevel::RECORDS)
+    }
+
     /// Offers an update to the log.
     pub(super) fn propose(&mut self, update: &Update, then: Then) {
         self.number += 1;
@@ -523,8 +547,10 @@
     fn fail(&mut self, number: u64, error: ProposeError) {
         if let Some(then) = self.proposals.remove(&number) {
             Event::ProposalFailed.log(format_args!("number={number} why={error}"));
-            if let (Then::Replan(service), Some(leading)) = (&then, &mut self.leading) {
-                leading.leader.finish_plan(service);
+            match (&then, &mut self.leading) {
+                (Then::Replan(service), Some(leading)) => leading.leader.finish_plan(service),
+                (Then::Recorded, Some(leading)) => leading.is_recording = false,
+                _ => {}
             }
             then.give_up();
             self.end_change(number);
@@ -540,7 +566,7 @@
                 // The asker may have given up.
                 let _ = reply.send(ControlReply::Unavailable);
             }
-            Then::Nothing | Then::Replan(_) => {}
+            Then::Nothing | Then::Replan(_) | Then::Recorded => {}
         }
     }
 }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -37,6 +37,7 @@
 mod test_program;
 mod test_reborn;
 mod test_releases;
+mod test_remembered;
 mod test_replica;
 mod test_seeded;
 mod test_silent;
--- a/node/tests/test_crashing.rs
+++ b/node/tests/test_crashing.rs
@@ -35,7 +35,7 @@
 const ALLOWED: usize = 3;
 
 /// When targets ended under the request.
-type Ends = Arc<Mutex<Vec<Instant>>>;
+pub(crate) type Ends = Arc<Mutex<Vec<Instant>>>;
 
 /// Target that ends when it begins a request for `/r/crash`.
 struct Fragile {
@@ -150,12 +150,49 @@
     host: String,
     port: u16,
     pub(crate) callers: Vec<SocketAddr>,
-    ends: Ends,
-    /// When runs of the request ended with their targets; one end may be that of several runs.
-    runs: Ends,
     _core: CoreHandle,
     entries: Vec<EntryHandle>,
-    _targets: JoinSet<()>,
+    targets: Targets,
+}
+
+/// Targets that end under the request, and what is seen of it.
+#[derive(Default)]
+pub(crate) struct Targets {
+    pub(crate) ends: Ends,
+    /// When runs of the request ended with their targets; one end may be that of several runs.
+    pub(crate) runs: Ends,
+    _tasks: JoinSet<()>,
+}
+
+impl Targets {
+    /// Starts so many, which send their heartbeats to one core host.
+    pub(crate) async fn start(
+        host: &str,
+        control: SocketAddr,
+        count: usize,
+        back_after: Duration,
+    ) -> Targets {
+        let (ends, runs) = (Ends::default(), Ends::default());
+        let mut tasks = JoinSet::new();
+        for number in 0..count {
+            let listener = TcpListener::bind((host, 0)).await.expect("bound");
+            let address = listener.local_addr().expect("bound");
+            let target = Arc::new(Fragile {
+                name: format!("t-{number}"),
+                life: AtomicU64::new(0),
+                ends: ends.clone(),
+                runs: runs.clone(),
+                back_after,
+            });
+            tasks.spawn(target.clone().run(listener));
+            tasks.spawn(target.beat(control, address));
+        }
+        Targets {
+            ends,
+            runs,
+            _tasks: tasks,
+        }
+    }
 }
 
 pub(crate) async fn fleet(entries: usize) -> Fleet {
@@ -170,31 +207,15 @@
     let listen = format!("control: \"{control}\"");
     let core = settings("core", &host, port, &listen, &folder.path().join("core"));
     let core = core::start(core).await.expect("a core host");
-    let (ends, runs) = (Ends::default(), Ends::default());
-    let mut targets = JoinSet::new();
-    for number in 0..count {
-        let listener = TcpListener::bind((host.as_str(), 0)).await.expect("bound");
-        let address = listener.local_addr().expect("bound");
-        let target = Arc::new(Fragile {
-            name: format!("t-{number}"),
-            life: AtomicU64::new(0),
-            ends: ends.clone(),
-            runs: runs.clone(),
-            back_after,
-        });
-        targets.spawn(target.clone().run(listener));
-        targets.spawn(target.beat(control, address));
-    }
+    let targets = Targets::start(&host, control, count, back_after).await;
     let mut fleet = Fleet {
         folder,
         host,
         port,
         callers: Vec::new(),
-        ends,
-        runs,
         _core: core,
         entries: Vec::new(),
-        _targets: targets,
+        targets,
     };
     for _ in 0..entries {
         fleet.add_entry().await;
@@ -249,7 +270,7 @@
     }
 
     fn ends(&self) -> Vec<Instant> {
-        self.ends.lock().expect("whole").clone()
+        self.targets.ends.lock().expect("whole").clone()
     }
 
     /// Sends the request again and again, each time to the next entry, while others are sent too.
@@ -307,7 +328,7 @@
 }
 
 /// Sends a request of a caller; gives the status and the whole reply.
-async fn ask(callers: SocketAddr, path: &str, id: &str) -> (u16, String) {
+pub(crate) async fn ask(callers: SocketAddr, path: &str, id: &str) -> (u16, String) {
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\n\
          Connection: close\r\n\r\n"
@@ -381,7 +402,7 @@
 
     fleet.repeat_copies(8, Duration::from_secs(12)).await;
 
-    let runs = fleet.runs.lock().expect("whole").clone();
+    let runs = fleet.targets.runs.lock().expect("whole").clone();
     assert!(runs.len() >= 3, "only {} runs", runs.len());
     let from = runs[2] + KNOWN_AFTER;
     let late = runs.iter().filter(|at| **at > from).count();
@@ -396,7 +417,7 @@
 
     fleet.repeat_copies(copies, Duration::from_secs(6)).await;
 
-    let runs = fleet.runs.lock().expect("whole").len();
+    let runs = fleet.targets.runs.lock().expect("whole").len();
     assert!(runs <= copies + trials, "{runs} runs");
     assert!(fleet.refuses_crash().await);
 }
