--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -12,7 +12,7 @@
 //! that are down or cut off keep their disks, and the next losses may be disks. Fewer voters would
 //! only help to go on through further losses than the fleet is meant to bear. Above that number, a
 //! silent voter is removed before it can add to the next losses; see
-//! [`VoterCount`](super::VoterCount).
+//! [`VoterCount`].
 
 use super::{
     Raft, Role,
