entry: limits on requests hold on open connections

Lowered limits and idleTimeout did not hold on open connections either, and headerTimeout bounded nothing at any time.

Cause: the longest head and the idle time were read as a connection was accepted and given to the reading ahead and to the HTTP library, which takes them once. The library counts the idle time and the time of a head in one.

Change: the entry publishes the limits in force. The reading ahead takes them at each look. For the HTTP library the stream ends between two requests, once the last answer is flushed, and goes on as a new connection of the library. A connection of chunked requests, whose ends the library alone knows, is closed once it is idle. `connection::arrival` decides how long a head is waited for: idleTimeout until its first byte, headerTimeout from then on, and 408 behind it.

A test was wrong: test_pipelining wanted a connection with a part of a head closed by idleTimeout (0.6 s) though headerTimeout was 3 s. It now sets both to 0.6 s and checks each by itself: the idle connection ends, the part of a head gets 408, in 0.5 to 0.9 s.

Nothing that crosses processes changes.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! State that lasts as long as the connection to one target or peer: leases, their messages and
 //! the observed health of targets.
 
+pub mod arrival;
 mod departures;
 pub mod health;
 pub mod heartbeat;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod property;
 mod raft_cluster;
 mod test_abandoned;
+mod test_arrival;
 mod test_assigner;
 mod test_controller;
 mod test_desired;
--- a/node/src/connection/caller_stream.rs
+++ b/node/src/connection/caller_stream.rs
@@ -5,12 +5,16 @@
 //! one request at a time, and reads ahead itself while that one is served. Where the end of a
 //! request is not known from its head, such as that of a chunked one, it passes on all that comes.
 
-use super::reset_stream::ResetOnClose;
+use super::{deadline::Deadline, reset_stream::ResetOnClose};
 use crate::{process::clock::Clock, request::proxy_body::ReplyBody};
 use bytes::BytesMut;
 use cornelrail_lib::{
-    connection::pipeline::{READ_BYTES_MAX, ReadTimes},
+    connection::{
+        arrival::{Arrival, Overdue},
+        pipeline::{READ_BYTES_MAX, ReadTimes},
+    },
     moment::Moment,
+    version::desired::RequestLimits,
 };
 use futures_util::task::AtomicWaker;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE};
@@ -21,11 +25,14 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
 };
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    sync::watch,
+};
 
 /// Maximum number of header fields of a head; the default of the HTTP library.
 const FIELDS_MAX: usize = 100;
@@ -124,6 +131,8 @@
     read_at: AtomicU64,
     /// Answers whose bodies the library has taken.
     answered: AtomicU64,
+    /// Whether the end of a request is known to the library alone from now on.
+    is_opaque: AtomicBool,
     reader: AtomicWaker,
 }
 
@@ -133,6 +142,11 @@
         Moment::from_micros(self.read_at.load(Ordering::Relaxed))
     }
 
+    /// Whether the end of a request is known to the library alone from now on.
+    pub fn is_opaque(&self) -> bool {
+        self.is_opaque.load(Ordering::Relaxed)
+    }
+
     /// Number of answers whose bodies the library has taken.
     pub fn answered(&self) -> u64 {
         self.answered.load(Ordering::Relaxed)
@@ -191,7 +205,30 @@
     Unknown,
 }
 
+/// Why a stream has ended for the library before its caller left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// Other limits are in force; the next request begins on a new one.
+    Outdated,
+    /// The caller was idle for too long.
+    Idle,
+    /// The next head is not whole in time.
+    Late,
+}
+
+impl StreamEnd {
+    fn error(self) -> io::Error {
+        match self {
+            StreamEnd::Outdated => io::ErrorKind::Interrupted.into(),
+            StreamEnd::Idle | StreamEnd::Late => io::ErrorKind::TimedOut.into(),
+        }
+    }
+}
+
 /// Stream of a caller behind what was read ahead on it.
+///
+/// The library takes the limits of a connection once. So the stream ends for it between two requests
+/// when others are in force, and the connection goes on as a new one of the library.
 #[derive(Debug)]
 pub struct CallerStream<S> {
     stream: S,
@@ -200,22 +237,85 @@
     next: Next,
     /// Requests that the library has as a whole.
     passed: u64,
+    /// Answers that the library has written as a whole.
+    flushed: u64,
     served: Arc<Served>,
+    limits: watch::Receiver<RequestLimits>,
+    /// Wait for the next head, while no answer is due.
+    arrival: Option<Arrival>,
+    timer: Deadline,
+    end: Option<StreamEnd>,
 }
 
 impl<S> CallerStream<S> {
-    /// Stream on which so much was read ahead, from the start of a request.
-    pub fn new(stream: S, ahead: ReadAhead, clock: Clock) -> Self {
+    /// Stream on which so much was read ahead, from the start of a request. It holds until there is
+    /// a change of the limits that the receiver has not seen.
+    pub fn new(
+        stream: S,
+        ahead: ReadAhead,
+        clock: Clock,
+        limits: watch::Receiver<RequestLimits>,
+    ) -> Self {
         CallerStream {
             stream,
             ahead,
             clock,
             next: Next::Head(0),
             passed: 0,
+            flushed: 0,
             served: Arc::default(),
+            limits,
+            arrival: None,
+            timer: Deadline::default(),
+            end: None,
         }
     }
 
+    /// Why it has ended for the library.
+    pub fn end(&self) -> Option<StreamEnd> {
+        self.end
+    }
+
+    /// The same for the next requests, under the limits that are in force now.
+    pub fn renewed(mut self) -> Self {
+        self.limits.mark_unchanged();
+        CallerStream::new(self.stream, self.ahead, self.clock, self.limits)
+    }
+
+    /// Limits under which the library serves it.
+    pub fn limits(&self) -> RequestLimits {
+        *self.limits.borrow()
+    }
+
+    /// The stream itself.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+
+    fn end_by(&mut self, end: StreamEnd) -> io::Error {
+        self.end = Some(end);
+        end.error()
+    }
+
+    /// Whether the library has no part of a request or answer, and other limits are in force.
+    fn is_outdated(&self) -> bool {
+        let is_between = self.next == Next::Head(0) && self.flushed >= self.passed;
+        is_between && self.limits.has_changed().unwrap_or(false)
+    }
+
+    /// Ends when the next head is not there in time.
+    fn poll_arrival(&mut self, cx: &mut Context<'_>, has_part: bool) -> Poll<StreamEnd> {
+        let now = self.clock.now();
+        let arrival = self.arrival.get_or_insert_with(|| Arrival::new(now));
+        arrival.record(now, has_part);
+        let until = arrival.deadline(&self.limits.borrow());
+        let end = match arrival.reason() {
+            Overdue::Idle => StreamEnd::Idle,
+            Overdue::Head => StreamEnd::Late,
+        };
+        self.timer.poll(cx, self.clock, until).map(|()| end)
+    }
+
     /// Requests that the library serves.
     pub fn served(&self) -> Arc<Served> {
         self.served.clone()
@@ -239,8 +339,11 @@
             }
             None | Some(Err(_)) => Next::Unknown,
         };
+        let is_opaque = next == Next::Unknown;
+        self.served.is_opaque.store(is_opaque, Ordering::Relaxed);
         self.ahead.split_to(given);
         self.next = next;
+        self.arrival = None;
     }
 }
 
@@ -281,6 +384,9 @@
                 Next::Rest(_) | Next::Unknown => return this.poll_pass(cx, buf),
             };
             let is_held = this.passed > this.served.answered();
+            if !is_held && this.is_outdated() {
+                return Poll::Ready(Err(this.end_by(StreamEnd::Outdated)));
+            }
             if !is_held && this.ahead.bytes.len() > given {
                 this.scan(given);
                 if let Next::Head(_) = this.next {
@@ -303,8 +409,14 @@
                     return Poll::Pending;
                 }
             }
-            if !ready!(this.ahead.poll_read(cx, &mut this.stream, this.clock))? {
-                return Poll::Ready(Ok(()));
+            match this.ahead.poll_read(cx, &mut this.stream, this.clock)? {
+                Poll::Ready(true) => {}
+                Poll::Ready(false) => return Poll::Ready(Ok(())),
+                Poll::Pending if is_held => return Poll::Pending,
+                Poll::Pending => {
+                    let end = ready!(this.poll_arrival(cx, given > 0));
+                    return Poll::Ready(Err(this.end_by(end)));
+                }
             }
         }
     }
@@ -354,11 +466,18 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        // The library flushes the stream once it has written all that it holds.
+        self.flushed = self.served.answered();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        match self.end {
+            // The connection goes on, or gets an answer first.
+            Some(StreamEnd::Outdated | StreamEnd::Late) => Poll::Ready(Ok(())),
+            Some(StreamEnd::Idle) | None => Pin::new(&mut self.stream).poll_shutdown(cx),
+        }
     }
 
     fn poll_write_vectored(
--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller_acceptor;
 pub mod caller_stream;
 pub mod core_link;
+mod deadline;
 pub mod http_server;
 pub mod incoming;
 pub mod limited_stream;
--- a/node/src/connection/pipeline.rs
+++ b/node/src/connection/pipeline.rs
@@ -5,11 +5,19 @@
 //! only finds the end of a head, and writes the answers in the order of their requests. All
 //! exchanges belong to the task of their connection, so that they end with it.
 
-use super::caller_stream::{CallerStream, CountedBody, ReadAhead, Served};
+use super::{
+    caller_stream::{CallerStream, CountedBody, ReadAhead, Served},
+    deadline::Deadline,
+};
 use crate::{process::entry::Entry, request::proxy};
 use bytes::{Buf, Bytes, BytesMut};
-use cornelrail_lib::connection::pipeline::{
-    ExchangeEnd, NextRequest, Pipeline, Step, WAITING_BYTES_MAX,
+use cornelrail_lib::{
+    connection::{
+        arrival::{Arrival, Overdue},
+        pipeline::{ExchangeEnd, NextRequest, Pipeline, Step, WAITING_BYTES_MAX},
+    },
+    moment::Moment,
+    version::desired::RequestLimits,
 };
 use futures_util::{FutureExt, Stream, future::BoxFuture, stream::FuturesUnordered};
 use http::{
@@ -34,7 +42,7 @@
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
     sync::watch,
-    time::{Instant, Sleep, sleep_until, timeout},
+    time::timeout,
 };
 
 /// Bytes of the answer that is being written which are held at most, beside those of others.
@@ -43,49 +51,61 @@
 /// connection that is closed with bytes unread is reset, and the caller may not see that answer.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
-/// Limits of a connection.
-#[derive(Debug, Clone, Copy)]
-pub struct ConnectionLimits {
-    /// Longest head.
-    pub head_size: usize,
-    /// Time within which the next head has to arrive when no answer is due.
-    pub idle_time: Duration,
-    /// Time until which the first request is waited for although the entry closes.
-    pub first_until: Instant,
+/// Least size of the buffer for a head that the HTTP library takes.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+/// Answer to a head that is not whole in time. Its request has not run.
+const HEAD_TIMEOUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Size of the buffer by which the HTTP library bounds a head.
+pub fn head_buffer(limits: &RequestLimits) -> usize {
+    let size = usize::try_from(limits.head_size).unwrap_or(LEAST_HEAD_BYTES);
+    size.max(LEAST_HEAD_BYTES)
 }
 
 /// Serves requests that need not be handed over, concurrently. Returns the stream for the HTTP
-/// library once the next request needs it, or `None` when the connection has ended.
+/// library once the next request needs it, or `None` when the connection has ended. While the entry
+/// closes, the first request is waited for until `first_until`.
 pub async fn run<S>(
     stream: S,
     entry: Arc<Entry>,
-    limits: ConnectionLimits,
+    first_until: Moment,
     mut closing: watch::Receiver<bool>,
 ) -> Option<CallerStream<S>>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let mut caller = Caller::new(stream, entry, limits);
-    let ended = tokio::select! {
-        biased;
-        ended = poll_fn(|cx| caller.poll(cx)) => Some(ended),
-        _ = closing.wait_for(|closing| *closing) => None,
-    };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            caller.is_closing = true;
-            poll_fn(|cx| caller.poll(cx)).await
+    let mut limits = entry.limits();
+    let mut caller = Caller::new(stream, entry, first_until);
+    let ended = loop {
+        caller.limits = *limits.borrow_and_update();
+        tokio::select! {
+            biased;
+            ended = poll_fn(|cx| caller.poll(cx)) => break ended,
+            _ = closing.wait_for(|closing| *closing), if !caller.is_closing => {
+                caller.is_closing = true;
+            }
+            // The entry, which the caller holds, sends the limits.
+            _ = limits.changed() => {}
         }
     };
     match ended {
         Ended::HandOver => return Some(caller.into_stream()),
         Ended::Left => {}
         Ended::Closed => close(caller.stream, caller.has_last).await,
+        Ended::Late => refuse_late(caller.stream).await,
     }
     None
 }
 
+/// Answers that the head was not whole in time, and closes the connection.
+pub async fn refuse_late<S: AsyncRead + AsyncWrite + Unpin>(mut stream: S) {
+    // A caller that has left needs no answer.
+    if stream.write_all(HEAD_TIMEOUT).await.is_ok() {
+        close(stream, true).await;
+    }
+}
+
 /// Closes the writing side, and has the caller read what was written.
 async fn close<S: AsyncRead + AsyncWrite + Unpin>(mut stream: S, lingers: bool) {
     let closing = async {
@@ -111,6 +131,8 @@
     Left,
     /// What was due is written.
     Closed,
+    /// The next head is not whole in time.
+    Late,
 }
 
 /// Answer of one exchange as far as it is not passed on.
@@ -144,7 +166,8 @@
 struct Caller<S> {
     stream: S,
     entry: Arc<Entry>,
-    limits: ConnectionLimits,
+    limits: RequestLimits,
+    first_until: Moment,
     ahead: ReadAhead,
     /// Whether the next request is one for the HTTP library.
     is_other: bool,
@@ -159,17 +182,19 @@
     output: BytesMut,
     /// Whether nothing follows the output.
     has_last: bool,
-    idle: Option<Pin<Box<Sleep>>>,
-    is_idle: bool,
+    /// Wait for the next head, while no answer is due.
+    arrival: Option<Arrival>,
+    timer: Deadline,
     is_closing: bool,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Caller<S> {
-    fn new(stream: S, entry: Arc<Entry>, limits: ConnectionLimits) -> Self {
+    fn new(stream: S, entry: Arc<Entry>, first_until: Moment) -> Self {
         Caller {
             stream,
             entry,
-            limits,
+            limits: RequestLimits::default(),
+            first_until,
             ahead: ReadAhead::default(),
             is_other: false,
             at_end: false,
@@ -179,14 +204,15 @@
             waiting: Arc::default(),
             output: BytesMut::new(),
             has_last: false,
-            idle: None,
-            is_idle: false,
+            arrival: None,
+            timer: Deadline::default(),
             is_closing: false,
         }
     }
 
     fn into_stream(self) -> CallerStream<S> {
-        CallerStream::new(self.stream, self.ahead, self.entry.clock)
+        let limits = self.entry.limits();
+        CallerStream::new(self.stream, self.ahead, self.entry.clock, limits)
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Ended> {
@@ -209,11 +235,17 @@
                 return Poll::Ready(Ended::Left);
             };
             if self.output.is_empty() && self.answers.is_empty() {
-                if self.has_last || self.at_end || self.poll_idle(cx).is_ready() {
+                if self.has_last || self.at_end {
                     return Poll::Ready(Ended::Closed);
                 }
+                if let Poll::Ready(overdue) = self.poll_arrival(cx) {
+                    return Poll::Ready(match overdue {
+                        Overdue::Head => Ended::Late,
+                        Overdue::Idle => Ended::Closed,
+                    });
+                }
             } else {
-                self.is_idle = false;
+                self.arrival = None;
             }
             if !(has_read || may_read || has_ended || has_written) {
                 return Poll::Pending;
@@ -253,7 +285,7 @@
 
     /// What the bytes ahead begin with, and the length of its head.
     fn next_request(&mut self) -> (NextRequest, usize) {
-        let size = self.limits.head_size;
+        let size = head_buffer(&self.limits);
         if !self.is_other {
             let next = match self.ahead.parse_head(find_route) {
                 Some(Ok((length, Some((host, uri))))) if length <= size => {
@@ -283,7 +315,7 @@
         let since = self.ahead.times.time_of(length);
         let since = since.unwrap_or_else(|| self.entry.clock.now());
         let head = self.ahead.split_to(length).freeze();
-        self.is_idle = false;
+        self.arrival = None;
         if lock(&self.pipeline).unanswered() > 0 {
             metrics::counter!("cornelrail_pipelined_requests_total").increment(1);
         }
@@ -315,7 +347,7 @@
         let connection = http1::Builder::new()
             // The head is whole already.
             .header_read_timeout(None)
-            .max_buf_size(self.limits.head_size)
+            .max_buf_size(head_buffer(&self.limits))
             .serve_connection(TokioIo::new(stream), service);
         let written = answer.clone();
         let serving = async move {
@@ -412,29 +444,22 @@
         }
     }
 
-    /// Ends when the caller has sent no head in time, or the entry closes and none is under way.
-    fn poll_idle(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Ends when the next head is not there in time, or the entry closes and none is under way.
+    fn poll_arrival(&mut self, cx: &mut Context<'_>) -> Poll<Overdue> {
+        let clock = self.entry.clock;
+        let now = clock.now();
         let has_started = lock(&self.pipeline).has_started();
-        if !self.is_idle {
-            self.is_idle = true;
-            let until = Instant::now() + self.limits.idle_time;
-            match &mut self.idle {
-                Some(idle) => idle.as_mut().reset(until),
-                None => self.idle = Some(Box::pin(sleep_until(until))),
-            }
-        }
-        let Some(idle) = &mut self.idle else {
-            return Poll::Pending;
-        };
+        let arrival = self.arrival.get_or_insert_with(|| Arrival::new(now));
+        arrival.record(now, !self.ahead.bytes.is_empty());
+        let mut until = arrival.deadline(&self.limits);
         if self.is_closing && self.ahead.bytes.is_empty() {
-            if has_started {
-                return Poll::Ready(());
-            }
-            if idle.deadline() > self.limits.first_until {
-                idle.as_mut().reset(self.limits.first_until);
-            }
+            until = match has_started {
+                true => now,
+                false => until.min(self.first_until),
+            };
         }
-        idle.as_mut().poll(cx)
+        let reason = arrival.reason();
+        self.timer.poll(cx, clock, until).map(|()| reason)
     }
 }
 
--- a/node/src/connection/reset_stream.rs
+++ b/node/src/connection/reset_stream.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// The stream itself.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+
     /// Looks at bytes before they are written. The library writes the head of a response at once, with
     /// nothing before it.
     fn inspect(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -347,6 +347,7 @@
             FromCore::Members { nodes, .. } => self.directory.nodes = nodes,
             FromCore::Snapshot(index, catalog) => {
                 self.following = self.entry.router().install_snapshot(index, *catalog);
+                self.entry.publish_limits();
                 Event::LeaderFollowed.log(format_args!(
                     "leader={} index={index} taken={}",
                     self.address, self.following
@@ -354,6 +355,7 @@
             }
             FromCore::Updates(index, updates) => {
                 self.entry.router().apply_updates(now, index, &updates);
+                self.entry.publish_limits();
             }
             FromCore::Confirmed(at) if self.following => self.entry.router().confirm(at),
             FromCore::Status(status) if self.following => {
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -3,9 +3,9 @@
 use super::Entry;
 use crate::{
     connection::{
-        caller_stream::CountedBody,
-        paced_stream::PacedStream,
-        pipeline::{self, ConnectionLimits},
+        caller_stream::{CallerStream, CountedBody, StreamEnd},
+        paced_stream::{PacedStream, StreamHandle},
+        pipeline,
         reset_stream::ResetStream,
     },
     request::proxy,
@@ -15,18 +15,16 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     convert::Infallible,
-    pin::pin,
+    pin::Pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::{Instant, sleep},
+    time::sleep,
 };
 
-/// Least size of the buffer for a head that the HTTP library takes.
-const LEAST_HEAD_BYTES: usize = 8 << 10;
 /// Pause after the system refused to accept, such as without descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -85,27 +83,35 @@
     }
 }
 
-async fn serve(stream: TcpStream, open: Open, mut closing: watch::Receiver<bool>) {
+async fn serve(stream: TcpStream, open: Open, closing: watch::Receiver<bool>) {
     // Without it answers are only later.
     let _ = stream.set_nodelay(true);
     let stream = PacedStream::caller(stream, open.entry.link.clone());
     let handle = stream.handle();
-    let limits = open.entry.router().request_limits();
-    let entry = open.entry.clone();
-    let head_size = usize::try_from(limits.head_size).unwrap_or(LEAST_HEAD_BYTES);
-    let limits = ConnectionLimits {
-        head_size: head_size.max(LEAST_HEAD_BYTES),
-        idle_time: limits.idle_time,
-        first_until: Instant::now() + FIRST_REQUEST_TIME,
-    };
-    let reading = pipeline::run(stream, entry.clone(), limits, closing.clone());
-    let Some(stream) = reading.await else {
-        return;
-    };
+    let entry = &open.entry;
+    let first_until = entry.clock.now() + FIRST_REQUEST_TIME;
+    let reading = pipeline::run(stream, entry.clone(), first_until, closing.clone());
+    let mut next = reading.await;
+    while let Some(stream) = next {
+        next = serve_exchanges(stream, entry, &handle, closing.clone()).await;
+    }
+}
+
+/// Serves the requests on a connection one after the other. Returns the stream once other limits hold
+/// for the next request, or `None` when the connection has ended.
+async fn serve_exchanges(
+    stream: CallerStream<PacedStream>,
+    entry: &Arc<Entry>,
+    handle: &StreamHandle,
+    mut closing: watch::Receiver<bool>,
+) -> Option<CallerStream<PacedStream>> {
+    let limits = stream.limits();
+    let mut changes = entry.limits();
     let served = stream.served();
-    let service = service_fn(move |mut request: Request<Incoming>| {
+    let answers = served.clone();
+    let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(handle.clone());
-        let (entry, served) = (entry.clone(), served.clone());
+        let (entry, served) = (entry.clone(), answers.clone());
         let since = served.read_at();
         async move {
             let mut response = proxy::serve(&entry, request, since).await;
@@ -116,21 +122,46 @@
             Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, served)))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // The library counts the idle time before a head as part of its arrival.
-        .header_read_timeout(limits.idle_time)
-        .max_buf_size(limits.head_size)
+        // The stream bounds both times where it knows of the requests. The library counts the idle
+        // time before a head as part of its arrival.
+        .header_read_timeout(limits.idle_time + limits.head_time)
+        .max_buf_size(pipeline::head_buffer(&limits))
         .serve_connection(TokioIo::new(ResetStream::new(stream)), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        // The library takes what was read ahead first; it would close a connection without a
-        // request at once.
-        biased;
-        // A caller that breaks off needs no answer.
-        _ = connection.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => {}
+    let mut is_closing = false;
+    loop {
+        let has_ended = tokio::select! {
+            // The library takes what was read ahead first; it would close a connection without a
+            // request at once.
+            biased;
+            // A caller that breaks off needs no answer.
+            _ = &mut connection => true,
+            _ = closing.wait_for(|closing| *closing), if !is_closing => {
+                is_closing = true;
+                false
+            }
+            _ = changes.changed(), if !is_closing => {
+                // The stream ends itself where it knows the end of a request.
+                is_closing = served.is_opaque();
+                false
+            }
+        };
+        if has_ended {
+            break;
+        }
+        if is_closing {
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+    }
+    let parts = connection.into_parts();
+    let stream = parts.io.into_inner().into_inner();
+    match stream.end() {
+        Some(StreamEnd::Outdated) if parts.read_buf.is_empty() => Some(stream.renewed()),
+        Some(StreamEnd::Late) => {
+            pipeline::refuse_late(stream.into_inner()).await;
+            None
+        }
+        _ => None,
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -30,7 +30,7 @@
         seeded_settings::{DEFAULT_IDLE_CONNECTIONS, Role, SeededSettings},
     },
     request::balance::{Router, RouterConfig, Shutdown, SpillChange},
-    version::feed::Peer,
+    version::{desired::RequestLimits, feed::Peer},
 };
 use cornelrail_platform::READY_PATH;
 use http::{Request, Response, StatusCode};
@@ -86,6 +86,8 @@
     changes: Arc<Notify>,
     shutdown: OnceLock<Shutdown>,
     ending: watch::Sender<bool>,
+    /// Limits on requests in force.
+    limits: watch::Sender<RequestLimits>,
     connections: AtomicUsize,
 }
 
@@ -118,6 +120,7 @@
             changes: Arc::new(Notify::new()),
             shutdown: OnceLock::new(),
             ending: watch::Sender::new(false),
+            limits: watch::Sender::new(RequestLimits::default()),
             connections: AtomicUsize::new(0),
         }
     }
@@ -153,6 +156,21 @@
         self.changes.clone().notified_owned()
     }
 
+    /// Limits on requests in force, and their changes.
+    pub fn limits(&self) -> watch::Receiver<RequestLimits> {
+        self.limits.subscribe()
+    }
+
+    /// Has connections follow the limits of the present copy.
+    fn publish_limits(&self) {
+        let limits = self.router().request_limits();
+        self.limits.send_if_modified(|former| {
+            let is_new = *former != limits;
+            *former = limits;
+            is_new
+        });
+    }
+
     /// Whether the process is to end.
     pub fn is_stopping(&self) -> bool {
         self.shutdown.get().is_some()
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -8,6 +8,7 @@
 mod seeded;
 mod test_answers;
 mod test_capacity;
+mod test_connection_limits;
 mod test_crash_points;
 mod test_crashing;
 mod test_detour;
--- a/node/tests/test_pipelining.rs
+++ b/node/tests/test_pipelining.rs
@@ -464,6 +464,7 @@
     let (fleet, _) = slow_fleet().await;
     let mut limits = order(9, "4000ms");
     limits["upsert"]["limits"]["idleTimeout"] = "600ms".into();
+    limits["upsert"]["limits"]["headerTimeout"] = "600ms".into();
     let order = call(fleet.control, "config.patch", &limits).await;
     assert_eq!(order.map(|(status, _)| status), Some(200));
     sleep(Duration::from_millis(200)).await;
@@ -475,11 +476,21 @@
             assert!(caller.answer().await.is_some(), "{path}");
         }
         let begun = Instant::now();
+        assert!(caller.answer().await.is_none(), "{path}");
+        let idle = begun.elapsed();
+        let mut caller = Caller::connect(fleet.callers).await;
+        caller.send(&get(path, "late")).await;
+        assert!(caller.answer().await.is_some(), "{path}");
+        let begun = Instant::now();
         // A head that never ends keeps it open no longer.
         caller.send("GET /r/0 HTTP/1.1\r\n").await;
-        assert!(caller.answer().await.is_none());
+        let late = caller.answer().await.expect("an answer");
         let took = begun.elapsed();
-        assert!((500..900).contains(&took.as_millis()), "{path}: {took:?}");
+        assert_eq!(late.status, 408, "{path}");
+        assert!(caller.answer().await.is_none(), "{path}");
+        for time in [idle, took] {
+            assert!((500..900).contains(&time.as_millis()), "{path}: {time:?}");
+        }
     }
 }
 
--- a/node/tests/test_seeded.rs
+++ b/node/tests/test_seeded.rs
@@ -193,6 +193,9 @@
     if path.ends_with("/hang") {
         std::future::pending::<()>().await;
     }
+    if path.ends_with("/slow") {
+        sleep(Duration::from_millis(1_700)).await;
+    }
     if path.ends_with("/late") {
         response = response.header("request-id", "another");
     }
