leader: a target that waits to join cold counts as cold

What was seen: a target crashes and starts again cold under its name.

Change: while an incarnation waits, the record at its address counts as cold for as long as it says, and a status is due at once. A heartbeat of the former incarnation takes that back.

Shown: test_leader::a_target_that_waits_to_join_cold_is_announced_as_cold fails before. Nothing that crosses processes changes.

--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -251,6 +251,7 @@
         let mut heard = present.iter().map(|(id, _)| self.last_heard(*id));
         let is_vacant = heard.all(|heard| self.rivals.is_silent(now, heard));
         if !is_vacant && !self.rivals.is_steady(heartbeat) {
+            self.share_cold(now, catalog, heartbeat);
             let update = match heartbeat.leaving {
                 true => self.on_leave(now, catalog, &heartbeat.name, Some(heartbeat.incarnation)),
                 false => None,
@@ -266,6 +267,16 @@
         HeartbeatOutcome::New
     }
 
+    /// Takes the target for cold while its next incarnation at the same address waits to join, since
+    /// that one gets what is sent there. A heartbeat of the target itself says otherwise.
+    fn share_cold(&mut self, now: Moment, catalog: &Catalog, heartbeat: &Heartbeat) {
+        let present = catalog.find(&heartbeat.name);
+        let present = present.filter(|(_, t)| t.address == heartbeat.address);
+        if let Some(tracked) = present.and_then(|(id, _)| self.tracked.get_mut(&id)) {
+            tracked.cold_until = tracked.cold_until.max(now + heartbeat.cold_left);
+        }
+    }
+
     /// Records that an incarnation of a target leaves, or the present one if none is named. Returns
     /// the update to commit before that is acknowledged.
     ///
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -134,7 +134,12 @@
         catalog: &Catalog,
         heartbeat: &Heartbeat,
     ) -> HeartbeatOutcome {
-        self.leases.on_heartbeat(now, catalog, heartbeat)
+        let outcome = self.leases.on_heartbeat(now, catalog, heartbeat);
+        if let HeartbeatOutcome::Waiting { is_first: true, .. } = outcome {
+            // Entries have to know that what they send there reaches a cold incarnation.
+            self.hasten_status();
+        }
+        outcome
     }
 
     /// Records that a target leaves; returns the update to commit before that is acknowledged.
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -455,3 +455,49 @@
 
     assert!(!leader.joining_record(&reborn(1)).leaving);
 }
+
+/// Entries send to the address of a target that starts again as if it were warm, while its new
+/// incarnation waits to join.
+#[test]
+fn a_target_that_waits_to_join_cold_is_announced_as_cold() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+    let (id, _) = catalog.find(&Target::from("w")).unwrap();
+    let soon = now + Duration::from_millis(300);
+    let cold_left = Duration::from_secs(3);
+    leader.status(now, 1, 1, &catalog);
+    let cold = Heartbeat {
+        cold_left,
+        ..reborn(1)
+    };
+
+    leader.heartbeat(soon, &catalog, &cold);
+    let waiting = leader.status(soon + Duration::from_millis(100), 1, 1, &catalog);
+    let late = soon + Duration::from_millis(500);
+    leader.heartbeat(late, &catalog, &heartbeat(2));
+    let alive = leader.status(late + Duration::from_secs(1), 1, 1, &catalog);
+
+    let left = cold_left - Duration::from_millis(100);
+    assert_eq!(waiting.map(|status| status.cold), Some(vec![(id, left)]));
+    // The former incarnation is the one alive.
+    assert_eq!(alive.map(|status| status.cold), Some(vec![]));
+}
+
+/// A report from another address says nothing of the target at the former one.
+#[test]
+fn a_target_elsewhere_makes_the_former_one_no_colder() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+    let elsewhere = Heartbeat {
+        cold_left: Duration::from_secs(3),
+        address: ([10, 0, 0, 2], 8_000).into(),
+        ..reborn(1)
+    };
+
+    leader.heartbeat(now, &catalog, &elsewhere);
+
+    let status = leader.status(now, 1, 1, &catalog).unwrap();
+    assert_eq!(status.cold, vec![]);
+}
