--- a/lib/src/request/balance/open.rs
+++ b/lib/src/request/balance/open.rs
@@ -21,7 +21,7 @@
 /// for connecting to it.
 const CLOSED_OWNER_SHARE: f64 = 0.85;
 /// Longest pause that one answer causes, so that no answer shuts a target out for good.
-const MAX_PAUSE: Duration = Duration::from_secs(60);
+const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
 /// Targets that are gone whose notices are kept, for those that join again in the same incarnation.
 const MAX_PARTED: usize = 100;
