suspects: ends that another request explains are kept apart

Cause: what the worst request explains was taken from all others, and their suspicion ended with it, though they had not been answered.

Change: explained ends stay with a request, which stays under suspicion and runs once at a time. An answer clears it. A target that ends under a trial of its own, where no request ran that is suspected as much, has all its ends count.

--- a/lib/src/version/suspects.rs
+++ b/lib/src/version/suspects.rs
@@ -13,6 +13,10 @@
 //! may have ended under such a trial and [`ENDED_MAX`] may have in all, there is no other trial
 //! until it shows which of them have.
 //!
+//! What explains the end of a target is not held against the requests beside it. They stay under
+//! suspicion, though: one that ends a further target in a trial of its own is quarantined for all of
+//! them.
+//!
 //! Entries repeat their reports and the quarantine to a new leader, which tells entries that start.
 //! What the leader finds is replicated as [`suspect_records`](super::suspect_records), for when all
 //! processes end at once.
@@ -176,6 +180,8 @@
     breaks: BTreeMap<TargetId, Broken>,
     /// Targets that have ended.
     ended: BTreeMap<TargetId, Broken>,
+    /// Targets that have ended while another request was under way that ends targets.
+    explained: BTreeMap<TargetId, Broken>,
     /// Latest answer.
     answered_at: Option<Moment>,
     /// Time until which a trial may be under way.
@@ -187,10 +193,25 @@
         self.answered_at.is_some_and(|answered| at <= answered)
     }
 
-    fn broken(&self) -> impl Iterator<Item = &Broken> {
+    /// Connections that nothing else explains.
+    fn unexplained(&self) -> impl Iterator<Item = &Broken> {
         self.breaks.values().chain(self.ended.values())
     }
 
+    fn broken(&self) -> impl Iterator<Item = &Broken> {
+        self.unexplained().chain(self.explained.values())
+    }
+
+    /// Whether its connection to the target broke, and nothing else explains that.
+    fn names(&self, target: TargetId) -> bool {
+        self.breaks.contains_key(&target) || self.ended.contains_key(&target)
+    }
+
+    /// Targets that have ended, whatever explains it.
+    fn all_ended(&self) -> usize {
+        self.ended.len() + self.explained.len()
+    }
+
     fn latest(&self) -> Option<Moment> {
         self.broken().map(|broken| broken.at).max()
     }
@@ -205,7 +226,15 @@
 
     /// Whether it first has to show which targets have ended.
     fn awaits_judgement(&self) -> bool {
-        self.broken().count() >= ENDED_MAX && self.broken().any(|broken| broken.was_trial)
+        let mut unexplained = self.unexplained();
+        match self.explained.is_empty() {
+            true => self.unexplained().count() >= ENDED_MAX && unexplained.any(|b| b.was_trial),
+            // One that ends under its trial is enough.
+            false => {
+                let is_enough = self.broken().count() >= ENDED_MAX;
+                is_enough && self.breaks.values().any(|broken| broken.was_trial)
+            }
+        }
     }
 
     /// Forgets what an answer or time has cleared.
@@ -216,6 +245,7 @@
         };
         self.breaks.retain(holds);
         self.ended.retain(holds);
+        self.explained.retain(holds);
     }
 }
 
@@ -362,7 +392,9 @@
         for reported in &report.breaks {
             let history = self.histories.entry(reported.request).or_default();
             let at = now - age(reported.age);
-            if history.is_cleared(at) || history.ended.contains_key(&reported.target) {
+            let is_known = history.ended.contains_key(&reported.target)
+                || history.explained.contains_key(&reported.target);
+            if history.is_cleared(at) || is_known {
                 continue;
             }
             let was_trial = history.is_on_trial(now);
@@ -423,7 +455,10 @@
             };
             let ended: BTreeSet<TargetId> = history.ended.into_keys().collect();
             for other in self.histories.values_mut() {
-                other.ended.retain(|target, _| !ended.contains(target));
+                let explained = other
+                    .ended
+                    .extract_if(.., |target, _| ended.contains(target));
+                other.explained.extend(explained);
             }
             if self.quarantine.add(now, worst, MEMORY) {
                 refused.push((worst, ended));
@@ -437,10 +472,30 @@
     /// Request under which most targets have ended, if these are enough to refuse it. One on trial
     /// may be answered yet.
     fn worst(&self, now: Moment) -> Option<Fingerprint> {
-        let histories = self.histories.iter().filter(|(_, h)| !h.is_on_trial(now));
-        let counts = histories.map(|(f, h)| (h.ended.len(), *f));
+        let histories = || self.histories.iter().filter(|(_, h)| !h.is_on_trial(now));
+        let counts = histories().map(|(f, h)| (h.ended.len(), *f));
         let (count, worst) = counts.max_by_key(|(count, _)| *count)?;
-        (count >= ENDED_MAX).then_some(worst)
+        if count >= ENDED_MAX {
+            return Some(worst);
+        }
+        let mut relapsed = histories().filter(|(f, h)| self.has_relapsed(**f, h));
+        relapsed.next().map(|(request, _)| *request)
+    }
+
+    /// Whether a target has ended under a trial of a request that ran beside others which ended
+    /// targets, and no request that is suspected as much explains that.
+    fn has_relapsed(&self, request: Fingerprint, history: &History) -> bool {
+        let weight = history.broken().count();
+        let is_own = |target: &TargetId| {
+            let mut others = self.histories.iter().filter(|(f, _)| **f != request);
+            let explains = |other: &History| {
+                other.is_suspected() && other.broken().count() >= weight && other.names(*target)
+            };
+            !others.any(|(_, other)| explains(other))
+        };
+        let mut trials = history.ended.iter().filter(|(_, broken)| broken.was_trial);
+        let has_own = trials.any(|(target, _)| is_own(target));
+        has_own && !history.explained.is_empty() && history.all_ended() >= ENDED_MAX
     }
 
     fn forget_oldest(&mut self) {
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -380,3 +380,130 @@
     }
     println!("sent at most {worst} times more");
 }
+
+/// Request that ends targets beside [`CRASHING`].
+const OTHER: Fingerprint = Fingerprint(2);
+
+/// Both requests were under way at each target that ended, and one of them is refused for that.
+fn two_at_once() -> Suspects {
+    let mut suspects = suspects();
+    for target in 0..ENDED_MAX as u32 {
+        suspects.record(at(5_000), &broke(CRASHING, target, 5_000));
+        suspects.record(at(5_000), &broke(OTHER, target, 5_000));
+    }
+    assert_eq!(refused(&mut suspects, 9_000, TargetLife::Ended).len(), 1);
+    suspects.update_suspected();
+    suspects
+}
+
+/// The request of the two that is not refused.
+fn left_over(suspects: &Suspects) -> Fingerprint {
+    let both = [CRASHING, OTHER];
+    let mut left = both
+        .into_iter()
+        .filter(|request| suspects.quarantine().left(at(9_000), *request).is_none());
+    left.next().expect("one is not refused")
+}
+
+fn trial_of(suspects: &mut Suspects, request: Fingerprint, millis: u64) -> TrialReply {
+    suspects.request_trial(at(millis), request, Duration::from_millis(1_000))
+}
+
+/// A request whose ends are explained by another one begins with no evidence, and ends three more.
+#[test]
+fn the_second_of_two_deadly_requests_ends_three_more_targets() {
+    let mut suspects = two_at_once();
+    let other = left_over(&suspects);
+    let is_suspected = suspects.suspected().contains(&other);
+
+    let granted = trial_of(&mut suspects, other, 10_000);
+    suspects.record(at(10_050), &broke(other, 7, 10_050));
+    suspects.end_trials(&[other]);
+    let next = trial_of(&mut suspects, other, 10_100);
+    let judged = refused(&mut suspects, 13_000, TargetLife::Ended);
+
+    assert!(is_suspected);
+    assert_eq!(granted, TrialReply::Granted);
+    // The next one waits until it shows whether the target has ended.
+    assert_ne!(next, TrialReply::Granted);
+    assert_eq!(judged, vec![other]);
+}
+
+/// A harmless request beside a deadly one is refused for what its trial did not do.
+#[test]
+fn a_request_beside_a_deadly_one_is_cleared_by_its_trial() {
+    let mut suspects = two_at_once();
+    let harmless = left_over(&suspects);
+
+    assert_eq!(
+        trial_of(&mut suspects, harmless, 10_000),
+        TrialReply::Granted
+    );
+    let answer = SuspectReport {
+        answered: vec![(harmless, 0)],
+        ..SuspectReport::default()
+    };
+    suspects.record(at(10_100), &answer);
+    suspects.end_trials(&[harmless]);
+    suspects.record(at(12_000), &broke(harmless, 9, 12_000));
+    let judged = refused(&mut suspects, 16_000, TargetLife::Ended);
+
+    assert_eq!(judged, vec![]);
+}
+
+/// The target of a trial lives on, as after a reset: that neither refuses the request nor bars it.
+#[test]
+fn a_trial_whose_connection_was_reset_is_followed_by_another() {
+    let mut suspects = two_at_once();
+    let other = left_over(&suspects);
+    trial_of(&mut suspects, other, 10_000);
+    suspects.record(at(10_050), &broke(other, 7, 10_050));
+    suspects.end_trials(&[other]);
+
+    let judged = refused(&mut suspects, 12_000, TargetLife::Heard(at(11_500)));
+
+    assert_eq!(judged, vec![]);
+    assert_eq!(trial_of(&mut suspects, other, 12_100), TrialReply::Granted);
+}
+
+/// Three deadly requests ran beside each other, and the trials of the two that are left share a target.
+#[test]
+fn a_target_that_two_suspects_share_refuses_neither_at_once() {
+    let third = Fingerprint(3);
+    let mut suspects = suspects();
+    for target in 0..ENDED_MAX as u32 {
+        for request in [CRASHING, OTHER, third] {
+            suspects.record(at(5_000), &broke(request, target, 5_000));
+        }
+    }
+    let first = refused(&mut suspects, 9_000, TargetLife::Ended);
+    let left: Vec<_> = [CRASHING, OTHER, third]
+        .into_iter()
+        .filter(|request| !first.contains(request))
+        .collect();
+    for request in &left {
+        trial_of(&mut suspects, *request, 10_000);
+        suspects.record(at(10_050), &broke(*request, 7, 10_050));
+    }
+    suspects.end_trials(&left);
+
+    let judged = refused(&mut suspects, 14_000, TargetLife::Ended);
+
+    assert_eq!((first.len(), judged), (1, vec![]));
+}
+
+/// Harmless requests run on the same target, and none of them is suspected.
+#[test]
+fn the_second_of_two_deadly_requests_hides_among_harmless_ones() {
+    let mut suspects = two_at_once();
+    let other = left_over(&suspects);
+    trial_of(&mut suspects, other, 10_000);
+    for request in [other, Fingerprint(3), Fingerprint(4)] {
+        suspects.record(at(10_050), &broke(request, 7, 10_050));
+    }
+    suspects.end_trials(&[other]);
+
+    let judged = refused(&mut suspects, 14_000, TargetLife::Ended);
+
+    assert_eq!(judged, vec![other]);
+}
