soak: limits change, bodies in chunks, and an upgrade by restarts

The soak changes limits on requests while callers use their connections, and every third caller sends its bodies in chunks. EARLIER_RELEASE names a program that the first start of each host runs, so that a test plays an upgrade.

--- a/node/tests/seeded/mod.rs
+++ b/node/tests/seeded/mod.rs
@@ -1,9 +1,15 @@
 //! Core hosts and entries of a seeded fleet, each a process of its own.
+//!
+//! The environment variable `EARLIER_RELEASE` names a program that the first start of each host runs
+//! in place of this build, so that a test plays an upgrade.
 
 use crate::test_seeded::{PATIENCE, call, host};
 use cornelrail_testutils::ports;
 use serde_json::Value;
 use std::{
+    collections::BTreeSet,
+    env,
+    ffi::{OsStr, OsString},
     fs,
     net::SocketAddr,
     process::{Child, Command, Stdio},
@@ -23,6 +29,9 @@
     /// Callers' addresses of the entries.
     pub callers: Vec<SocketAddr>,
     running: Vec<Option<Child>>,
+    /// Program of an earlier release, which the first start of each host runs.
+    earlier: Option<OsString>,
+    started: BTreeSet<usize>,
 }
 
 impl Drop for Hosts {
@@ -68,6 +77,8 @@
             controls: addresses[..CORES].iter().map(|a| on(a, control)).collect(),
             callers: addresses[CORES..].iter().map(|a| on(a, callers)).collect(),
             running: (0..count).map(|_| None).collect(),
+            earlier: env::var_os("EARLIER_RELEASE"),
+            started: BTreeSet::new(),
         };
         (0..count).for_each(|place| hosts.spawn(place));
         hosts
@@ -75,7 +86,10 @@
 
     /// Starts the process of a host that has none.
     pub fn spawn(&mut self, place: usize) {
-        let child = Command::new(env!("CARGO_BIN_EXE_cornelraild"))
+        let own = OsStr::new(env!("CARGO_BIN_EXE_cornelraild"));
+        let is_first = self.started.insert(place);
+        let earlier = self.earlier.as_deref().filter(|_| is_first);
+        let child = Command::new(earlier.unwrap_or(own))
             .arg(format!("{place}.yaml"))
             .current_dir(self.folder.path())
             .stdout(Stdio::null())
--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -1,5 +1,6 @@
 //! Real processes under faults in series and at once: core hosts are killed and frozen, entries stopped
-//! and killed, while operators send orders and callers use their connections until these close.
+//! and killed, while operators send orders, limits change and callers use their connections until these
+//! close.
 //!
 //! `SOAK_SEEDS=50` plays more seeds than the few that run by default, `SOAK_FIRST=49` begins at that seed.
 
@@ -140,6 +141,25 @@
     acked
 }
 
+/// Changes the limits on requests, which connections follow while callers use them.
+async fn change_limits(soak: Arc<Soak>, controls: Vec<SocketAddr>, mut rng: ChaCha8Rng) {
+    for version in 2_u64.. {
+        if soak.is_over() {
+            return;
+        }
+        let limits = first_order()["upsert"]["limits"].take();
+        let mut order = json!({"upsert": {"limits": limits}, "remove": {}});
+        let drawn = &mut order["upsert"]["limits"];
+        drawn["maxHeaderBytes"] = (8_192 + rng.next_u64() % 24_576).into();
+        drawn["idleTimeout"] = format!("{}ms", 5_000 + rng.next_u64() % 10_000).into();
+        drawn["version"] = format!("{version:08x}").into();
+        let control = controls[rng.next_u64() as usize % controls.len()];
+        // One that is not acknowledged is overtaken by the next.
+        let _ = timeout(DEADLINE, call(control, "config.patch", &order)).await;
+        sleep(Duration::from_millis(rng.next_u64() % 600)).await;
+    }
+}
+
 /// Sends requests on a connection until it is closed, then on one to another entry.
 async fn ask(
     soak: Arc<Soak>,
@@ -147,6 +167,11 @@
     name: u64,
     mut rng: ChaCha8Rng,
 ) -> Vec<(String, Seen)> {
+    // Where bodies come in chunks, an entry closes idle connections as limits change.
+    let framed = match name.is_multiple_of(3) {
+        true => "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+        false => "Content-Length: 0\r\n\r\n",
+    };
     let mut seen = Vec::new();
     while !soak.is_over() {
         let entry = rng.next_u64() as usize % callers.len();
@@ -161,7 +186,7 @@
             let id = format!("c{name}-{}", seen.len());
             let request = format!(
                 "POST /w/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
-                 Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                 Deadline-Ms: {}\r\n{framed}",
                 DEADLINE.as_millis()
             );
             let talking = async {
@@ -336,11 +361,14 @@
         let rng = rng("operator", name);
         operating.spawn(operate(soak.clone(), hosts.controls.clone(), name, rng));
     }
+    let limiting = change_limits(soak.clone(), hosts.controls.clone(), rng("limits", 0));
+    let limiting = tokio::spawn(limiting);
 
     hurt(&mut hosts, &soak, rng("faults", 0)).await;
     soak.stop.store(true, Ordering::Relaxed);
     let seen: Vec<_> = asking.join_all().await.into_iter().flatten().collect();
     let acked: Acked = operating.join_all().await.into_iter().flatten().collect();
+    limiting.await.expect("limits are changed until the end");
     // What was sent last may still run.
     sleep(DEADLINE).await;
 
