tests: core hosts in processes are replaced in pairs

Five core hosts, each a process. Two are lost for good and replaced at other addresses 0.3 and 0.6 s later, then all lose power and two their disks; and two pairs one after the other, after which a change has to be acknowledged.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_reborn;
 mod test_releases;
 mod test_remembered;
+mod test_replaced_hosts;
 mod test_replica;
 mod test_seeded;
 mod test_silent;
--- a/node/tests/seeded/mod.rs
+++ b/node/tests/seeded/mod.rs
@@ -24,6 +24,8 @@
 /// Processes of a fleet, the core hosts first. One that has ended has no child.
 pub struct Hosts {
     folder: TempDir,
+    /// Ports between hosts, of control and of callers, the same at all hosts.
+    ports: [u16; 3],
     /// Control addresses of the core hosts.
     pub controls: Vec<SocketAddr>,
     /// Callers' addresses of the entries.
@@ -43,47 +45,84 @@
 impl Hosts {
     /// Starts the core hosts and so many entries.
     pub fn start(entries: usize) -> Hosts {
-        let folder = TempDir::new().expect("a folder");
-        let count = CORES + entries;
-        let (port, control, callers) = (ports::next_port(), ports::next_port(), ports::next_port());
-        let addresses: Vec<String> = (0..count).map(|_| host()).collect();
-        let seeds = addresses[..CORES].iter();
-        let seeds: Vec<_> = seeds
-            .map(|address| format!("\"{address}:{control}\""))
-            .collect();
-        for (place, address) in addresses.iter().enumerate() {
-            let own = match place < CORES {
-                true => format!(
-                    "role: core\nlisten: {{control: \"{address}:{control}\"}}\ndata: data-{place}\n"
-                ),
-                false => format!(
-                    "role: entry\nlisten: {{callers: \"{address}:{callers}\", \
-                     ready: \"{address}:{control}\"}}\n"
-                ),
-            };
-            let text = format!(
-                "{own}name: host-{place}\nzone: a\naddress: {address}\nport: {port}\n\
-                 seeds: [{}]\nfound: true\nheartbeat: 200ms\nlongest_lease: 10s\ndrain: 2s\n\
-                 evacuate: 5s\ngrace: 4s\ntolerated_losses: 1\n\
-                 retry: {{ratio: 0.2, floor: 50, window: 10s}}\n",
-                seeds.join(", ")
-            );
-            fs::write(folder.path().join(format!("{place}.yaml")), text).expect("written");
-        }
-        let on =
-            |address: &String, port| SocketAddr::new(address.parse().expect("an address"), port);
+        Hosts::with_cores(CORES, entries)
+    }
+
+    /// Starts so many core hosts and entries. The first three core hosts are the seeds.
+    pub fn with_cores(cores: usize, entries: usize) -> Hosts {
         let mut hosts = Hosts {
-            folder,
-            controls: addresses[..CORES].iter().map(|a| on(a, control)).collect(),
-            callers: addresses[CORES..].iter().map(|a| on(a, callers)).collect(),
-            running: (0..count).map(|_| None).collect(),
+            folder: TempDir::new().expect("a folder"),
+            ports: [(); 3].map(|()| ports::next_port()),
+            controls: Vec::new(),
+            callers: Vec::new(),
+            running: Vec::new(),
             earlier: env::var_os("EARLIER_RELEASE"),
             started: BTreeSet::new(),
         };
-        (0..count).for_each(|place| hosts.spawn(place));
+        let [_, control, callers] = hosts.ports;
+        let addresses: Vec<String> = (0..cores + entries).map(|_| host()).collect();
+        let on =
+            |address: &String, port| SocketAddr::new(address.parse().expect("an address"), port);
+        hosts.controls = addresses[..cores].iter().map(|a| on(a, control)).collect();
+        hosts.callers = addresses[cores..].iter().map(|a| on(a, callers)).collect();
+        let seeds = hosts.controls[..cores.min(CORES)].to_vec();
+        let losses = (cores - 1) / 2;
+        for (place, address) in addresses.iter().enumerate() {
+            hosts.write_settings(place, address, &seeds, (place < cores, true, losses));
+            hosts.running.push(None);
+        }
+        (0..cores + entries).for_each(|place| hosts.spawn(place));
         hosts
     }
 
+    /// Starts an empty core host in place of another one, at an address of its own, in a fleet without
+    /// entries. Returns its place.
+    pub fn replace_core(&mut self, seeds: &[SocketAddr], losses: usize) -> usize {
+        let (place, address) = (self.running.len(), host());
+        self.write_settings(place, &address, seeds, (true, false, losses));
+        let ip = address.parse().expect("an address");
+        self.controls.push(SocketAddr::new(ip, self.ports[1]));
+        self.running.push(None);
+        self.spawn(place);
+        place
+    }
+
+    /// Empties the disk of a core host that does not run. It may not found a fleet from then on.
+    pub fn wipe(&self, place: usize) {
+        fs::remove_dir_all(self.folder.path().join(format!("data-{place}"))).expect("removed");
+        let path = self.folder.path().join(format!("{place}.yaml"));
+        let text = fs::read_to_string(&path).expect("settings");
+        fs::write(path, text.replace("found: true", "found: false")).expect("written");
+    }
+
+    fn write_settings(
+        &self,
+        place: usize,
+        address: &str,
+        seeds: &[SocketAddr],
+        (is_core, founds, losses): (bool, bool, usize),
+    ) {
+        let [port, control, callers] = self.ports;
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let own = match is_core {
+            true => format!(
+                "role: core\nlisten: {{control: \"{address}:{control}\"}}\ndata: data-{place}\n"
+            ),
+            false => format!(
+                "role: entry\nlisten: {{callers: \"{address}:{callers}\", \
+                 ready: \"{address}:{control}\"}}\n"
+            ),
+        };
+        let text = format!(
+            "{own}name: host-{place}\nzone: a\naddress: {address}\nport: {port}\n\
+             seeds: [{}]\nfound: {founds}\nheartbeat: 200ms\nlongest_lease: 10s\ndrain: 2s\n\
+             evacuate: 5s\ngrace: 4s\ntolerated_losses: {losses}\n\
+             retry: {{ratio: 0.2, floor: 50, window: 10s}}\n",
+            seeds.join(", ")
+        );
+        fs::write(self.folder.path().join(format!("{place}.yaml")), text).expect("written");
+    }
+
     /// Starts the process of a host that has none.
     pub fn spawn(&mut self, place: usize) {
         let own = OsStr::new(env!("CARGO_BIN_EXE_cornelraild"));
