connection: a timer is set again in place of a new one

A cleanup after reading the diff: the timer of a connection keeps its allocation, departures are copied instead of made twice, and the delay of late removals says what it is for. No decision changes; test_connection_limits, test_pipelining, test_reborn, test_raft, test_leader and test_rivals pass.

--- a/lib/src/connection/departures.rs
+++ b/lib/src/connection/departures.rs
@@ -14,7 +14,7 @@
 const MAX_DEPARTURES: usize = 1_000;
 
 /// Latest incarnation of a name that has left.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct Departure {
     incarnation: Incarnation,
     at: Moment,
@@ -33,16 +33,13 @@
         if !is_known && self.latest.len() >= MAX_DEPARTURES {
             return;
         }
-        let latest = self.latest.entry(name.clone());
-        let latest = latest.or_insert(Departure {
+        let departure = Departure {
             incarnation,
             at: now,
-        });
+        };
+        let latest = self.latest.entry(name.clone()).or_insert(departure);
         if latest.incarnation <= incarnation {
-            *latest = Departure {
-                incarnation,
-                at: now,
-            };
+            *latest = departure;
         }
     }
 
--- a/lib/src/process/raft/admission.rs
+++ b/lib/src/process/raft/admission.rs
@@ -11,8 +11,7 @@
 //! [`RaftConfig::min_voters`](super::RaftConfig::min_voters), however long voters are away: hosts
 //! that are down or cut off keep their disks, and the next losses may be disks. Fewer voters would
 //! only help to go on through further losses than the fleet is meant to bear. Above that number, a
-//! silent voter is removed before it can add to the next losses; see
-//! [`VoterCount`].
+//! silent voter is removed before it can add to the next losses; see [`VoterCount`].
 
 use super::{
     Raft, Role,
@@ -29,8 +28,8 @@
 const HELLO_MAX_AGE_FACTOR: u32 = 3;
 /// Shortest election timeouts without an answer after which a voter counts as silent.
 const SILENCE_FACTOR: u32 = 3;
-/// The same after which a voter is removed that the group need not replace. It is long enough for a
-/// voter to restart.
+/// The same after which a voter is removed although the group bears enough losses. It is long enough
+/// for a voter to restart.
 const LATE_REMOVAL_FACTOR: u32 = 20;
 
 /// Content of the last hello from a node.
@@ -251,10 +250,8 @@
         let JoinPolicy::Seeded { .. } = self.config.join_policy else {
             return None;
         };
-        let removal = |factor| {
-            self.voter_count(now, factor)
-                .removal(self.config.min_voters)
-        };
+        let min_voters = self.config.min_voters;
+        let removal = |factor| self.voter_count(now, factor).removal(min_voters);
         let is_due = removal(SILENCE_FACTOR) == Removal::Soon
             || removal(LATE_REMOVAL_FACTOR) == Removal::Late;
         if !is_due {
--- a/node/src/connection/deadline.rs
+++ b/node/src/connection/deadline.rs
@@ -22,17 +22,18 @@
     /// Ends at `until`, whatever earlier deadlines were.
     pub(super) fn poll(&mut self, cx: &mut Context<'_>, clock: Clock, until: Moment) -> Poll<()> {
         let instant = || clock.instant(until).max(Instant::now() + LEAST_WAIT);
-        let timer = self
+        let (set, timer) = self
             .timer
             .get_or_insert_with(|| (until, Box::pin(sleep_until(instant()))));
-        if timer.0 != until {
-            *timer = (until, Box::pin(sleep_until(instant())));
+        if *set != until {
+            *set = until;
+            timer.as_mut().reset(instant());
         }
         while clock.now() < until {
-            if timer.1.as_mut().poll(cx).is_pending() {
+            if timer.as_mut().poll(cx).is_pending() {
                 return Poll::Pending;
             }
-            timer.1.as_mut().reset(instant());
+            timer.as_mut().reset(instant());
         }
         Poll::Ready(())
     }
