review: case 14, an order that was refused comes into force after a cut

Cause: calls that a core host passes on carry no age and are executed however late they arrive; a refusal leaves no trace that a later execution could see. The links of case 12 are in the library of the stand-ins now, for both.

--- a/review/standins-3/src/bin/stale-order.rs
+++ b/review/standins-3/src/bin/stale-order.rs
@@ -8,7 +8,7 @@
     NOT_RUN, finish,
     fleet::{Fleet, Shape, until},
     has_trouble,
-    link::Wire,
+    link::Links,
     operator,
     record::Record,
     traffic::Traffic,
@@ -44,25 +44,8 @@
     };
     let text = |e: std::io::Error| e.to_string();
     let mut fleet = Fleet::new(shape).map_err(text)?;
-    let free = Wire::default();
     let cores = shape.cores;
-    // Links between two core hosts, by the places of both.
-    let wires: Vec<Wire> = (0..cores * cores).map(|_| Wire::default()).collect();
-    let between = |one: usize, other: usize| &wires[one.min(other) * cores + one.max(other)];
-    for (place, host) in fleet.hosts[..cores].iter().enumerate() {
-        for (other, dialer) in fleet.hosts.iter().enumerate() {
-            if place == other {
-                continue;
-            }
-            let wire = match other < cores {
-                true => between(place, other),
-                false => &free,
-            };
-            let listen = (host.ip, dialer.port).into();
-            let to = (host.ip, host.port).into();
-            wire.start(listen, to).map_err(text)?;
-        }
-    }
+    let links = Links::start(&fleet).map_err(text)?;
     for place in 0..fleet.hosts.len() {
         fleet.spawn(place).map_err(text)?;
     }
@@ -94,10 +77,6 @@
     let leader = fleet.leader().ok_or("no core host leads")?;
     record.note(&format!("core host {} leads", controls[leader]));
     let off = (leader + 1) % cores;
-    let set_cut = |is_cut: bool| {
-        let others = (0..cores).filter(|other| *other != off);
-        others.for_each(|other| between(off, other).set_cut(is_cut));
-    };
     let mut nodes = controls.clone();
     nodes.rotate_left(off);
     if has_trouble() {
@@ -105,7 +84,7 @@
             "core host {} is cut off from the others",
             controls[off]
         ));
-        set_cut(true);
+        links.set_cut_off(off, true);
     }
     operator::order(record, &nodes, end, "", LIMIT)?;
     thread::sleep(Duration::from_millis(500));
@@ -113,7 +92,7 @@
     let spent = Duration::from_millis(1_600);
     thread::sleep(CUT.saturating_sub(spent));
     record.note("the cut heals");
-    set_cut(false);
+    links.set_cut_off(off, false);
     let last_event = if has_trouble() { record.now() } else { 0.0 };
     thread::sleep(Duration::from_secs(8));
     let is_late = |at: f64| at > began + EVACUATE && at > last_event + STABLE_WINDOW;
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -117,6 +117,11 @@
         Ok((ip, port).into())
     }
 
+    /// Number of core hosts.
+    pub fn cores(&self) -> usize {
+        self.shape.cores
+    }
+
     /// Control addresses of the core hosts.
     pub fn controls(&self) -> Vec<SocketAddr> {
         let cores = self.hosts[..self.shape.cores].iter();
--- a/review/standins-3/src/link.rs
+++ b/review/standins-3/src/link.rs
@@ -1,5 +1,6 @@
 //! Links between hosts, as proxies that hold bytes back.
 
+use crate::fleet::Fleet;
 use std::{
     io::{self, ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -178,3 +179,47 @@
         }
     }
 }
+
+/// Links between all hosts of a fleet, of which those between core hosts can be cut.
+#[derive(Debug)]
+pub struct Links {
+    cores: usize,
+    /// Links between two core hosts, by the places of both.
+    wires: Vec<Wire>,
+}
+
+impl Links {
+    /// Puts links between the hosts of a fleet whose hosts have ports of their own.
+    pub fn start(fleet: &Fleet) -> io::Result<Links> {
+        let cores = fleet.cores();
+        let links = Links {
+            cores,
+            wires: (0..cores * cores).map(|_| Wire::default()).collect(),
+        };
+        let free = Wire::default();
+        for (place, host) in fleet.hosts[..cores].iter().enumerate() {
+            for (other, dialer) in fleet.hosts.iter().enumerate() {
+                if place == other {
+                    continue;
+                }
+                let wire = match other < cores {
+                    true => links.between(place, other),
+                    false => &free,
+                };
+                let listen = (host.ip, dialer.port).into();
+                wire.start(listen, (host.ip, host.port).into())?;
+            }
+        }
+        Ok(links)
+    }
+
+    fn between(&self, one: usize, other: usize) -> &Wire {
+        &self.wires[one.min(other) * self.cores + one.max(other)]
+    }
+
+    /// Cuts a core host off from the other ones, or joins it to them again.
+    pub fn set_cut_off(&self, place: usize, is_cut: bool) {
+        let others = (0..self.cores).filter(|other| *other != place);
+        others.for_each(|other| self.between(place, other).set_cut(is_cut));
+    }
+}
