--- a/review/standins-3/src/bin/departure.rs
+++ b/review/standins-3/src/bin/departure.rs
@@ -20,6 +20,10 @@
 const STABLE_WINDOW: f64 = 3.0;
 /// Time for which the worker serves after its departure was acknowledged.
 const SERVES: Duration = Duration::from_secs(10);
+/// Workers of the service, of which one crashes.
+const WORKERS: u8 = 8;
+/// Time for which the worker that crashes is down.
+const DOWN: Duration = Duration::from_millis(800);
 /// Time after which a process that was killed is started again.
 const RESTART: Duration = Duration::from_millis(500);
 /// Time after which callers come to one more entry.
@@ -58,24 +62,31 @@
     let mut nodes = controls.clone();
     // The workers call other nodes than the one that is killed first.
     nodes.rotate_left((leader + 1) % controls.len());
-    let plan = |number: u8, zone: &str, is_cold| -> Result<Plan, String> {
+    // The worker that crashes is the only one of its zone.
+    let zone_of = |number: u8| match number {
+        1 => "be-central-b",
+        n if n % 2 == 0 => "be-central-a",
+        _ => "be-central-c",
+    };
+    let plan = |number: u8| -> Result<Plan, String> {
         Ok(Plan {
             name: format!("i-{number}"),
-            zone: zone.to_owned(),
+            zone: zone_of(number).to_owned(),
             address: fleet.stand_in(number).map_err(text)?,
             nodes: nodes.clone(),
             is_keyed: false,
-            is_cold,
+            is_cold: false,
         })
     };
-    let stays = Worker::start(record, plan(1, "be-central-a", false)?).map_err(text)?;
-    let former = plan(2, "be-central-b", false)?;
+    let former = plan(1)?;
     let again = Plan {
         is_cold: true,
         ..former.clone()
     };
     let former = Worker::start(record, former).map_err(text)?;
-    // The callers of one entry in the zone of the second worker come later than the others.
+    let others = (2..=WORKERS).map(|n| Worker::start(record, plan(n)?).map_err(text));
+    let others = others.collect::<Result<Vec<_>, _>>()?;
+    // The callers of one entry in the zone of the worker that crashes come later than the others.
     let (callers, zone) = (fleet.callers(), "be-central-b");
     let near: Vec<_> = (0..callers.len())
         .filter(|e| fleet.zone_of(*e) == zone)
@@ -84,16 +95,22 @@
     let (mut early, late) = (callers.clone(), callers[late_entry]);
     early.remove(late_entry);
     let traffic = Traffic::start(record, &early, 0, false);
-    let both_run = || !stays.arrivals().is_empty() && !former.arrivals().is_empty();
-    until("both workers run requests", LIMIT, both_run)?;
+    let workers = || others.iter().chain([&former]);
+    let all_run = || workers().all(|worker| !worker.arrivals().is_empty());
+    until("all workers run requests", LIMIT, all_run)?;
     thread::sleep(Duration::from_secs(1));
     let acks = former.acks();
     until("the next report", LIMIT, || former.acks() > acks)?;
-    former.crash();
-    thread::sleep(Duration::from_millis(100));
-    let again = Worker::start(record, again).map_err(text)?;
-    until("its first report", LIMIT, || again.acks() > 0)?;
-    let left = again.leave()?;
+    let leaver = if has_trouble() {
+        former.crash();
+        thread::sleep(DOWN);
+        let again = Worker::start(record, again).map_err(text)?;
+        until("its first report", LIMIT, || again.acks() > 0)?;
+        again
+    } else {
+        former
+    };
+    let left = leaver.leave()?;
     let mut last_event = 0.0;
     if has_trouble() {
         record.note(&format!("the leader {} is killed", controls[leader]));
@@ -107,12 +124,12 @@
     let more = Traffic::start(record, &[late], 1 << 32, false);
     thread::sleep(SERVES.saturating_sub(RESTART + LATER));
     let is_late = |at: f64| at > left + DRAIN && at > last_event + STABLE_WINDOW;
-    let late = again
+    let late = leaver
         .arrivals()
         .into_iter()
         .filter(|a| a.runs && is_late(a.at));
     let late: Vec<_> = late.collect();
-    again.crash();
+    leaver.crash();
     let served = traffic.served();
     traffic.stop();
     more.stop();
