--- a/lib/src/moment.rs
+++ b/lib/src/moment.rs
@@ -40,6 +40,28 @@
     }
 }
 
+/// Reading of a peer's clock, and when it arrived by the local one.
+///
+/// The time that it took to arrive is not known, so the peer's clock is never behind what follows from
+/// the reading, however long the link held it up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClockReading {
+    told: Moment,
+    arrived: Moment,
+}
+
+impl ClockReading {
+    /// A reading that arrives at a moment of the local clock.
+    pub fn new(told: Moment, arrived: Moment) -> Self {
+        ClockReading { told, arrived }
+    }
+
+    /// Moment of the peer's clock that comes no later than `local`.
+    pub fn translate(&self, local: Moment) -> Moment {
+        self.told + local.since(self.arrived) - self.arrived.since(local)
+    }
+}
+
 impl Add<Duration> for Moment {
     type Output = Moment;
 
--- a/lib/src/process/control_call.rs
+++ b/lib/src/process/control_call.rs
@@ -1,9 +1,12 @@
 //! Calls of targets and operators to the core hosts of a seeded fleet, and the replies.
 //!
-//! Every core host accepts calls; a follower forwards them to the leader.
+//! Every core host accepts calls; a follower forwards them to the leader. A link between two hosts may
+//! hold a call up for seconds. Meanwhile its sender is told that nobody answers, goes on to another
+//! host and may send the opposite there, so a call takes effect before its sender gives up or never.
 
 use crate::{
     connection::heartbeat::{Heartbeat, Lease},
+    moment::Moment,
     name::{Incarnation, Target, Zone},
     version::desired::{Change, DesiredState},
 };
@@ -45,7 +48,42 @@
     }
 }
 
+/// Until when the sender of a call waits for the reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallDeadline {
+    /// Until this moment of the clock of the host that has the call.
+    At(Moment),
+    /// Not known, as a core host of an earlier release passed the call on.
+    Unknown,
+}
+
+impl CallDeadline {
+    /// Whether the sender is known to have given up.
+    pub fn has_passed(self, now: Moment) -> bool {
+        match self {
+            CallDeadline::At(deadline) => now >= deadline,
+            CallDeadline::Unknown => false,
+        }
+    }
+}
+
 impl ControlCall {
+    /// Whether the call may take effect now. One that comes too late had no effect and never will.
+    pub fn is_timely(&self, deadline: CallDeadline, now: Moment) -> bool {
+        match (deadline, self) {
+            (CallDeadline::At(_), _) => !deadline.has_passed(now),
+            // A heartbeat has a serial number, and may be late on its way to any host.
+            (CallDeadline::Unknown, ControlCall::Heartbeat(_) | ControlCall::Read) => true,
+            (
+                CallDeadline::Unknown,
+                ControlCall::Leave(..)
+                | ControlCall::Change(_)
+                | ControlCall::ZoneOut(_)
+                | ControlCall::ZoneIn(_),
+            ) => false,
+        }
+    }
+
     /// Name of the call in logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
--- a/lib/src/process/event.rs
+++ b/lib/src/process/event.rs
@@ -157,6 +157,8 @@
     VotersSilent = 57, Warn, "voters-silent";
     /// All voters answer again.
     VotersWhole = 58, Info, "voters-whole";
+    /// A call arrived after its sender had given up and was dropped.
+    CallExpired = 59, Info, "call-expired";
     /// A request that crashed targets was quarantined: every entry refuses it.
     RequestQuarantined = 60, Warn, "request-quarantined";
     /// The quarantine of a request was lifted.
--- a/lib/src/version/feed.rs
+++ b/lib/src/version/feed.rs
@@ -44,11 +44,13 @@
 pub enum ToCore {
     /// Message of the replicated log.
     Raft(Message),
-    /// A call to forward to the leader, with a number that the reply repeats.
+    /// A call to forward to the leader, with a number that the reply repeats. How old it is when it
+    /// arrives is not known; see [`ToCore::TimedCall`].
     Call(u64, ControlCall),
     /// Traffic that an entry saw since its last report.
     Report(TrafficReport),
-    /// Keepalive; answered by [`FromCore::Pong`].
+    /// Keepalive; answered by [`FromCore::Pong`], or by [`FromCore::Clock`] if a core host of level
+    /// [`DEADLINES`](super::wire_level::WireLevel::DEADLINES) sends it.
     Ping,
     /// Asks the leader to echo this time of the entry's clock once it has sent the entry every
     /// update that was committed by then. Answered by [`FromCore::Confirmed`].
@@ -67,6 +69,15 @@
     Trial(u64, Fingerprint, u32),
     /// Suspected requests whose trial has ended, however it did.
     TrialsEnded(Vec<Fingerprint>),
+    /// A call to forward to the leader.
+    TimedCall {
+        /// Number that the reply repeats.
+        number: u64,
+        /// Moment of the receiver's clock by which the sender of the call has given up.
+        deadline: Moment,
+        /// The call.
+        call: ControlCall,
+    },
 }
 
 /// Message from a core host to the host that opened the connection.
@@ -105,6 +116,8 @@
     Trial(u64, TrialReply),
     /// All requests under suspicion, each of which needs a trial.
     Suspected(Vec<Fingerprint>),
+    /// Answer to the [`ToCore::Ping`] of a core host: the time by the clock of the sender.
+    Clock(Moment),
 }
 
 impl ToCore {
--- a/lib/src/version/wire_level.rs
+++ b/lib/src/version/wire_level.rs
@@ -29,8 +29,10 @@
     pub const TRIALS: WireLevel = WireLevel(3);
     /// Core hosts commit findings about requests that end targets.
     pub const RECORDS: WireLevel = WireLevel(4);
+    /// Core hosts tell their clocks, and until when the calls that they pass on may take effect.
+    pub const DEADLINES: WireLevel = WireLevel(5);
     /// Level of this release.
-    pub const OWN: WireLevel = WireLevel::RECORDS;
+    pub const OWN: WireLevel = WireLevel::DEADLINES;
 }
 
 impl fmt::Display for WireLevel {
@@ -52,6 +54,7 @@
             | ToCore::Permit(..) => WireLevel::BASE,
             ToCore::Suspects(_) | ToCore::Peer(_) => WireLevel::DETOURS,
             ToCore::Trial(..) | ToCore::TrialsEnded(_) => WireLevel::TRIALS,
+            ToCore::TimedCall { .. } => WireLevel::DEADLINES,
         }
     }
 }
@@ -71,6 +74,7 @@
             | FromCore::LimitedStatus(..) => WireLevel::BASE,
             FromCore::Quarantined(_) | FromCore::Peers(_) => WireLevel::DETOURS,
             FromCore::Trial(..) | FromCore::Suspected(_) => WireLevel::TRIALS,
+            FromCore::Clock(_) => WireLevel::DEADLINES,
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_fleet;
 mod test_freshness;
 mod test_health;
+mod test_held_calls;
 mod test_key;
 mod test_leader;
 mod test_lease;
--- a/lib/tests/test_releases.rs
+++ b/lib/tests/test_releases.rs
@@ -13,7 +13,7 @@
         command::Fingerprint,
         feed::{FromCore, Handshake, LeaderStatus, Peer, ToCore, TrafficReport},
         permits::{LimitReport, PermitReply, PermitRequest, RateLimit},
-        suspects::{Break, Quarantined, SuspectReport},
+        suspects::{Break, Quarantined, SuspectReport, TrialReply},
     },
 };
 use serde::Serialize;
@@ -22,6 +22,9 @@
 /// As ac76d91 encodes them, the last release without levels.
 const AC76D91: &str = include_str!("releases/ac76d91.txt");
 
+/// Messages of later levels, as the release that brought each of them encodes it.
+const LATER: &str = include_str!("releases/later.txt");
+
 fn line<M: Serialize>(name: &str, message: &M) -> String {
     let bytes = postcard::to_stdvec(message).expect("encoded");
     let mut line = format!("{name} ");
@@ -139,6 +142,30 @@
     ]
 }
 
+/// Messages from level 3 on.
+fn later() -> String {
+    let call = ToCore::TimedCall {
+        number: 6,
+        deadline: Moment::from_millis(8),
+        call: ControlCall::Read,
+    };
+    let trial = TrialReply::Granted;
+    line("trial", &ToCore::Trial(6, Fingerprint(1), 70))
+        + &line(
+            "trials-ended",
+            &ToCore::TrialsEnded(vec![Fingerprint(1), Fingerprint(2)]),
+        )
+        + &line("tried", &FromCore::Trial(6, trial))
+        + &line("suspected", &FromCore::Suspected(vec![Fingerprint(1)]))
+        + &line("timed-call", &call)
+        + &line("clock", &FromCore::Clock(Moment::from_millis(8)))
+}
+
+#[test]
+fn a_message_of_a_later_level_is_encoded_otherwise() {
+    assert_eq!(later(), LATER);
+}
+
 #[test]
 fn a_message_of_an_earlier_release_is_encoded_otherwise() {
     let core = Handshake::Core { node: Node(1) };
--- a/node/src/connection/core_link.rs
+++ b/node/src/connection/core_link.rs
@@ -3,10 +3,19 @@
 //! While the host cannot be reached, messages are dropped: their senders repeat what matters. A
 //! connection that brings nothing for a while is made anew, since it may have fallen silent without
 //! a reset.
+//!
+//! What was written to a connection that is given up may still arrive, seconds later. So a call carries
+//! its deadline by the clock of the host that it goes to. That host tells its clock on each connection
+//! anew, since it may have started again in between. A call waits until it has.
 
 use super::message::{MessageError, MessageStream, encode, encode_greeting};
+use crate::process::clock::Clock;
 use bytes::Bytes;
-use cornelrail_lib::version::feed::{FromCore, Handshake, ToCore};
+use cornelrail_lib::{
+    moment::{ClockReading, Moment},
+    process::control_call::ControlCall,
+    version::feed::{FromCore, Handshake, ToCore},
+};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     sync::mpsc,
@@ -24,10 +33,36 @@
 /// Pause before a connection is tried again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a link is to send.
+#[derive(Debug)]
+enum Outgoing {
+    Message(ToCore),
+    Call(OutgoingCall),
+}
+
+/// A call to pass on.
+#[derive(Debug)]
+struct OutgoingCall {
+    number: u64,
+    /// Moment of the local clock by which its sender has given up.
+    deadline: Moment,
+    call: ControlCall,
+}
+
+/// What the host at the other end has told of its clock on a connection.
+#[derive(Debug)]
+enum PeerClock {
+    /// Nothing yet.
+    Awaited,
+    /// A host of a release that does not tell it.
+    Untold,
+    Told(ClockReading),
+}
+
 /// Handle of the task that keeps the link to one core host.
 #[derive(Debug, Clone)]
 pub struct CoreLink {
-    tx: mpsc::Sender<ToCore>,
+    tx: mpsc::Sender<Outgoing>,
 }
 
 impl CoreLink {
@@ -36,66 +71,122 @@
         address: SocketAddr,
         greeting: Handshake,
         inbox: mpsc::Sender<FromCore>,
+        clock: Clock,
     ) -> CoreLink {
         let (tx, rx) = mpsc::channel(MESSAGES_HELD);
-        tokio::spawn(run(address, greeting, rx, inbox));
+        let link = Link {
+            greeting,
+            inbox,
+            clock,
+        };
+        tokio::spawn(link.run(address, rx));
         CoreLink { tx }
     }
 
     /// Sends a message, or drops it if the host cannot be reached.
     pub fn send(&self, message: ToCore) {
         // The senders repeat what matters, so a full queue needs no other answer.
-        let _ = self.tx.try_send(message);
+        let _ = self.tx.try_send(Outgoing::Message(message));
+    }
+
+    /// Sends a call that may take effect until `deadline`, or drops it if the host cannot be reached.
+    pub fn call(&self, number: u64, deadline: Moment, call: ControlCall) {
+        let call = OutgoingCall {
+            number,
+            deadline,
+            call,
+        };
+        // Whoever made the call gets no reply and asks another host.
+        let _ = self.tx.try_send(Outgoing::Call(call));
     }
 }
 
-async fn run(
-    address: SocketAddr,
+impl OutgoingCall {
+    /// The message for a peer with this clock; `None` while that is awaited.
+    fn message(&self, peer: &PeerClock) -> Option<ToCore> {
+        match peer {
+            PeerClock::Awaited => None,
+            PeerClock::Untold => Some(ToCore::Call(self.number, self.call.clone())),
+            PeerClock::Told(reading) => Some(ToCore::TimedCall {
+                number: self.number,
+                deadline: reading.translate(self.deadline),
+                call: self.call.clone(),
+            }),
+        }
+    }
+}
+
+/// Task of a link.
+#[derive(Debug)]
+struct Link {
     greeting: Handshake,
-    mut rx: mpsc::Receiver<ToCore>,
     inbox: mpsc::Sender<FromCore>,
-) {
-    while !rx.is_closed() || !rx.is_empty() {
-        if let Ok(mut stream) = MessageStream::connect(address, SILENCE).await {
-            // The next connection begins anew, whatever ended this one.
-            let ended = serve(&mut stream, &greeting, &mut rx, &inbox).await;
-            if ended.is_ok() {
-                return;
+    clock: Clock,
+}
+
+impl Link {
+    async fn run(self, address: SocketAddr, mut rx: mpsc::Receiver<Outgoing>) {
+        while !rx.is_closed() || !rx.is_empty() {
+            if let Ok(mut stream) = MessageStream::connect(address, SILENCE).await {
+                // The next connection begins anew, whatever ended this one.
+                let ended = self.serve(&mut stream, &mut rx).await;
+                if ended.is_ok() {
+                    return;
+                }
             }
+            sleep(REDIAL_PAUSE).await;
+            while rx.try_recv().is_ok() {}
         }
-        sleep(REDIAL_PAUSE).await;
-        while rx.try_recv().is_ok() {}
     }
-}
 
-/// Passes messages until the connection breaks; `Ok` once nobody uses the link any more.
-async fn serve(
-    stream: &mut MessageStream,
-    greeting: &Handshake,
-    rx: &mut mpsc::Receiver<ToCore>,
-    inbox: &mpsc::Sender<FromCore>,
-) -> Result<(), MessageError> {
-    stream.send([encode_greeting(greeting)?]).await?;
-    let mut burst = Vec::with_capacity(BURST);
-    let mut ping = Instant::now() + PING_PAUSE;
-    loop {
-        tokio::select! {
-            count = rx.recv_many(&mut burst, BURST) => {
-                if count == 0 {
-                    return Ok(());
+    /// Passes messages until the connection breaks; `Ok` once nobody uses the link any more.
+    async fn serve(
+        &self,
+        stream: &mut MessageStream,
+        rx: &mut mpsc::Receiver<Outgoing>,
+    ) -> Result<(), MessageError> {
+        let greeting = encode_greeting(&self.greeting)?;
+        stream.send([greeting, encode(&ToCore::Ping)?]).await?;
+        let mut burst = Vec::with_capacity(BURST);
+        let mut ping = Instant::now() + PING_PAUSE;
+        let mut peer = PeerClock::Awaited;
+        let mut waiting = Vec::new();
+        loop {
+            tokio::select! {
+                count = rx.recv_many(&mut burst, BURST) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    let mut messages = Vec::with_capacity(count);
+                    for outgoing in burst.drain(..) {
+                        match outgoing {
+                            Outgoing::Message(message) => messages.push(encode(&message)?),
+                            Outgoing::Call(call) => match call.message(&peer) {
+                                Some(message) => messages.push(encode(&message)?),
+                                None => waiting.push(call),
+                            },
+                        }
+                    }
+                    stream.send(messages).await?;
                 }
-                let messages: Result<Vec<Bytes>, _> = burst.drain(..).map(|m| encode(&m)).collect();
-                stream.send(messages?).await?;
-            }
-            message = stream.receive::<FromCore>() => {
-                let message = message?;
-                if !matches!(message, FromCore::Pong) && inbox.send(message).await.is_err() {
-                    return Ok(());
+                message = stream.receive::<FromCore>() => {
+                    match message? {
+                        FromCore::Pong => peer = PeerClock::Untold,
+                        FromCore::Clock(told) => {
+                            peer = PeerClock::Told(ClockReading::new(told, self.clock.now()));
+                        }
+                        message => if self.inbox.send(message).await.is_err() {
+                            return Ok(());
+                        },
+                    }
+                    let calls = waiting.drain(..).filter_map(|call: OutgoingCall| call.message(&peer));
+                    let calls: Result<Vec<Bytes>, _> = calls.map(|call| encode(&call)).collect();
+                    stream.send(calls?).await?;
+                }
+                () = tokio::time::sleep_until(ping) => {
+                    stream.send([encode(&ToCore::Ping)?]).await?;
+                    ping = Instant::now() + PING_PAUSE;
                 }
-            }
-            () = tokio::time::sleep_until(ping) => {
-                stream.send([encode(&ToCore::Ping)?]).await?;
-                ping = Instant::now() + PING_PAUSE;
             }
         }
     }
--- a/node/src/process/core/control.rs
+++ b/node/src/process/core/control.rs
@@ -1,6 +1,6 @@
 //! HTTP server for the calls of targets and operators.
 
-use super::task::CoreHandle;
+use super::task::{CallOrigin, CoreHandle};
 use crate::{
     connection::http_server::{self, respond},
     process::logging::EventLog,
@@ -45,7 +45,8 @@
         true => LONG_TIMEOUT,
         false => CALL_TIMEOUT,
     };
-    match timeout(limit, take(core, door, request)).await {
+    let origin = CallOrigin::Sender(core.now() + limit);
+    match timeout(limit, take(core, door, request, origin)).await {
         Ok(response) => response,
         Err(_) => respond(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -58,6 +59,7 @@
     core: &CoreHandle,
     door: Endpoint,
     request: Request<Incoming>,
+    origin: CallOrigin,
 ) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), BODY_BYTES_MAX);
     let body = match body.collect().await {
@@ -69,7 +71,7 @@
         Err(error) => return refuse(&error.to_string()),
     };
     let is_beat = matches!(call.call, ControlCall::Heartbeat(_));
-    match core.call(call, false).await {
+    match core.call(call, origin).await {
         ControlReply::Done if is_beat => respond(StatusCode::OK, wire::lease_body(None, None)),
         ControlReply::Done => respond(StatusCode::OK, b"{}".to_vec()),
         ControlReply::Lease(lease) => {
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -10,7 +10,7 @@
     moment::Moment,
     name::{Incarnation, Target},
     process::{
-        control_call::{ControlCall, ControlReply},
+        control_call::{CallDeadline, ControlCall, ControlReply},
         event::Event,
         seeded_settings::SeededSettings,
     },
@@ -27,6 +27,14 @@
 /// Rest of the voter's lease at which it is asked for a new one.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
+/// A change that waits for others.
+#[derive(Debug)]
+struct WaitingChange {
+    change: Change,
+    deadline: CallDeadline,
+    reply: oneshot::Sender<ControlReply>,
+}
+
 /// A leader, and until when no other host can lead.
 #[derive(Debug)]
 pub(super) struct Leading {
@@ -36,7 +44,7 @@
     bearable_losses: Option<usize>,
     pub(super) in_flight: ChangesInFlight,
     /// Changes to judge once those in flight are applied, in order.
-    waiting: VecDeque<(Change, oneshot::Sender<ControlReply>)>,
+    waiting: VecDeque<WaitingChange>,
     /// Whether findings about requests that end targets are being committed.
     pub(super) is_recording: bool,
 }
@@ -182,9 +190,11 @@
     pub(super) async fn lead_call(
         &mut self,
         call: ControlCall,
+        deadline: CallDeadline,
         reply: oneshot::Sender<ControlReply>,
     ) {
-        if !self.has_lease().await {
+        let is_timely = self.has_lease().await && self.is_timely(&call, deadline);
+        if !is_timely {
             // The asker may have given up.
             let _ = reply.send(ControlReply::Unavailable);
             return;
@@ -192,7 +202,11 @@
         match call {
             ControlCall::Heartbeat(beat) => self.take_heartbeat(&beat, reply),
             ControlCall::Leave(name, life) => self.take_farewell(&name, life, reply),
-            ControlCall::Change(change) => self.take_change(change, reply),
+            ControlCall::Change(change) => self.take_change(WaitingChange {
+                change,
+                deadline,
+                reply,
+            }),
             ControlCall::Read => {
                 let desired = self.catalog.desired.clone();
                 let _ = reply.send(ControlReply::Desired(desired));
@@ -202,16 +216,26 @@
         }
     }
 
+    /// Whether a call may take effect now; one that comes too late is logged.
+    fn is_timely(&self, call: &ControlCall, deadline: CallDeadline) -> bool {
+        let is_timely = call.is_timely(deadline, self.now());
+        if !is_timely {
+            Event::CallExpired.log(format_args!("call={}", call.name()));
+        }
+        is_timely
+    }
+
     /// Proposes what of a change takes effect, or lets the change wait for those in flight.
-    fn take_change(&mut self, change: Change, reply: oneshot::Sender<ControlReply>) {
+    fn take_change(&mut self, waiting: WaitingChange) {
         let Some(leading) = &mut self.leading else {
             return;
         };
-        if !leading.waiting.is_empty() || !leading.in_flight.allows(&change) {
-            leading.waiting.retain(|(_, reply)| !reply.is_closed());
-            leading.waiting.push_back((change, reply));
+        if !leading.waiting.is_empty() || !leading.in_flight.allows(&waiting.change) {
+            leading.waiting.retain(|waiting| !waiting.reply.is_closed());
+            leading.waiting.push_back(waiting);
             return;
         }
+        let WaitingChange { change, reply, .. } = waiting;
         match self.catalog.desired.admit(change) {
             // All of it is in force or overtaken, and so is committed.
             Ok(change) if change.is_empty() => drop(reply.send(ControlReply::Done)),
@@ -232,8 +256,17 @@
         if !leading.in_flight.end(number) {
             return;
         }
-        for (change, reply) in std::mem::take(&mut leading.waiting) {
-            self.take_change(change, reply);
+        let waiting = std::mem::take(&mut leading.waiting);
+        let now = self.now();
+        for waiting in waiting {
+            match waiting.deadline.has_passed(now) {
+                true => {
+                    Event::CallExpired.log(format_args!("call=change"));
+                    // The asker may have given up.
+                    let _ = waiting.reply.send(ControlReply::Unavailable);
+                }
+                false => self.take_change(waiting),
+            }
         }
     }
 
--- a/node/src/process/core/mod.rs
+++ b/node/src/process/core/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     feed::{Feed, LatestStatuses, Subscriber},
-    task::{CoreEvent, CoreHandle},
+    task::{CallOrigin, CoreEvent, CoreHandle},
 };
 
 use super::{
--- a/node/src/process/core/peers.rs
+++ b/node/src/process/core/peers.rs
@@ -1,13 +1,16 @@
 //! Connections that other processes of the fleet open to a core host.
 
-use super::task::CoreHandle;
+use super::task::{CallOrigin, CoreHandle};
 use crate::{
     connection::message::{MessageError, MessageStream, encode},
     process::{logging::EventLog, voter::VoterHandle},
 };
 use cornelrail_lib::{
     name::Node,
-    process::{control_call::ControlReply, event::Event},
+    process::{
+        control_call::{CallDeadline, ControlCall, ControlReply},
+        event::Event,
+    },
     version::{
         feed::{FromCore, Handshake, ToCore},
         wire_level::WireLevel,
@@ -48,7 +51,7 @@
     let ended = match stream.receive_greeting().await {
         Ok((Handshake::Core { node }, level)) => {
             core.report_level(node, level).await;
-            serve_core(stream, node, &voter, &core).await
+            serve_core(stream, (node, level), &voter, &core).await
         }
         Ok((Handshake::Entry { name, .. }, level)) => serve_entry(stream, name, level, &core).await,
         Err(error) => Err(error),
@@ -63,10 +66,18 @@
 /// Takes messages of another core host, and answers the calls that it passes on.
 async fn serve_core(
     mut stream: MessageStream,
-    node: Node,
+    (node, level): (Node, WireLevel),
     voter: &VoterHandle,
     core: &CoreHandle,
 ) -> Result<(), MessageError> {
+    let pass_on = |number, call: ControlCall, deadline, replies: &mpsc::Sender<_>| {
+        let (core, replies) = (core.clone(), replies.clone());
+        tokio::spawn(async move {
+            let reply = core.call(call.into(), CallOrigin::Relay(deadline)).await;
+            // Without the connection the asker asks again.
+            let _ = replies.send((number, reply)).await;
+        });
+    };
     let (replies_tx, mut replies) = mpsc::channel::<(u64, ControlReply)>(REPLIES_HELD);
     loop {
         tokio::select! {
@@ -74,14 +85,18 @@
                 match message? {
                     ToCore::Raft(message) => voter.receive(node, message),
                     ToCore::Call(number, call) => {
-                        let (core, replies) = (core.clone(), replies_tx.clone());
-                        tokio::spawn(async move {
-                            let reply = core.call(call.into(), true).await;
-                            // Without the connection the asker asks again.
-                            let _ = replies.send((number, reply)).await;
-                        });
+                        pass_on(number, call, CallDeadline::Unknown, &replies_tx);
+                    }
+                    ToCore::TimedCall { number, deadline, call } => {
+                        pass_on(number, call, CallDeadline::At(deadline), &replies_tx);
+                    }
+                    ToCore::Ping => {
+                        let answer = match level >= WireLevel::DEADLINES {
+                            true => FromCore::Clock(core.now()),
+                            false => FromCore::Pong,
+                        };
+                        stream.send([encode(&answer)?]).await?;
                     }
-                    ToCore::Ping => stream.send([encode(&FromCore::Pong)?]).await?,
                     ToCore::Report(_)
                     | ToCore::Confirm(_)
                     | ToCore::Limits(_)
@@ -128,7 +143,7 @@
                         core.request_permit(name.clone(), number, request).await;
                     }
                     ToCore::Ping => stream.send([encode(&FromCore::Pong)?]).await?,
-                    ToCore::Raft(_) | ToCore::Call(..) => {}
+                    ToCore::Raft(_) | ToCore::Call(..) | ToCore::TimedCall { .. } => {}
                 }
             }
         }
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -21,7 +21,7 @@
     moment::Moment,
     name::Node,
     process::{
-        control_call::{ControlCall, ControlReply, ReceivedCall},
+        control_call::{CallDeadline, ControlCall, ControlReply, ReceivedCall},
         event::Event,
         seeded_settings::SeededSettings,
     },
@@ -58,8 +58,8 @@
 /// What connections tell the task.
 #[derive(Debug)]
 pub enum CoreEvent {
-    /// A call, and whether it was passed on by another core host already.
-    Call(ReceivedCall, oneshot::Sender<ControlReply>, bool),
+    /// A call.
+    Call(ReceivedCall, oneshot::Sender<ControlReply>, CallOrigin),
     /// An entry wants to follow.
     Follow(Subscriber),
     /// What an entry saw.
@@ -87,18 +87,43 @@
     Stop(oneshot::Sender<()>),
 }
 
+/// Who made a call to this host, and until when the reply is waited for.
+#[derive(Debug, Clone, Copy)]
+pub enum CallOrigin {
+    /// A target or an operator, which waits until this moment.
+    Sender(Moment),
+    /// Another core host, which passes the call on to the leader.
+    Relay(CallDeadline),
+}
+
+impl CallOrigin {
+    /// Until when the reply is waited for.
+    fn deadline(self) -> CallDeadline {
+        match self {
+            CallOrigin::Sender(deadline) => CallDeadline::At(deadline),
+            CallOrigin::Relay(deadline) => deadline,
+        }
+    }
+}
+
 /// Way to talk to the task.
 #[derive(Debug, Clone)]
 pub struct CoreHandle {
     tx: mpsc::Sender<CoreEvent>,
     statuses: watch::Receiver<LatestStatuses>,
+    clock: Clock,
 }
 
 impl CoreHandle {
+    /// The present moment by the clock of this host.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
     /// Makes a call.
-    pub async fn call(&self, call: ReceivedCall, relayed: bool) -> ControlReply {
+    pub async fn call(&self, call: ReceivedCall, origin: CallOrigin) -> ControlReply {
         let (tx, rx) = oneshot::channel();
-        self.send(CoreEvent::Call(call, tx, relayed)).await;
+        self.send(CoreEvent::Call(call, tx, origin)).await;
         rx.await.unwrap_or(ControlReply::Unavailable)
     }
 
@@ -251,7 +276,11 @@
         peers_sent: Moment::ZERO,
     };
     tokio::spawn(task.run(rx, replies, voter_events));
-    CoreHandle { tx, statuses }
+    CoreHandle {
+        tx,
+        statuses,
+        clock,
+    }
 }
 
 impl Task {
@@ -304,7 +333,7 @@
 
     async fn take(&mut self, event: CoreEvent) {
         match event {
-            CoreEvent::Call(call, reply, relayed) => self.take_call(call, reply, relayed).await,
+            CoreEvent::Call(call, reply, origin) => self.take_call(call, reply, origin).await,
             CoreEvent::Follow(subscriber) => self.take_follower(subscriber),
             CoreEvent::Report(report) => {
                 let now = self.now();
@@ -342,7 +371,7 @@
         &mut self,
         received: ReceivedCall,
         reply: oneshot::Sender<ControlReply>,
-        relayed: bool,
+        origin: CallOrigin,
     ) {
         let ReceivedCall { call, keyless } = received;
         if let (true, ControlCall::Heartbeat(heartbeat)) = (keyless, &call)
@@ -353,16 +382,18 @@
             return;
         }
         if self.leading.is_some() {
-            self.lead_call(call, reply).await;
+            self.lead_call(call, origin.deadline(), reply).await;
             return;
         }
-        match self.leader.filter(|_| !relayed) {
-            Some(leader) if leader != node_of(self.settings.address) => {
+        match (self.leader, origin) {
+            (Some(leader), CallOrigin::Sender(deadline))
+                if leader != node_of(self.settings.address) =>
+            {
                 self.number += 1;
                 let number = self.number;
                 self.relays.retain(|_, reply| !reply.is_closed());
                 self.relays.insert(number, reply);
-                self.link(leader).send(ToCore::Call(number, call));
+                self.link(leader).call(number, deadline, call);
             }
             // The asker goes to another host, or asks again.
             _ => drop(reply.send(ControlReply::Unavailable)),
@@ -410,9 +441,9 @@
     fn link(&mut self, node: Node) -> &CoreLink {
         let address = SocketAddr::new(address_of(node), self.settings.port);
         let own = node_of(self.settings.address);
-        let inbox = &self.replies_tx;
+        let (inbox, clock) = (&self.replies_tx, self.clock);
         self.links.entry(node).or_insert_with(|| {
-            CoreLink::start(address, Handshake::Core { node: own }, inbox.clone())
+            CoreLink::start(address, Handshake::Core { node: own }, inbox.clone(), clock)
         })
     }
 
--- a/node/src/process/entry/follow.rs
+++ b/node/src/process/entry/follow.rs
@@ -386,6 +386,7 @@
             | FromCore::LimitedStatus(..)
             | FromCore::Confirmed(_)
             | FromCore::Pong
+            | FromCore::Clock(_)
             | FromCore::Reply(..) => {}
         }
         self.entry.changes.notify_waiters();
--- a/node/tests/links/mod.rs
+++ b/node/tests/links/mod.rs
@@ -1,4 +1,4 @@
-//! Links of single entries to targets, which can be cut in several ways.
+//! Links between hosts and to targets, which can be cut in several ways.
 
 use std::{
     net::SocketAddr,
@@ -9,7 +9,7 @@
     time::Duration,
 };
 use tokio::{
-    io::copy_bidirectional,
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::JoinSet,
@@ -127,3 +127,79 @@
     }
     near.set_zero_linger().expect("set");
 }
+
+/// Bytes that a link passes on in one go.
+const PART: usize = 16 << 10;
+
+/// A link that holds bytes up while it is cut. They arrive once it is joined, in their order.
+#[derive(Default)]
+pub struct HoldingLink {
+    is_cut: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+impl HoldingLink {
+    /// Passes connections at one address on to another one.
+    pub fn carry(&mut self, address: SocketAddr, to: SocketAddr) {
+        let is_cut = self.is_cut.subscribe();
+        self.tasks.spawn(async move {
+            let listener = listen(address, 1_024);
+            let mut pipes = JoinSet::new();
+            loop {
+                let (near, _) = listener.accept().await.expect("accepted");
+                pipes.spawn(hold(near, to, is_cut.clone()));
+            }
+        });
+    }
+
+    /// Cuts or joins the link.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.send_replace(is_cut);
+    }
+}
+
+/// Passes a connection on. One that is opened while the link is cut is made once it is joined, if its
+/// opener still waits.
+async fn hold(mut near: TcpStream, to: SocketAddr, mut is_cut: watch::Receiver<bool>) {
+    let mut held = Vec::new();
+    while *is_cut.borrow_and_update() {
+        tokio::select! {
+            _ = is_cut.changed() => {}
+            read = near.read_buf(&mut held) => match read {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            },
+        }
+    }
+    let Ok(mut far) = TcpStream::connect(to).await else {
+        return;
+    };
+    if far.write_all(&held).await.is_err() {
+        return;
+    }
+    let (near_read, near_write) = near.split();
+    let (far_read, far_write) = far.split();
+    tokio::join!(
+        pump(near_read, far_write, is_cut.clone()),
+        pump(far_read, near_write, is_cut.clone()),
+    );
+}
+
+async fn pump(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    mut is_cut: watch::Receiver<bool>,
+) {
+    let mut part = vec![0; PART];
+    loop {
+        let read = from.read(&mut part).await.unwrap_or(0);
+        if is_cut.wait_for(|is_cut| !is_cut).await.is_err() {
+            return;
+        }
+        if read == 0 || to.write_all(&part[..read]).await.is_err() {
+            // The other end may have left before.
+            let _ = to.shutdown().await;
+            return;
+        }
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_framing;
 mod test_front;
 mod test_full_disk;
+mod test_held_calls;
 mod test_hostile;
 mod test_intent;
 mod test_limits;
--- a/node/tests/seeded/mod.rs
+++ b/node/tests/seeded/mod.rs
@@ -3,11 +3,22 @@
 //! The environment variable `EARLIER_RELEASE` names a program that the first start of each host runs
 //! in place of this build, so that a test plays an upgrade.
 
-use crate::test_seeded::{PATIENCE, call, host};
+use crate::{
+    links::HoldingLink,
+    test_seeded::{PATIENCE, call, host},
+};
+use cornelrail_lib::{
+    name::{Node, Zone},
+    version::feed::{FromCore, Handshake},
+};
+use cornelrail_node::{
+    connection::message::{MessageStream, encode_greeting},
+    process::core::node_of,
+};
 use cornelrail_testutils::ports;
 use serde_json::Value;
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     env,
     ffi::{OsStr, OsString},
     fs,
@@ -24,8 +35,10 @@
 /// Processes of a fleet, the core hosts first. One that has ended has no child.
 pub struct Hosts {
     folder: TempDir,
-    /// Ports between hosts, of control and of callers, the same at all hosts.
-    ports: [u16; 3],
+    /// Ports between hosts, one for each host; the same at all hosts unless there are links.
+    peer_ports: Vec<u16>,
+    /// Ports of control and of callers, the same at all hosts.
+    ports: [u16; 2],
     /// Control addresses of the core hosts.
     pub controls: Vec<SocketAddr>,
     /// Callers' addresses of the entries.
@@ -34,6 +47,8 @@
     /// Program of an earlier release, which the first start of each host runs.
     earlier: Option<OsString>,
     started: BTreeSet<usize>,
+    /// Links between two core hosts, by the places of both.
+    links: BTreeMap<(usize, usize), HoldingLink>,
 }
 
 impl Drop for Hosts {
@@ -50,17 +65,72 @@
 
     /// Starts so many core hosts and entries. The first three core hosts are the seeds.
     pub fn with_cores(cores: usize, entries: usize) -> Hosts {
+        let port = ports::next_port();
+        let mut hosts = Hosts::prepare(cores, vec![port; cores + entries]);
+        hosts.spawn_all();
+        hosts
+    }
+
+    /// Starts so many core hosts and entries, with links between the core hosts that can be cut.
+    pub fn with_links(cores: usize, entries: usize) -> Hosts {
+        let peer_ports = (0..cores + entries).map(|_| ports::next_port()).collect();
+        let mut hosts = Hosts::prepare(cores, peer_ports);
+        // A host looks for all others at its own port.
+        for place in 0..cores {
+            for dialer in (0..cores + entries).filter(|dialer| *dialer != place) {
+                let link = (place.min(dialer), place.max(dialer));
+                let link = hosts.links.entry(link).or_default();
+                let at = |port| SocketAddr::new(hosts.controls[place].ip(), port);
+                link.carry(at(hosts.peer_ports[dialer]), at(hosts.peer_ports[place]));
+            }
+        }
+        hosts.spawn_all();
+        hosts
+    }
+
+    /// Cuts a core host off from the other core hosts, or joins it to them again.
+    pub fn set_cut_off(&self, place: usize, is_cut: bool) {
+        let cores = self.controls.len();
+        let is_between = |(one, other): &(usize, usize)| {
+            *one.max(other) < cores && (*one == place || *other == place)
+        };
+        let links = self.links.iter().filter(|(ends, _)| is_between(ends));
+        links.for_each(|(_, link)| link.set_cut(is_cut));
+    }
+
+    /// Place of the core host that leads, as another one tells a process that asks like an entry.
+    pub async fn leader(&self) -> usize {
+        let begun = Instant::now();
+        loop {
+            for place in 0..self.controls.len() {
+                let address = SocketAddr::new(self.controls[place].ip(), self.peer_ports[place]);
+                let leader = tell_leader(address).await;
+                let is_leader = |control: &SocketAddr| Some(node_of(control.ip())) == leader;
+                if let Some(leader) = self.controls.iter().position(is_leader) {
+                    return leader;
+                }
+            }
+            assert!(begun.elapsed() < PATIENCE, "no core host leads");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Writes the settings of the core hosts and entries, each with its port between hosts.
+    fn prepare(cores: usize, peer_ports: Vec<u16>) -> Hosts {
+        let count = peer_ports.len();
         let mut hosts = Hosts {
             folder: TempDir::new().expect("a folder"),
-            ports: [(); 3].map(|()| ports::next_port()),
+            peer_ports,
+            ports: [(); 2].map(|()| ports::next_port()),
             controls: Vec::new(),
             callers: Vec::new(),
             running: Vec::new(),
             earlier: env::var_os("EARLIER_RELEASE"),
             started: BTreeSet::new(),
+            links: BTreeMap::new(),
         };
-        let [_, control, callers] = hosts.ports;
-        let addresses: Vec<String> = (0..cores + entries).map(|_| host()).collect();
+        let [control, callers] = hosts.ports;
+        let addresses: Vec<String> = (0..count).map(|_| host()).collect();
         let on =
             |address: &String, port| SocketAddr::new(address.parse().expect("an address"), port);
         hosts.controls = addresses[..cores].iter().map(|a| on(a, control)).collect();
@@ -71,17 +141,21 @@
             hosts.write_settings(place, address, &seeds, (place < cores, true, losses));
             hosts.running.push(None);
         }
-        (0..cores + entries).for_each(|place| hosts.spawn(place));
         hosts
     }
 
+    fn spawn_all(&mut self) {
+        (0..self.running.len()).for_each(|place| self.spawn(place));
+    }
+
     /// Starts an empty core host in place of another one, at an address of its own, in a fleet without
     /// entries. Returns its place.
     pub fn replace_core(&mut self, seeds: &[SocketAddr], losses: usize) -> usize {
         let (place, address) = (self.running.len(), host());
+        self.peer_ports.push(self.peer_ports[0]);
         self.write_settings(place, &address, seeds, (true, false, losses));
         let ip = address.parse().expect("an address");
-        self.controls.push(SocketAddr::new(ip, self.ports[1]));
+        self.controls.push(SocketAddr::new(ip, self.ports[0]));
         self.running.push(None);
         self.spawn(place);
         place
@@ -102,7 +176,8 @@
         seeds: &[SocketAddr],
         (is_core, founds, losses): (bool, bool, usize),
     ) {
-        let [port, control, callers] = self.ports;
+        let [control, callers] = self.ports;
+        let port = self.peer_ports[place];
         let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let own = match is_core {
             true => format!(
@@ -162,6 +237,20 @@
     }
 }
 
+/// Leader that a core host names to whoever follows it.
+async fn tell_leader(address: SocketAddr) -> Option<Node> {
+    let greeting = Handshake::Entry {
+        name: "asker".to_owned(),
+        zone: Zone::from("a"),
+    };
+    let mut stream = MessageStream::connect(address, PATIENCE).await.ok()?;
+    stream.send([encode_greeting(&greeting).ok()?]).await.ok()?;
+    match stream.receive_greeting().await.ok()? {
+        (FromCore::Members { leader, .. }, _) => leader,
+        _ => None,
+    }
+}
+
 /// Sends a call to a core host until it gets a clear answer.
 pub async fn send(control: SocketAddr, name: &str, body: &Value) -> (u16, Value) {
     let begun = Instant::now();
