--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -6,12 +6,25 @@
 //!
 //! 1. The move is committed.
 //! 2. The next answer to the owner leaves the span out.
-//! 3. A later heartbeat of the owner no longer lists the span, or the lease of the owner expires.
+//! 3. A later heartbeat of the owner shows that the span is released, or the lease of the owner expires.
 //! 4. The grant to the next owner is committed under a higher fence.
 //! 5. The answer to the next heartbeat of the new owner carries the grant.
 //!
 //! A new leader does not know the leases that the former leader granted, so it assumes that each
 //! target holds a lease that started with its own term.
+//!
+//! A heartbeat may arrive seconds late. One that does not list a span shows that its target held none of
+//! it when it was sent; the target may have got it since, by the answer to a later heartbeat. This leader
+//! takes heartbeats in the order of their serial numbers, and leaves a span that moves out of its answers, so
+//! it can only be an answer of a former leader. A release is believed where that is excluded:
+//!
+//! - the target joined in this leader's term, or
+//! - the target has listed a grant that was made in this term, so it has taken an answer of this leader, and
+//!   former leaders answered only before, or
+//! - all leases of former leaders have ended.
+//!
+//! Until then a target that can go on serving keeps the keys that are to move, since nobody else would get
+//! them sooner.
 
 use super::{
     departures::Departures,
@@ -30,9 +43,6 @@
 
 /// Largest lag of a target's clock behind the leader's, in thousandths of the elapsed time.
 const MAX_CLOCK_LAG_PER_MILLE: u32 = 20;
-/// Heartbeats of an incarnation that a new leader must have received before it accepts that a span
-/// is released. The first one may be stale.
-const MIN_HEARTBEATS_FOR_RELEASE: u32 = 2;
 /// Rows that the answer to a heartbeat has room for: it takes at most 4 KiB, and a row up to 28 bytes
 /// besides its handover proof.
 pub const MAX_LEASE_ROWS: usize = 120;
@@ -85,6 +95,17 @@
     active: BTreeSet<Fence>,
     /// Grants that the latest answer left out because their keys are moving to another target.
     excluded: BTreeSet<Fence>,
+    /// Whether it has listed a grant that was made in this term.
+    has_own_grant: bool,
+}
+
+/// What former leaders may have granted.
+#[derive(Debug, Clone, Copy)]
+struct FormerTerms {
+    /// Latest end of their leases.
+    end: Moment,
+    last_target: TargetId,
+    last_fence: Fence,
 }
 
 /// What the heartbeat said by which a target joins.
@@ -177,6 +198,7 @@
 pub struct TargetLeases {
     config: LeaseConfig,
     term_start: Moment,
+    former: FormerTerms,
     tracked: BTreeMap<TargetId, TrackedTarget>,
     /// Targets that the catalog has given no number yet.
     joining: BTreeMap<(Target, Incarnation), Joining>,
@@ -185,11 +207,18 @@
 }
 
 impl TargetLeases {
-    /// Creates the records of a leader whose term starts at `now`.
-    pub fn new(config: LeaseConfig, now: Moment) -> Self {
+    /// Creates the records of a leader whose term starts at `now`, with all that was committed before in
+    /// the catalog.
+    pub fn new(config: LeaseConfig, now: Moment, catalog: &Catalog) -> Self {
+        let former = FormerTerms {
+            end: now + config.max_duration(),
+            last_target: catalog.last_target(),
+            last_fence: catalog.last_fence(),
+        };
         TargetLeases {
             config,
             term_start: now,
+            former,
             tracked: BTreeMap::new(),
             joining: BTreeMap::new(),
             rivals: Rivals::new(config),
@@ -218,7 +247,7 @@
             SerialOrder::Stale => return HeartbeatOutcome::Stale,
             SerialOrder::Leap => return HeartbeatOutcome::Odd(OddHeartbeat::Leap),
         }
-        let mut updates = self.grants_after_release(catalog, id, heartbeat);
+        let mut updates = self.grants_after_release(now, catalog, id, heartbeat);
         if heartbeat.leaving && !record.leaving {
             updates.push(Update::Leave(id));
         }
@@ -336,9 +365,13 @@
     /// Grants the lease for the answer to a heartbeat of the target, and records it. Keys beyond
     /// [`MAX_LEASE_ROWS`] are left out, those that the target does not hold yet first.
     pub fn grant(&mut self, now: Moment, catalog: &Catalog, id: TargetId) -> Lease {
-        let mut rows = catalog.retained_rows(id);
-        let leaving = rows_moving_from(catalog, id).map(|row| row.fence);
-        let excluded: BTreeSet<Fence> = leaving.collect();
+        let record = catalog.targets.get(&id);
+        let can_serve = record.is_some_and(|record| catalog.accepts_work(record));
+        let keeps_all = can_serve && !self.may_release(now, id);
+        let (mut rows, moving): (Vec<&ShardRow>, Vec<&ShardRow>) = catalog
+            .owned_rows(id)
+            .partition(|row| row.next.is_none() || keeps_all);
+        let excluded = moving.iter().map(|row| row.fence).collect();
         let max_duration = self.config.max_duration();
         let tracked = self.get_or_track(now, id);
         let held = &tracked.held;
@@ -360,6 +393,14 @@
         }
     }
 
+    /// Whether the target can show by a heartbeat that it holds a span no more.
+    fn may_release(&self, now: Moment, id: TargetId) -> bool {
+        let tracked = self.tracked.get(&id);
+        id > self.former.last_target
+            || now >= self.former.end
+            || tracked.is_some_and(|tracked| tracked.has_own_grant)
+    }
+
     /// Whether the target may still hold a lease.
     pub fn may_hold(&self, now: Moment, id: TargetId) -> bool {
         now < self.lease_end(id)
@@ -455,13 +496,13 @@
     fn lease_end(&self, id: TargetId) -> Moment {
         match self.tracked.get(&id) {
             Some(tracked) => tracked.lease_end,
-            None => self.term_start + self.config.max_duration(),
+            None => self.former.end,
         }
     }
 
     /// Record of a target. One that is not tracked yet may hold a lease of the former leader.
     fn get_or_track(&mut self, now: Moment, id: TargetId) -> &mut TrackedTarget {
-        let lease_end = self.term_start + self.config.max_duration();
+        let lease_end = self.former.end;
         let interval = self.config.heartbeat;
         self.tracked.entry(id).or_insert_with(|| TrackedTarget {
             serial: 0,
@@ -475,6 +516,7 @@
             held: BTreeSet::new(),
             active: BTreeSet::new(),
             excluded: BTreeSet::new(),
+            has_own_grant: false,
         })
     }
 
@@ -489,11 +531,15 @@
             length,
             heartbeat: expected,
         } = self.config;
+        let last_fence = self.former.last_fence;
         let tracked = self.get_or_track(now, id);
         let order = tracked.serial_order(now, heartbeat.serial, length);
         match order {
             SerialOrder::Next => {}
-            SerialOrder::Anew => tracked.heartbeats = 0,
+            SerialOrder::Anew => {
+                tracked.heartbeats = 0;
+                tracked.has_own_grant = false;
+            }
             SerialOrder::Stale | SerialOrder::Leap => return order,
         }
         tracked.leap = None;
@@ -511,6 +557,7 @@
         tracked.cold_until = now + heartbeat.cold_left;
         tracked.held = heartbeat.holds.iter().map(|held| held.fence).collect();
         tracked.active.extend(tracked.held.iter().copied());
+        tracked.has_own_grant |= tracked.held.iter().any(|fence| *fence > last_fence);
         order
     }
 
@@ -518,6 +565,7 @@
     /// holds.
     fn grants_after_release(
         &self,
+        now: Moment,
         catalog: &Catalog,
         id: TargetId,
         heartbeat: &Heartbeat,
@@ -525,7 +573,7 @@
         let Some(tracked) = self.tracked.get(&id) else {
             return Vec::new();
         };
-        if tracked.heartbeats < MIN_HEARTBEATS_FOR_RELEASE {
+        if !self.may_release(now, id) {
             return Vec::new();
         }
         let released = rows_moving_from(catalog, id)
@@ -578,9 +626,5 @@
 
 /// Rows that a target owns and that are moving to another target.
 fn rows_moving_from(catalog: &Catalog, id: TargetId) -> impl Iterator<Item = &ShardRow> {
-    let record = catalog.targets.get(&id);
-    let table = record.and_then(|t| catalog.shards.get(&t.service));
-    let rows = table.map_or(&[][..], |table| table.rows());
-    rows.iter()
-        .filter(move |row| row.owner == Some(id) && row.next.is_some())
+    catalog.owned_rows(id).filter(|row| row.next.is_some())
 }
--- a/lib/src/version/catalog/mod.rs
+++ b/lib/src/version/catalog/mod.rs
@@ -118,6 +118,16 @@
         matching.next().map(|(id, record)| (*id, record))
     }
 
+    /// Number that was given to a target last.
+    pub fn last_target(&self) -> TargetId {
+        TargetId(self.next_target)
+    }
+
+    /// Fence that was used last.
+    pub fn last_fence(&self) -> Fence {
+        self.last_fence
+    }
+
     /// All targets of a service.
     pub fn targets_of<'a>(
         &'a self,
@@ -133,19 +143,18 @@
         !record.leaving && !self.evacuated_zones.contains(&record.zone)
     }
 
-    /// Rows of the target's service that it owns and that are not moving to another target.
+    /// Rows of the target's service that it owns.
+    pub fn owned_rows(&self, id: TargetId) -> impl Iterator<Item = &ShardRow> {
+        let record = self.targets.get(&id);
+        let table = record.and_then(|t| self.shards.get(&t.service));
+        let rows = table.map_or(&[][..], |table| table.rows());
+        rows.iter().filter(move |row| row.owner == Some(id))
+    }
+
+    /// Rows that the target owns and that are not moving to another target.
     pub fn retained_rows(&self, id: TargetId) -> Vec<&ShardRow> {
-        let Some(table) = self
-            .targets
-            .get(&id)
-            .and_then(|record| self.shards.get(&record.service))
-        else {
-            return Vec::new();
-        };
-        let matching = table.rows().iter();
-        matching
-            .filter(|row| row.owner == Some(id) && row.next.is_none())
-            .collect()
+        let rows = self.owned_rows(id);
+        rows.filter(|row| row.next.is_none()).collect()
     }
 
     /// Adds a target, in place of older incarnations with its name or at its address.
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -110,10 +110,10 @@
 }
 
 impl LeaderState {
-    /// State of a leader whose term begins now.
-    pub fn new(config: LeaseConfig, now: Moment) -> Self {
+    /// State of a leader whose term begins now, with all that was committed before in the catalog.
+    pub fn new(config: LeaseConfig, now: Moment, catalog: &Catalog) -> Self {
         LeaderState {
-            leases: TargetLeases::new(config, now),
+            leases: TargetLeases::new(config, now, catalog),
             loads: BTreeMap::new(),
             key_loads: BTreeMap::new(),
             target_loads: TargetLoads::default(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_health;
 mod test_held_calls;
 mod test_key;
+mod test_late_reports;
 mod test_leader;
 mod test_lease;
 mod test_link_budget;
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -56,7 +56,7 @@
             length: settings.lease,
             heartbeat: settings.heartbeat,
         };
-        let mut leader = LeaderState::new(config, now);
+        let mut leader = LeaderState::new(config, now, catalog);
         leader.restore_suspects(now, wall_time(), catalog);
         Leading {
             leader,
