--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -127,8 +127,8 @@
     Waiting {
         /// Whether this is its first heartbeat.
         is_first: bool,
-        /// Update to commit before the answer, if it says that it leaves.
-        update: Option<Update>,
+        /// Updates to commit before the answer, if it says that it leaves.
+        updates: Vec<Update>,
     },
     /// The heartbeat does not fit to the earlier ones of the same incarnation. It renews nothing.
     Odd(OddHeartbeat),
@@ -222,7 +222,7 @@
             tracked: BTreeMap::new(),
             joining: BTreeMap::new(),
             rivals: Rivals::new(config),
-            departures: Departures::default(),
+            departures: Departures::restore(now, catalog),
         }
     }
 
@@ -248,7 +248,8 @@
             SerialOrder::Leap => return HeartbeatOutcome::Odd(OddHeartbeat::Leap),
         }
         let mut updates = self.grants_after_release(now, catalog, id, heartbeat);
-        if heartbeat.leaving && !record.leaving {
+        let has_left = heartbeat.leaving || self.has_left(record);
+        if has_left && !record.leaving {
             updates.push(Update::Leave(id));
         }
         HeartbeatOutcome::Known { id, updates }
@@ -281,11 +282,11 @@
         let is_vacant = heard.all(|heard| self.rivals.is_silent(now, heard));
         if !is_vacant && !self.rivals.is_steady(heartbeat) {
             self.share_cold(now, catalog, heartbeat);
-            let update = match heartbeat.leaving {
+            let updates = match heartbeat.leaving {
                 true => self.on_leave(now, catalog, &heartbeat.name, Some(heartbeat.incarnation)),
-                false => None,
+                false => Vec::new(),
             };
-            return HeartbeatOutcome::Waiting { is_first, update };
+            return HeartbeatOutcome::Waiting { is_first, updates };
         }
         let key = (heartbeat.name.clone(), heartbeat.incarnation);
         let joining = Joining {
@@ -307,41 +308,58 @@
     }
 
     /// Records that an incarnation of a target leaves, or the present one if none is named. Returns
-    /// the update to commit before that is acknowledged.
+    /// the updates to commit before that is acknowledged.
     ///
     /// The record of an earlier incarnation is marked: a later one that leaves is reached at its
-    /// address as long as the catalog has the former one.
+    /// address as long as the catalog has the former one. The departure of one that the catalog does not
+    /// have is committed too.
     pub fn on_leave(
         &mut self,
         now: Moment,
         catalog: &Catalog,
         name: &Target,
         incarnation: Option<Incarnation>,
-    ) -> Option<Update> {
+    ) -> Vec<Update> {
         let present = catalog.find(name);
-        if let Some(incarnation) = incarnation {
-            self.departures.record(now, name, incarnation);
-        }
-        present
+        let mut updates: Vec<Update> = present
             .filter(|(_, t)| incarnation.is_none_or(|leaving| t.incarnation <= leaving))
             .filter(|(_, t)| !t.leaving)
             .map(|(id, _)| Update::Leave(id))
+            .into_iter()
+            .collect();
+        if let Some(incarnation) = incarnation {
+            self.departures.record(now, name, incarnation);
+            let is_later = present.is_none_or(|(_, t)| t.incarnation < incarnation);
+            if is_later && !catalog.has_departed(name, incarnation) {
+                updates.push(Update::Depart(name.clone(), incarnation));
+            }
+        }
+        updates
+    }
+
+    /// Whether the incarnation of a record has left.
+    fn has_left(&self, record: &TargetRecord) -> bool {
+        self.departures.has_left(&record.name, record.incarnation)
     }
 
     /// Record of an incarnation that joins by this heartbeat. One that has left joins as such.
     pub fn joining_record(&self, heartbeat: &Heartbeat) -> TargetRecord {
         let record = heartbeat.record();
-        let has_left = self.departures.has_left(&record.name, record.incarnation);
         TargetRecord {
-            leaving: record.leaving || has_left,
+            leaving: record.leaving || self.has_left(&record),
             ..record
         }
     }
 
     /// Update that is due for a target that left while it joined.
     pub fn overdue_leave(&self, id: TargetId, record: &TargetRecord) -> Option<Update> {
-        let has_left = self.departures.has_left(&record.name, record.incarnation);
-        (has_left && !record.leaving).then_some(Update::Leave(id))
+        (self.has_left(record) && !record.leaving).then_some(Update::Leave(id))
+    }
+
+    /// Update by which the catalog forgets departures that are remembered no more.
+    pub fn forget_departures(&self, catalog: &Catalog) -> Option<Update> {
+        let forgotten = self.departures.forgotten(catalog);
+        (!forgotten.is_empty()).then_some(Update::Forget(forgotten))
     }
 
     /// Whether another incarnation under the name or at the address of a target is the one alive.
--- a/lib/src/version/catalog/mod.rs
+++ b/lib/src/version/catalog/mod.rs
@@ -74,22 +74,31 @@
     /// Findings about requests that end targets; known to core hosts only.
     #[serde(skip)]
     pub suspects: SuspectRecords,
+    /// Latest incarnation of a name that has left; known to core hosts only.
+    #[serde(skip)]
+    pub departures: BTreeMap<Target, Incarnation>,
 }
 
 impl Catalog {
     /// Encodes the whole state for a snapshot. Releases below level
-    /// [`RECORDS`](super::wire_level::WireLevel::RECORDS) read no further than the catalog.
+    /// [`RECORDS`](super::wire_level::WireLevel::RECORDS) read no further than the catalog, and those below
+    /// [`DEPARTURES`](super::wire_level::WireLevel::DEPARTURES) no further than the findings.
     pub fn encode_state(&self) -> Result<Vec<u8>, postcard::Error> {
         let mut state = postcard::to_stdvec(self)?;
-        state.extend(postcard::to_stdvec(&self.suspects)?);
+        state.extend(postcard::to_stdvec(&(&self.suspects, &self.departures))?);
         Ok(state)
     }
 
-    /// Decodes the state of a snapshot, which releases below that level wrote without findings.
+    /// Decodes the state of a snapshot, which releases below these levels wrote without findings or
+    /// departures.
     pub fn decode_state(state: &[u8]) -> Result<Self, postcard::Error> {
         let (mut catalog, rest) = postcard::take_from_bytes::<Catalog>(state)?;
         if !rest.is_empty() {
-            catalog.suspects = postcard::from_bytes(rest)?;
+            let (suspects, rest) = postcard::take_from_bytes(rest)?;
+            catalog.suspects = suspects;
+            if !rest.is_empty() {
+                catalog.departures = postcard::from_bytes(rest)?;
+            }
         }
         Ok(catalog)
     }
@@ -109,6 +118,8 @@
             Update::Move { service, spans } => self.begin_moves(service, spans),
             Update::Assign { service, grants } => self.assign(service, grants),
             Update::Suspects(update) => changed_if(self.suspects.apply(update)),
+            Update::Depart(name, incarnation) => self.depart(name, *incarnation),
+            Update::Forget(departures) => self.forget(departures),
         }
     }
 
@@ -137,6 +148,12 @@
         matching.map(|(id, record)| (*id, record))
     }
 
+    /// Whether an incarnation of a name, or a later one, is committed as having left.
+    pub fn has_departed(&self, name: &Target, incarnation: Incarnation) -> bool {
+        let latest = self.departures.get(name);
+        latest.is_some_and(|latest| incarnation <= *latest)
+    }
+
     /// Whether a target may get new requests or keys: it did not ask to leave, and its zone is in
     /// service.
     pub fn accepts_work(&self, record: &TargetRecord) -> bool {
@@ -190,6 +207,25 @@
         }
     }
 
+    fn depart(&mut self, name: &Target, incarnation: Incarnation) -> Applied {
+        if self.has_departed(name, incarnation) {
+            return Applied::Unchanged;
+        }
+        self.departures.insert(name.clone(), incarnation);
+        Applied::Changed { items: 1 }
+    }
+
+    /// Forgets departures, unless a later incarnation of the name has left since.
+    fn forget(&mut self, departures: &[(Target, Incarnation)]) -> Applied {
+        let former = self.departures.len();
+        for (name, incarnation) in departures {
+            if self.departures.get(name) == Some(incarnation) {
+                self.departures.remove(name);
+            }
+        }
+        changed_if(self.departures.len() < former)
+    }
+
     /// Removes a target and leaves its keys without an owner.
     fn remove(&mut self, id: TargetId) -> Applied {
         let Some(record) = self.targets.remove(&id) else {
--- a/lib/src/version/catalog/update.rs
+++ b/lib/src/version/catalog/update.rs
@@ -2,7 +2,7 @@
 
 use super::{KeySpan, TargetId, TargetRecord};
 use crate::{
-    name::{Service, Zone},
+    name::{Incarnation, Service, Target, Zone},
     version::{
         desired::{Change, ChangeError},
         suspect_records::RecordsUpdate,
@@ -57,12 +57,21 @@
     /// Findings about requests that end targets. Only core hosts take it in, from level
     /// [`RECORDS`](crate::version::wire_level::WireLevel::RECORDS) on.
     Suspects(RecordsUpdate),
+    /// An incarnation has left, and with it all earlier ones of its name. The catalog may not have it
+    /// yet. Only core hosts take it in, from level
+    /// [`DEPARTURES`](crate::version::wire_level::WireLevel::DEPARTURES) on.
+    Depart(Target, Incarnation),
+    /// Departures of incarnations whose heartbeats arrive no more are forgotten.
+    Forget(Vec<(Target, Incarnation)>),
 }
 
 impl Update {
     /// Whether entries take it in.
     pub fn is_for_entries(&self) -> bool {
-        !matches!(self, Update::Suspects(_))
+        !matches!(
+            self,
+            Update::Suspects(_) | Update::Depart(..) | Update::Forget(_)
+        )
     }
 }
 
--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -142,14 +142,14 @@
         outcome
     }
 
-    /// Records that a target leaves; returns the update to commit before that is acknowledged.
+    /// Records that a target leaves; returns the updates to commit before that is acknowledged.
     pub fn leave(
         &mut self,
         now: Moment,
         catalog: &Catalog,
         name: &Target,
         incarnation: Option<Incarnation>,
-    ) -> Option<Update> {
+    ) -> Vec<Update> {
         self.leases.on_leave(now, catalog, name, incarnation)
     }
 
@@ -309,6 +309,7 @@
             .into_iter()
             .map(Update::Remove);
         planned.extend(expired.map(PlannedUpdate::single));
+        planned.extend(self.plan_departures(catalog).map(PlannedUpdate::single));
         for (service, item) in &catalog.desired.services {
             if item.value.as_ref().is_some_and(|spec| spec.keyed) {
                 let mut updates = self.plan_service(now, catalog, service);
@@ -326,6 +327,13 @@
         planned
     }
 
+    /// Updates for targets that left before they were in the catalog, and for departures to forget.
+    fn plan_departures(&self, catalog: &Catalog) -> impl Iterator<Item = Update> {
+        let targets = catalog.targets.iter();
+        let overdue = targets.filter_map(|(id, record)| self.leases.overdue_leave(*id, record));
+        overdue.chain(self.leases.forget_departures(catalog))
+    }
+
     /// Whether the next status is due.
     pub fn is_status_due(&self, now: Moment) -> bool {
         self.status_pace.is_due(now)
--- a/lib/src/version/wire_level.rs
+++ b/lib/src/version/wire_level.rs
@@ -7,7 +7,10 @@
 //! A process tells its level behind its first message on a connection, where releases without levels
 //! do not look. Their level is learnt from what they send: whoever sends a message knows its level.
 
-use super::feed::{FromCore, ToCore};
+use super::{
+    catalog::Update,
+    feed::{FromCore, ToCore},
+};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -31,8 +34,10 @@
     pub const RECORDS: WireLevel = WireLevel(4);
     /// Core hosts tell their clocks, and until when the calls that they pass on may take effect.
     pub const DEADLINES: WireLevel = WireLevel(5);
+    /// Core hosts commit departures of targets that the catalog does not have yet.
+    pub const DEPARTURES: WireLevel = WireLevel(6);
     /// Level of this release.
-    pub const OWN: WireLevel = WireLevel::DEADLINES;
+    pub const OWN: WireLevel = WireLevel::DEPARTURES;
 }
 
 impl fmt::Display for WireLevel {
@@ -78,3 +83,21 @@
         }
     }
 }
+
+impl Update {
+    /// Level of the core hosts that know this update.
+    pub fn level(&self) -> WireLevel {
+        match self {
+            Update::Desired(_)
+            | Update::ZoneOut(_)
+            | Update::ZoneIn(_)
+            | Update::Join(_)
+            | Update::Leave(_)
+            | Update::Remove(_)
+            | Update::Move { .. }
+            | Update::Assign { .. } => WireLevel::BASE,
+            Update::Suspects(_) => WireLevel::RECORDS,
+            Update::Depart(..) | Update::Forget(_) => WireLevel::DEPARTURES,
+        }
+    }
+}
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -385,7 +385,11 @@
     let former = leader.leave(now, &catalog, &name, Some(Incarnation(0)));
     let later = leader.leave(now, &catalog, &name, Some(Incarnation(2)));
 
-    assert_eq!((former, later), (None, Some(Update::Leave(id))));
+    let departure = Update::Depart(name, Incarnation(2));
+    assert_eq!(
+        (former, later),
+        (Vec::new(), vec![Update::Leave(id), departure])
+    );
 }
 
 /// The same for a report of leaving that waits for the former incarnation to fall silent.
@@ -402,9 +406,10 @@
 
     let outcome = leader.heartbeat(now, &catalog, &draining);
 
-    let update = Some(Update::Leave(id));
+    let departure = Update::Depart(draining.name, Incarnation(2));
+    let updates = vec![Update::Leave(id), departure];
     let is_first = true;
-    assert_eq!(outcome, HeartbeatOutcome::Waiting { is_first, update });
+    assert_eq!(outcome, HeartbeatOutcome::Waiting { is_first, updates });
 }
 
 /// A report that arrives behind the leave message admits the target as if it served on.
@@ -417,10 +422,11 @@
         ..reborn(1)
     };
 
-    let update = leader.leave(now, &catalog, &reborn(1).name, Some(Incarnation(2)));
+    let updates = leader.leave(now, &catalog, &reborn(1).name, Some(Incarnation(2)));
     let outcome = leader.heartbeat(now, &catalog, &reborn(1));
 
-    assert_eq!((update, outcome), (None, HeartbeatOutcome::New));
+    let departure = Update::Depart(reborn(1).name, Incarnation(2));
+    assert_eq!((updates, outcome), (vec![departure], HeartbeatOutcome::New));
     assert!(leader.joining_record(&reborn(1)).leaving);
     assert!(!leader.joining_record(&next).leaving);
 }
@@ -441,6 +447,91 @@
     assert_eq!(update, Some(Update::Leave(id)));
 }
 
+fn next_leader(now: Moment, catalog: &Catalog) -> LeaderState {
+    let config = LeaseConfig {
+        length: Duration::from_secs(4),
+        heartbeat: Duration::from_millis(870),
+    };
+    LeaderState::new(config, now, catalog)
+}
+
+/// The next leader admits an incarnation whose departure was acknowledged, as one that stays.
+#[test]
+fn a_committed_departure_is_not_known_to_the_next_leader() {
+    let (mut leader, mut catalog) = (leader(), catalog(false));
+    let now = Moment::from_millis(60_000);
+    let updates = leader.leave(now, &catalog, &reborn(1).name, Some(Incarnation(2)));
+    let repeated = {
+        updates
+            .iter()
+            .for_each(|update| drop(catalog.apply(update)));
+        leader.leave(now, &catalog, &reborn(1).name, Some(Incarnation(2)))
+    };
+
+    let next = next_leader(now, &catalog);
+
+    assert_eq!(repeated, Vec::new(), "it is committed already");
+    assert!(next.joining_record(&reborn(1)).leaving);
+}
+
+/// A join and a departure were committed, and the leader was lost before it marked the record.
+#[test]
+fn a_target_that_left_while_it_joined_is_not_marked_by_the_next_leader() {
+    let (now, mut catalog) = (Moment::from_millis(60_000), catalog(false));
+    catalog.apply(&Update::Join(reborn(1).record()));
+    catalog.apply(&Update::Depart(reborn(1).name, Incarnation(2)));
+    let (id, _) = catalog.find(&reborn(1).name).unwrap();
+    let mut next = next_leader(now, &catalog);
+
+    let planned = next.plan(now + Duration::from_secs(1), &catalog);
+
+    let updates: Vec<_> = planned.into_iter().map(|planned| planned.update).collect();
+    assert_eq!(updates, vec![Update::Leave(id)]);
+}
+
+/// Departures fill the catalog for ever.
+#[test]
+fn a_committed_departure_is_kept_for_more_than_a_minute() {
+    let (now, mut catalog) = (Moment::from_millis(60_000), catalog(false));
+    let name = reborn(1).name;
+    join(&mut leader(), &mut catalog, now);
+    catalog.apply(&Update::Depart(name.clone(), Incarnation(2)));
+    let mut next = next_leader(now, &catalog);
+    let mut plan = |serial: u64, age: u64| -> Vec<Update> {
+        let at = now + Duration::from_secs(age);
+        next.heartbeat(at, &catalog, &heartbeat(serial));
+        let planned = next.plan(at, &catalog);
+        planned.into_iter().map(|planned| planned.update).collect()
+    };
+
+    let early = plan(2, 59);
+    let late = plan(3, 61);
+
+    let forget = Update::Forget(vec![(name.clone(), Incarnation(2))]);
+    assert!(!early.contains(&forget), "{early:?}");
+    assert!(late.contains(&forget), "{late:?}");
+    catalog.apply(&Update::Depart(name.clone(), Incarnation(3)));
+    catalog.apply(&forget);
+    assert!(catalog.has_departed(&name, Incarnation(3)));
+}
+
+/// A snapshot loses departures, or one of an earlier release cannot be read.
+#[test]
+fn departures_are_lost_with_a_snapshot() {
+    let mut catalog = catalog(false);
+    catalog.apply(&Update::Depart(Target::from("w"), Incarnation(2)));
+    let mut earlier = postcard::to_stdvec(&catalog).expect("encoded");
+    earlier.extend(postcard::to_stdvec(&catalog.suspects).expect("encoded"));
+    let mut without = catalog.clone();
+    without.departures.clear();
+
+    let state = catalog.encode_state().expect("encoded");
+
+    assert!(state.starts_with(&earlier));
+    assert_eq!(Catalog::decode_state(&state), Ok(catalog));
+    assert_eq!(Catalog::decode_state(&earlier), Ok(without));
+}
+
 /// The name of a target that has left is never admitted again.
 #[test]
 fn a_departure_is_forgotten_after_a_minute() {
--- a/lib/tests/test_releases.rs
+++ b/lib/tests/test_releases.rs
@@ -159,6 +159,14 @@
         + &line("suspected", &FromCore::Suspected(vec![Fingerprint(1)]))
         + &line("timed-call", &call)
         + &line("clock", &FromCore::Clock(Moment::from_millis(8)))
+        + &line(
+            "depart",
+            &Update::Depart(Target::from("i-1"), Incarnation(7)),
+        )
+        + &line(
+            "forget",
+            &Update::Forget(vec![(Target::from("i-1"), Incarnation(7))]),
+        )
 }
 
 #[test]
--- a/node/src/process/core/leading.rs
+++ b/node/src/process/core/leading.rs
@@ -19,6 +19,7 @@
         desired::{Change, ChangesInFlight},
         leader::LeaderState,
         suspects::{SuspectReport, SuspicionChange},
+        wire_level::WireLevel,
     },
 };
 use std::{collections::VecDeque, time::Duration};
@@ -101,7 +102,9 @@
         };
         let refused = leading.leader.judge_suspects(now, &self.catalog);
         let change = leading.leader.suspects().update_suspected();
-        for planned in leading.leader.plan(now, &self.catalog) {
+        let mut plan = leading.leader.plan(now, &self.catalog);
+        plan.retain(|planned| self.takes(planned.update.level()));
+        for planned in plan {
             let then = planned.completes.map_or(Then::Nothing, Then::Replan);
             self.propose(&planned.update, then);
         }
@@ -122,7 +125,7 @@
 
     /// Commits what is new about requests that end targets.
     fn record_findings(&mut self) {
-        let (now, takes_records) = (self.now(), self.takes_records());
+        let (now, takes_records) = (self.now(), self.takes(WireLevel::RECORDS));
         let Some(leading) = self
             .leading
             .as_mut()
@@ -286,7 +289,7 @@
         }
         match leading.leader.heartbeat(now, &self.catalog, beat) {
             HeartbeatOutcome::Stale => drop(reply.send(ControlReply::Lease(None))),
-            HeartbeatOutcome::Waiting { is_first, update } => {
+            HeartbeatOutcome::Waiting { is_first, updates } => {
                 if is_first {
                     let (name, born) = (&beat.name, beat.incarnation);
                     Event::TargetRejected.log(format_args!(
@@ -294,9 +297,8 @@
                          its name or at its address; it joins once that one is silent"
                     ));
                 }
-                match update {
-                    Some(update) => self.propose(&update, Then::Reply(reply)),
-                    None => drop(reply.send(ControlReply::Lease(None))),
+                if let Some(Then::Reply(reply)) = self.propose_all(updates, Then::Reply(reply)) {
+                    let _ = reply.send(ControlReply::Lease(None));
                 }
             }
             HeartbeatOutcome::Odd(odd) => {
@@ -315,15 +317,12 @@
                 let record = leading.leader.joining_record(beat);
                 self.propose(&Update::Join(record), then);
             }
-            HeartbeatOutcome::Known { id, mut updates } => match updates.pop() {
-                None => self.answer_heartbeat(id, reply),
-                Some(last) => {
-                    for update in updates {
-                        self.propose(&update, Then::Nothing);
-                    }
-                    self.propose(&last, Then::Lease(beat.name.clone(), reply));
+            HeartbeatOutcome::Known { id, updates } => {
+                let then = Then::Lease(beat.name.clone(), reply);
+                if let Some(Then::Lease(_, reply)) = self.propose_all(updates, then) {
+                    self.answer_heartbeat(id, reply);
                 }
-            },
+            }
         }
     }
 
@@ -352,10 +351,10 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        match leading.leader.leave(now, &self.catalog, name, life) {
-            Some(update) => self.propose(&update, Then::Reply(reply)),
+        let updates = leading.leader.leave(now, &self.catalog, name, life);
+        if let Some(Then::Reply(reply)) = self.propose_all(updates, Then::Reply(reply)) {
             // An incarnation that is over has left already.
-            None => drop(reply.send(ControlReply::Done)),
+            let _ = reply.send(ControlReply::Done);
         }
     }
 
--- a/node/src/process/core/task.rs
+++ b/node/src/process/core/task.rs
@@ -543,12 +543,11 @@
         }
     }
 
-    /// Whether all core hosts that have told their level take findings in. Others pass them over.
-    pub(super) fn takes_records(&self) -> bool {
+    /// Whether all core hosts that have told their level take updates of a level in. Others pass them
+    /// over.
+    pub(super) fn takes(&self, wanted: WireLevel) -> bool {
         let levels = self.members.iter().filter_map(|node| self.levels.get(node));
-        levels
-            .min()
-            .is_none_or(|level| *level >= WireLevel::RECORDS)
+        levels.min().is_none_or(|level| *level >= wanted)
     }
 
     /// Offers an update to the log.
@@ -575,6 +574,20 @@
         });
     }
 
+    /// Offers updates to the log, the last of them with what is to be done once it is applied. Those that
+    /// a core host of an earlier release would pass over are left out. Gives `then` back without any.
+    pub(super) fn propose_all(&mut self, mut updates: Vec<Update>, then: Then) -> Option<Then> {
+        updates.retain(|update| self.takes(update.level()));
+        let Some(last) = updates.pop() else {
+            return Some(then);
+        };
+        for update in updates {
+            self.propose(&update, Then::Nothing);
+        }
+        self.propose(&last, then);
+        None
+    }
+
     fn fail(&mut self, number: u64, error: ProposeError) {
         if let Some(then) = self.proposals.remove(&number) {
             Event::ProposalFailed.log(format_args!("number={number} why={error}"));
