leader: grant no lease to a target whose removal is proposed

Cause: leases are kept from targets whose keys are being assigned to others, and a removal was not counted among that.

Change: a target whose removal was proposed gets no lease from this leader, and the removal is proposed until it is committed.

Evidence: `cornelrail-lib::test_leader::a_target_gets_a_lease_while_its_removal_is_committed` failed before with a lease on all keys.

--- a/lib/src/version/leader.rs
+++ b/lib/src/version/leader.rs
@@ -102,6 +102,9 @@
     first_joins: BTreeMap<Service, FirstJoins>,
     /// Services whose last plan is not applied yet, with the targets that lose keys by it.
     active_plans: BTreeMap<Service, BTreeSet<TargetId>>,
+    /// Targets whose removal was proposed. Their keys are free once it is committed, which may happen at
+    /// any time, so they get no leases even if they report again.
+    removals: BTreeSet<TargetId>,
     last_plan: Moment,
     status_pace: StatusPace,
     loads_sent: Moment,
@@ -119,6 +122,7 @@
             target_loads: TargetLoads::default(),
             first_joins: BTreeMap::new(),
             active_plans: BTreeMap::new(),
+            removals: BTreeSet::new(),
             last_plan: now,
             status_pace: StatusPace::new(now),
             loads_sent: Moment::ZERO,
@@ -165,12 +169,12 @@
     }
 
     /// Renews the lease of a target from now on. `None` renews nothing: the service of the target
-    /// is not keyed, or some keys of the target are being assigned to others.
+    /// is not keyed, some keys of the target are being assigned to others, or it is being removed.
     pub fn renew_lease(&mut self, now: Moment, catalog: &Catalog, id: TargetId) -> Option<Lease> {
         let record = catalog.targets.get(&id)?;
         self.leases.begin_tracking(now, id, record);
         let spec = catalog.desired.service(record.service.as_str())?;
-        if !spec.keyed || self.is_losing_keys(id) {
+        if !spec.keyed || self.is_losing_keys(id) || self.removals.contains(&id) {
             return None;
         }
         let served_before = self.served_rows(now, catalog, id);
@@ -304,11 +308,10 @@
             .retain(|id| catalog.targets.contains_key(&id));
         self.permits.retain(|id| catalog.targets.contains_key(&id));
         let mut planned: Vec<PlannedUpdate> = Vec::new();
-        let expired = self
-            .expired_targets(now, catalog)
-            .into_iter()
-            .map(Update::Remove);
-        planned.extend(expired.map(PlannedUpdate::single));
+        self.removals.extend(self.expired_targets(now, catalog));
+        self.removals.retain(|id| catalog.targets.contains_key(id));
+        let removals = self.removals.iter().copied().map(Update::Remove);
+        planned.extend(removals.map(PlannedUpdate::single));
         planned.extend(self.plan_departures(catalog).map(PlannedUpdate::single));
         for (service, item) in &catalog.desired.services {
             if item.value.as_ref().is_some_and(|spec| spec.keyed) {
--- a/lib/tests/test_leader.rs
+++ b/lib/tests/test_leader.rs
@@ -365,6 +365,40 @@
     assert!(next.is_some_and(|status| status.pending.is_empty()));
 }
 
+/// A target that reports again while its removal is being committed holds keys that are free then.
+#[test]
+fn a_target_gets_a_lease_while_its_removal_is_committed() {
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let now = Moment::from_millis(60_000);
+    let id = serve_all_keys(&mut leader, &mut catalog, now);
+    let late = now + Duration::from_secs(21);
+    let planned = leader.plan(late, &catalog);
+    assert!(planned.iter().any(|p| p.update == Update::Remove(id)));
+
+    leader.heartbeat(late, &catalog, &heartbeat(2));
+    let lease = leader.renew_lease(late, &catalog, id);
+    catalog.apply(&Update::Remove(id));
+    let next = leader.heartbeat(late, &catalog, &heartbeat(3));
+
+    assert_eq!(lease, None);
+    assert_eq!(next, HeartbeatOutcome::New);
+}
+
+/// The proposal of a removal fails, and the target goes without keys for ever.
+#[test]
+fn a_removal_is_not_proposed_again_for_a_target_that_reports_meanwhile() {
+    let (mut leader, mut catalog) = (leader(), catalog(true));
+    let now = Moment::from_millis(60_000);
+    join(&mut leader, &mut catalog, now);
+    let late = now + Duration::from_secs(21);
+    assert!(plans_removal(&mut leader, &catalog, late));
+    leader.heartbeat(late, &catalog, &heartbeat(2));
+
+    let later = late + Duration::from_millis(200);
+
+    assert!(plans_removal(&mut leader, &catalog, later));
+}
+
 /// Heartbeat of the next incarnation of the target.
 fn reborn(serial: u64) -> Heartbeat {
     Heartbeat {
