test_soak: cut core hosts off, and take a zone out and back

Links between core hosts hold bytes up for 0.5 to 3.5 s at random, beside kills and freezes; an operator takes a zone out and back by way of any host, and the last order that was acknowledged holds at each entry in the end.

--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -1,6 +1,6 @@
-//! Real processes under faults in series and at once: core hosts are killed and frozen, entries stopped
-//! and killed, while operators send orders, limits change and callers use their connections until these
-//! close.
+//! Real processes under faults in series and at once: core hosts are killed, frozen and cut off from each
+//! other, entries stopped and killed, while operators send orders, limits change, a zone is taken out of
+//! service and back, and callers use their connections until these close.
 //!
 //! `SOAK_SEEDS=50` plays more seeds than the few that run by default, `SOAK_FIRST=49` begins at that seed.
 
@@ -30,6 +30,8 @@
 
 const ENTRIES: usize = 3;
 const TARGETS: usize = 3;
+/// Place of the target whose zone is taken out of service and back; the only one of its service.
+const AWAY: usize = 2;
 const CALLERS: u64 = 12;
 const OPERATORS: u64 = 2;
 /// Time for which there are faults.
@@ -70,9 +72,13 @@
 }
 
 async fn beat(controls: Vec<SocketAddr>, place: usize, address: SocketAddr) {
+    let (zone, service) = match place {
+        AWAY => ("b", "far"),
+        _ => ("a", "pool"),
+    };
     for serial in 1_u64.. {
         let body = json!({
-            "service": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
+            "service": service, "address": address.to_string(), "zone": zone, "version": "v1",
             "slots": 40, "state": "ready", "coldRemaining": "0ms", "seq": serial, "born": 1000,
         });
         let control = controls[serial as usize % controls.len()];
@@ -90,10 +96,13 @@
 }
 
 fn first_order() -> Value {
+    let service = json!({"healthPath": "/health", "maxConns": 400, "protocol": "h1", "tls": false,
+        "version": "00000001"});
+    let mut far = route("far", 1);
+    far["service"] = json!("far");
     json!({"upsert": {
-        "routes": {"w": route("w", 1)},
-        "services": {"pool": {"healthPath": "/health", "maxConns": 400, "protocol": "h1",
-            "tls": false, "version": "00000001"}},
+        "routes": {"w": route("w", 1), "far": far},
+        "services": {"pool": service, "far": service},
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4_000_000, "headerTimeout": "3000ms",
             "idleTimeout": "15000ms", "version": "00000001"},
     }, "remove": {"routes": []}})
@@ -141,6 +150,32 @@
     acked
 }
 
+/// Takes a zone out of service and back, by way of one host after the other. Gives whether the last order
+/// that was acknowledged takes it out.
+async fn evacuate(soak: Arc<Soak>, controls: Vec<SocketAddr>, mut rng: ChaCha8Rng) -> bool {
+    let mut is_out = false;
+    while !soak.is_over() {
+        let name = match is_out {
+            true => "evacuate.end&of=b",
+            false => "evacuate.start&of=b",
+        };
+        let begun = Instant::now();
+        loop {
+            let control = controls[rng.next_u64() as usize % controls.len()];
+            let calling = timeout(DEADLINE, call(control, name, &Value::Null));
+            if let Ok(Some((200, _))) = calling.await {
+                break;
+            }
+            let late = begun.elapsed() >= FAULTS + RECOVERY;
+            assert!(!late, "{name} is not acknowledged");
+            sleep(Duration::from_millis(100)).await;
+        }
+        is_out = !is_out;
+        sleep(Duration::from_millis(rng.next_u64() % 500)).await;
+    }
+    is_out
+}
+
 /// Changes the limits on requests, which connections follow while callers use them.
 async fn change_limits(soak: Arc<Soak>, controls: Vec<SocketAddr>, mut rng: ChaCha8Rng) {
     for version in 2_u64.. {
@@ -240,8 +275,13 @@
 async fn hurt(hosts: &mut Hosts, soak: &Soak, mut rng: ChaCha8Rng) {
     let begun = Instant::now();
     let mut frozen: BTreeMap<usize, Instant> = BTreeMap::new();
-    while begun.elapsed() < FAULTS || !frozen.is_empty() {
+    let mut cut: BTreeMap<usize, Instant> = BTreeMap::new();
+    while begun.elapsed() < FAULTS || !frozen.is_empty() || !cut.is_empty() {
         let now = Instant::now();
+        for (place, _) in cut.iter().filter(|(_, end)| **end <= now) {
+            hosts.set_cut_off(*place, false);
+        }
+        cut.retain(|_, end| *end > now);
         for (place, _) in frozen.iter().filter(|(_, end)| **end <= now) {
             hosts.signal(*place, "CONT");
         }
@@ -288,6 +328,13 @@
             8 if frozen.is_empty() && rng.next_u64().is_multiple_of(2) => {
                 (0..CORES).for_each(|place| hosts.kill(place));
             }
+            9 | 10 if cut.is_empty() => {
+                hosts.set_cut_off(core, true);
+                cut.insert(
+                    core,
+                    now + Duration::from_millis(500 + rng.next_u64() % 3_000),
+                );
+            }
             _ => {}
         }
         sleep(Duration::from_millis(rng.next_u64() % 400)).await;
@@ -302,19 +349,41 @@
     }
 }
 
+/// Status of one request on a connection of its own, if its answer is its own and whole.
+async fn ask_once(callers: SocketAddr, path: &str, id: &str) -> Option<u16> {
+    let asking = async {
+        let mut stream = BufReader::new(TcpStream::connect(callers).await.ok()?);
+        let request = format!(
+            "POST /{path}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.ok()?;
+        read_answer(&mut stream, id).await
+    };
+    match timeout(DEADLINE, asking).await {
+        Ok(Some((status, true, _))) => Some(status),
+        _ => None,
+    }
+}
+
+/// Waits until each entry serves the zone that is taken out and back as the last order says.
+async fn check_zone(hosts: &Hosts, is_out: bool) {
+    let begun = Instant::now();
+    for callers in &hosts.callers {
+        while (ask_once(*callers, "far", "far").await == Some(200)) == is_out {
+            let late = begun.elapsed() >= RECOVERY;
+            assert!(!late, "{callers} serves the zone otherwise, out: {is_out}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
 /// Waits until each entry serves, then compares each host's items with what was acknowledged.
 async fn check_whole(hosts: &Hosts, acked: &Acked) {
     let begun = Instant::now();
     for callers in &hosts.callers {
         loop {
-            let asking = async {
-                let mut stream = BufReader::new(TcpStream::connect(callers).await.ok()?);
-                let request = "POST /w/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: last\r\n\
-                               Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n";
-                stream.write_all(request.as_bytes()).await.ok()?;
-                read_answer(&mut stream, "last").await
-            };
-            if let Ok(Some((200, true, _))) = timeout(DEADLINE, asking).await {
+            if ask_once(*callers, "w", "last").await == Some(200) {
                 break;
             }
             assert!(begun.elapsed() < RECOVERY, "{callers} serves nothing");
@@ -334,7 +403,7 @@
 
 async fn play(seed: u64) {
     let rng = |name: &str, number: u64| rng_of(seed, name, number);
-    let mut hosts = Hosts::start(ENTRIES);
+    let mut hosts = Hosts::with_links(CORES, ENTRIES);
     let record = Arc::<Record>::default();
     let mut beats = JoinSet::new();
     for place in 0..TARGETS {
@@ -363,12 +432,15 @@
     }
     let limiting = change_limits(soak.clone(), hosts.controls.clone(), rng("limits", 0));
     let limiting = tokio::spawn(limiting);
+    let evacuating = evacuate(soak.clone(), hosts.controls.clone(), rng("zone", 0));
+    let evacuating = tokio::spawn(evacuating);
 
     hurt(&mut hosts, &soak, rng("faults", 0)).await;
     soak.stop.store(true, Ordering::Relaxed);
     let seen: Vec<_> = asking.join_all().await.into_iter().flatten().collect();
     let acked: Acked = operating.join_all().await.into_iter().flatten().collect();
     limiting.await.expect("limits are changed until the end");
+    let is_out = evacuating.await.expect("all orders are acknowledged");
     // What was sent last may still run.
     sleep(DEADLINE).await;
 
@@ -395,6 +467,7 @@
     );
     assert!(served > 0, "seed {seed}: nothing was served");
     check_whole(&hosts, &acked).await;
+    check_zone(&hosts, is_out).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
