--- a/node/src/connection/core_link.rs
+++ b/node/src/connection/core_link.rs
@@ -101,19 +101,33 @@
     }
 }
 
-impl OutgoingCall {
-    /// The message for a peer with this clock; `None` while that is awaited.
-    fn message(&self, peer: &PeerClock) -> Option<ToCore> {
-        match peer {
-            PeerClock::Awaited => None,
-            PeerClock::Untold => Some(ToCore::Call(self.number, self.call.clone())),
-            PeerClock::Told(reading) => Some(ToCore::TimedCall {
-                number: self.number,
-                deadline: reading.translate(self.deadline),
-                call: self.call.clone(),
-            }),
+/// Encodes the calls that wait for a peer with this clock, and keeps them while that is awaited.
+fn take_calls(
+    waiting: &mut Vec<OutgoingCall>,
+    peer: &PeerClock,
+) -> Result<Vec<Bytes>, postcard::Error> {
+    let reading = match peer {
+        PeerClock::Awaited => return Ok(Vec::new()),
+        PeerClock::Untold => None,
+        PeerClock::Told(reading) => Some(reading),
+    };
+    let message = |outgoing: OutgoingCall| {
+        let OutgoingCall {
+            number,
+            deadline,
+            call,
+        } = outgoing;
+        match reading {
+            None => ToCore::Call(number, call),
+            Some(reading) => ToCore::TimedCall {
+                number,
+                deadline: reading.translate(deadline),
+                call,
+            },
         }
-    }
+    };
+    let calls = waiting.drain(..);
+    calls.map(|outgoing| encode(&message(outgoing))).collect()
 }
 
 /// Task of a link.
@@ -161,12 +175,10 @@
                     for outgoing in burst.drain(..) {
                         match outgoing {
                             Outgoing::Message(message) => messages.push(encode(&message)?),
-                            Outgoing::Call(call) => match call.message(&peer) {
-                                Some(message) => messages.push(encode(&message)?),
-                                None => waiting.push(call),
-                            },
+                            Outgoing::Call(call) => waiting.push(call),
                         }
                     }
+                    messages.extend(take_calls(&mut waiting, &peer)?);
                     stream.send(messages).await?;
                 }
                 message = stream.receive::<FromCore>() => {
@@ -179,9 +191,9 @@
                             return Ok(());
                         },
                     }
-                    let calls = waiting.drain(..).filter_map(|call: OutgoingCall| call.message(&peer));
-                    let calls: Result<Vec<Bytes>, _> = calls.map(|call| encode(&call)).collect();
-                    stream.send(calls?).await?;
+                    if !waiting.is_empty() {
+                        stream.send(take_calls(&mut waiting, &peer)?).await?;
+                    }
                 }
                 () = tokio::time::sleep_until(ping) => {
                     stream.send([encode(&ToCore::Ping)?]).await?;
