entry: accept the connections that wait before a stop ends the process

Callers saw connections to an entry that was being stopped reset after they had sent their request.

Cause: the stop waits until no connection is open. Those that wait to be accepted are not counted, and the task that accepts may not have run yet, so a stop with few callers can end the process at once.

Change: the stop waits for the task that accepts, and counts then.

--- a/node/src/process/entry/mod.rs
+++ b/node/src/process/entry/mod.rs
@@ -48,7 +48,8 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, futures::OwnedNotified, mpsc, watch},
-    time::{Instant, interval, sleep},
+    task::JoinHandle,
+    time::{Instant, interval, sleep, timeout_at},
 };
 
 /// Pause between two sweeps of the idle connections.
@@ -202,6 +203,8 @@
     entry: Arc<Entry>,
     seeds: watch::Sender<Vec<IpAddr>>,
     closing: watch::Sender<bool>,
+    /// Ends once all connections that were made are accepted.
+    accepting: JoinHandle<()>,
     grace: Duration,
 }
 
@@ -221,7 +224,7 @@
     ));
     let grace = settings.grace;
     tokio::spawn(follow::run(entry.clone(), settings, seeds_rx));
-    tokio::spawn(front::run(callers_listener, entry.clone(), closing_rx));
+    let accepting = tokio::spawn(front::run(callers_listener, entry.clone(), closing_rx));
     tokio::spawn(serve_ready(ready_listener, entry.clone()));
     tokio::spawn(sweep(entry.clone()));
     tokio::spawn(watch_replica::run(entry.clone()));
@@ -231,6 +234,7 @@
         entry,
         seeds,
         closing,
+        accepting,
         grace,
     })
 }
@@ -253,6 +257,8 @@
         Event::Stopping.log(format_args!("limit={:?}", self.grace));
         sleep(LEAVING_TIME.min(self.grace / 2)).await;
         self.closing.send_replace(true);
+        // Without connections before, the last ones would be missed.
+        let _ = timeout_at(end, self.accepting).await;
         while self.entry.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
             sleep(END_PAUSE).await;
             if Instant::now() + ANSWER_TIME > end {
--- a/node/tests/test_stopping.rs
+++ b/node/tests/test_stopping.rs
@@ -1,6 +1,9 @@
 //! A planned stop of an entry while callers keep sending: what was accepted is answered.
 
-use crate::test_seeded::{Fleet, PATIENCE, call, fleet, fleet_with, order, set_up, split};
+use crate::{
+    seeded::{CORES, Hosts},
+    test_seeded::{Fleet, PATIENCE, call, fleet, fleet_with, order, set_up, split},
+};
 use cornelrail_testutils::scripted::{self, Ask, Record, Reply};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -14,11 +17,16 @@
 const LOAD_TIME: Duration = Duration::from_secs(5);
 /// Grace of the entry, in ms.
 const GRACE_MS: u64 = 4_000;
+/// Stops of one process that are tried, and callers during each.
+const STOPS: usize = 4;
+const CALLERS: usize = 4;
+/// Place of the entry among the processes.
+const ENTRY: usize = CORES;
 /// Pause between two callers.
 const PAUSE: Duration = Duration::from_millis(2);
 
 /// How the request of one caller ended.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Ended {
     Answered,
     /// The connection was not made.
@@ -262,3 +270,43 @@
     }
     assert!(served >= 8, "{served} served of those that end in time");
 }
+
+/// Callers that ask one request after the other until the entry refuses them; gives what was cut.
+async fn ask_until_refused(callers: SocketAddr, name: String) -> Vec<Ended> {
+    let mut cut = Vec::new();
+    for number in 0.. {
+        match ask_once(callers, format!("{name}-{number}"), Duration::ZERO).await {
+            Ended::Answered => {}
+            Ended::Refused => break,
+            ended @ Ended::Cut(_) => cut.push(ended),
+        }
+        sleep(PAUSE).await;
+    }
+    cut
+}
+
+/// With few callers, there is often no open connection as the entry closes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_stops_accepts_what_is_connected() {
+    let mut hosts = Hosts::start(1);
+    let callers = hosts.callers[0];
+    let mut cut = Vec::new();
+
+    for stop in 0..STOPS {
+        while ask_once(callers, "ready".to_owned(), Duration::ZERO).await != Ended::Answered {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let mut asking = JoinSet::new();
+        for caller in 0..CALLERS {
+            asking.spawn(ask_until_refused(callers, format!("stop-{stop}-{caller}")));
+        }
+        hosts.signal(ENTRY, "TERM");
+        cut.extend(asking.join_all().await.concat());
+        while !hosts.has_ended(ENTRY) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        hosts.spawn(ENTRY);
+    }
+
+    assert_eq!(cut, [], "cut off in {STOPS} stops");
+}
