listener: ignore new callers before the close, and accept all that are connected

Callers saw connections reset as a stopping entry closed its listener (once in test_stopping, five connections at load 7 to 12).

Cause: the system makes connections until the listener is closed, and resets those that nobody has accepted. The listener was closed as soon as none waited.

Change: a packet filter has the system ignore what opens a connection; the listener accepts for the time of a handshake, and is closed once none waits. socket2, which tokio has already, sets the filter.

Cost: callers that connect in the last 5 ms are refused a second later.

--- a/node/src/connection/mod.rs
+++ b/node/src/connection/mod.rs
@@ -9,6 +9,7 @@
 pub mod incoming;
 pub mod limited_stream;
 pub mod link;
+pub mod listener;
 pub mod message;
 pub mod paced_stream;
 pub mod peer;
--- a/node/src/process/entry/front.rs
+++ b/node/src/process/entry/front.rs
@@ -4,6 +4,7 @@
 use crate::{
     connection::{
         caller_stream::{CallerStream, CountedBody, StreamEnd},
+        listener,
         paced_stream::{PacedStream, StreamHandle},
         pipeline,
         reset_stream::ResetStream,
@@ -32,7 +33,7 @@
 /// closes waits so long, since a caller whose connection was accepted has sent its request.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 
-/// Accepts connections until the entry closes, and then those that wait already.
+/// Accepts connections until the entry closes, and then those that are made already.
 pub(super) async fn run(
     listener: TcpListener,
     entry: Arc<Entry>,
@@ -48,16 +49,7 @@
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
-    // The runtime may not know yet that a connection waits, so the system is asked itself.
-    let Ok(listener) = listener.into_std() else {
-        return;
-    };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).map(|()| stream);
-        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
-            admit(stream, &entry, &closing);
-        }
-    }
+    listener::close(listener, |stream| admit(stream, &entry, &closing)).await;
 }
 
 fn admit(stream: TcpStream, entry: &Arc<Entry>, closing: &watch::Receiver<bool>) {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_intent;
 mod test_limits;
 mod test_link;
+mod test_listener;
 mod test_logging;
 mod test_lost_words;
 mod test_message;
