--- a/node/tests/test_voter.rs
+++ b/node/tests/test_voter.rs
@@ -35,7 +35,7 @@
 }
 
 type Handles = Arc<Mutex<Vec<VoterHandle>>>;
-/// Voters of the voters.
+/// Some of the voters.
 type Voters = Arc<Mutex<BTreeSet<u64>>>;
 
 /// How often the outcome of a command was not known, so that it was proposed again.
