--- a/lib/src/connection/pull_lease.rs
+++ b/lib/src/connection/pull_lease.rs
@@ -96,7 +96,7 @@
     /// Grants that the latest answer left out because their keys are moving to another target.
     excluded: BTreeSet<Fence>,
     /// Whether it has listed a grant that was made in this term.
-    has_own_grant: bool,
+    own_grant: bool,
 }
 
 /// What former leaders may have granted.
@@ -416,7 +416,7 @@
         let tracked = self.tracked.get(&id);
         id > self.former.last_target
             || now >= self.former.end
-            || tracked.is_some_and(|tracked| tracked.has_own_grant)
+            || tracked.is_some_and(|tracked| tracked.own_grant)
     }
 
     /// Whether the target may still hold a lease.
@@ -534,7 +534,7 @@
             held: BTreeSet::new(),
             active: BTreeSet::new(),
             excluded: BTreeSet::new(),
-            has_own_grant: false,
+            own_grant: false,
         })
     }
 
@@ -556,7 +556,7 @@
             SerialOrder::Next => {}
             SerialOrder::Anew => {
                 tracked.heartbeats = 0;
-                tracked.has_own_grant = false;
+                tracked.own_grant = false;
             }
             SerialOrder::Stale | SerialOrder::Leap => return order,
         }
@@ -575,7 +575,7 @@
         tracked.cold_until = now + heartbeat.cold_left;
         tracked.held = heartbeat.holds.iter().map(|held| held.fence).collect();
         tracked.active.extend(tracked.held.iter().copied());
-        tracked.has_own_grant |= tracked.held.iter().any(|fence| *fence > last_fence);
+        tracked.own_grant |= tracked.held.iter().any(|fence| *fence > last_fence);
         order
     }
 
